--- /dev/null
+++ b/internal/targets/announcement.go
@@ -0,0 +1,218 @@
+// Package targets keeps what targets announce about themselves: their
+// searchers, the shards these hold, the index snapshots and their layouts,
+// and the lease that ends a target which no longer renews.
+package targets
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Limits on one announcement. They bound the memory that a faulty target can
+// claim.
+const (
+	MaxSearchers      = 64
+	MaxShards         = 4096
+	MaxSnapshots      = 8
+	MaxLabels         = 64
+	MaxNameBytes      = 128
+	MaxConnections    = 100_000
+	MaxSlots          = 10_000
+	codeAnnouncement  = verdict.Code("invalid_announcement")
+	codeLayoutChanged = verdict.Code("layout_changed")
+)
+
+// Phase is the state that a target reports about itself.
+type Phase string
+
+// Phases of a target.
+const (
+	Ready    Phase = "ready"
+	Cold     Phase = "cold"
+	Draining Phase = "draining"
+)
+
+// Holding lists the shards of one index snapshot that a searcher holds.
+type Holding struct {
+	IndexSnapshot string
+	Shards        []string
+}
+
+// Searcher is a part of a target that runs searches in its own slots.
+type Searcher struct {
+	Name  string
+	Slots int
+	Holds []Holding
+}
+
+// IndexSnapshot is a version of an index and the full list of its shards.
+// Among the snapshots of one group the highest Generation is the newest.
+type IndexSnapshot struct {
+	Name       string
+	Generation uint64
+	Layout     []string
+}
+
+// Reported is a target's own view of its health and load. It may lag behind
+// reality or mislead, so it is only a hint.
+type Reported struct {
+	Healthy bool
+	Load    float64
+}
+
+// Announcement is what a target says about itself. Its (Incarnation, Seq)
+// orders the announcements of one target.
+type Announcement struct {
+	Target          string
+	Incarnation     uint64
+	Seq             uint64
+	Address         netip.AddrPort
+	FailureDomain   string
+	Labels          map[string]string
+	ConnectionLimit int
+	Phase           Phase
+	Searchers       []Searcher
+	IndexSnapshots  []IndexSnapshot
+	Reported        Reported
+}
+
+// Newer reports whether a was sent after b by the same target.
+func (a *Announcement) Newer(b *Announcement) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Seq > b.Seq
+}
+
+// Validate returns the first reason why the announcement can't be accepted.
+func (a *Announcement) Validate() error {
+	if err := a.validateIdentity(); err != nil {
+		return err
+	}
+	layouts, err := a.validateSnapshots()
+	if err != nil {
+		return err
+	}
+	return a.validateSearchers(layouts)
+}
+
+func (a *Announcement) validateIdentity() error {
+	switch {
+	case !validName(a.Target):
+		return invalid("target name %q is empty or too long", a.Target)
+	case a.Incarnation == 0:
+		return invalid("incarnation is missing")
+	case !a.Address.IsValid() || a.Address.Port() == 0:
+		return invalid("address %q is not an IP address and port", a.Address)
+	case a.Address.Addr().IsUnspecified() || a.Address.Addr().IsMulticast():
+		return invalid("address %q can't be reached", a.Address)
+	case !validName(a.FailureDomain):
+		return invalid("failure domain %q is empty or too long", a.FailureDomain)
+	case a.ConnectionLimit < 1 || a.ConnectionLimit > MaxConnections:
+		return invalid("connection limit %d is outside 1..%d", a.ConnectionLimit, MaxConnections)
+	case a.Phase != Ready && a.Phase != Cold && a.Phase != Draining:
+		return invalid("state %q is not ready, cold or draining", a.Phase)
+	case len(a.Labels) > MaxLabels:
+		return invalid("%d labels, at most %d are allowed", len(a.Labels), MaxLabels)
+	}
+	for k, v := range a.Labels {
+		if !validName(k) || len(v) > MaxNameBytes {
+			return invalid("label %q is empty or too long", k)
+		}
+	}
+	return nil
+}
+
+func (a *Announcement) validateSnapshots() (map[string]map[string]bool, error) {
+	if len(a.IndexSnapshots) > MaxSnapshots {
+		return nil, invalid("%d index snapshots, at most %d are allowed", len(a.IndexSnapshots), MaxSnapshots)
+	}
+	layouts := make(map[string]map[string]bool, len(a.IndexSnapshots))
+	for _, s := range a.IndexSnapshots {
+		if !validName(s.Name) {
+			return nil, invalid("index snapshot name %q is empty or too long", s.Name)
+		}
+		if layouts[s.Name] != nil {
+			return nil, invalid("index snapshot %q is listed twice", s.Name)
+		}
+		if len(s.Layout) == 0 || len(s.Layout) > MaxShards {
+			return nil, invalid("layout of index snapshot %q has %d shards, outside 1..%d", s.Name, len(s.Layout), MaxShards)
+		}
+		shards := make(map[string]bool, len(s.Layout))
+		for _, shard := range s.Layout {
+			if !validName(shard) || shards[shard] {
+				return nil, invalid("layout of index snapshot %q has an empty or repeated shard %q", s.Name, shard)
+			}
+			shards[shard] = true
+		}
+		layouts[s.Name] = shards
+	}
+	return layouts, nil
+}
+
+func (a *Announcement) validateSearchers(layouts map[string]map[string]bool) error {
+	if len(a.Searchers) == 0 || len(a.Searchers) > MaxSearchers {
+		return invalid("%d searchers, outside 1..%d", len(a.Searchers), MaxSearchers)
+	}
+	names := make(map[string]bool, len(a.Searchers))
+	for _, s := range a.Searchers {
+		if !validName(s.Name) || names[s.Name] {
+			return invalid("searcher name %q is empty, too long or repeated", s.Name)
+		}
+		names[s.Name] = true
+		if s.Slots < 1 || s.Slots > MaxSlots {
+			return invalid("searcher %q has %d slots, outside 1..%d", s.Name, s.Slots, MaxSlots)
+		}
+		for _, h := range s.Holds {
+			if layouts[h.IndexSnapshot] == nil {
+				return invalid("searcher %q holds unknown index snapshot %q", s.Name, h.IndexSnapshot)
+			}
+			for _, shard := range h.Shards {
+				if !layouts[h.IndexSnapshot][shard] {
+					return invalid("searcher %q holds shard %q, which is outside the layout of %q", s.Name, shard, h.IndexSnapshot)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// SameContent reports whether a and b differ at most in Seq and Reported, so
+// that a renewal needs no dissemination.
+func (a *Announcement) SameContent(b *Announcement) bool {
+	return a.Target == b.Target && a.Incarnation == b.Incarnation && a.Address == b.Address &&
+		a.FailureDomain == b.FailureDomain && a.ConnectionLimit == b.ConnectionLimit && a.Phase == b.Phase &&
+		equalLabels(a.Labels, b.Labels) &&
+		slices.EqualFunc(a.Searchers, b.Searchers, equalSearcher) &&
+		slices.EqualFunc(a.IndexSnapshots, b.IndexSnapshots, equalSnapshot)
+}
+
+func equalLabels(a, b map[string]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if w, ok := b[k]; !ok || v != w {
+			return false
+		}
+	}
+	return true
+}
+
+func equalSearcher(a, b Searcher) bool {
+	return a.Name == b.Name && a.Slots == b.Slots && slices.EqualFunc(a.Holds, b.Holds, func(x, y Holding) bool {
+		return x.IndexSnapshot == y.IndexSnapshot && slices.Equal(x.Shards, y.Shards)
+	})
+}
+
+func equalSnapshot(a, b IndexSnapshot) bool {
+	return a.Name == b.Name && a.Generation == b.Generation && slices.Equal(a.Layout, b.Layout)
+}
+
+func validName(s string) bool { return s != "" && len(s) <= MaxNameBytes }
+
+func invalid(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, codeAnnouncement, format, args...)
+}
