--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+var testTimeouts = Timeouts{Default: time.Second, Max: 10 * time.Second}
+
+// Guards against bad input that reaches targets, and against refusals of it
+// that don't say "not run".
+func TestBadRequestsAreRefusedAsNotRun(t *testing.T) {
+	good := QueryRequest{Origin: Origin{Team: "showroom"}, Terms: "leaf", K: 10}
+	for name, change := range map[string]func(*QueryRequest){
+		"no team":          func(q *QueryRequest) { q.Team = "" },
+		"no terms":         func(q *QueryRequest) { q.Terms = "" },
+		"long terms":       func(q *QueryRequest) { q.Terms = strings.Repeat("a", MaxTermsBytes+1) },
+		"k zero":           func(q *QueryRequest) { q.K = 0 },
+		"k too large":      func(q *QueryRequest) { q.K = MaxHits + 1 },
+		"coverage":         func(q *QueryRequest) { q.MinCoverage = 1.5 },
+		"coverage NaN":     func(q *QueryRequest) { q.MinCoverage = math.NaN() },
+		"negative timeout": func(q *QueryRequest) { q.Timeout = -time.Second },
+		"long timeout":     func(q *QueryRequest) { q.Timeout = time.Hour },
+		"empty label":      func(q *QueryRequest) { q.Labels = map[string]string{"": "x"} },
+	} {
+		q := good
+		change(&q)
+		err := q.Validate(testTimeouts)
+		require.Error(t, err, name)
+		require.Equal(t, verdict.NotRun, verdict.Of(err), name)
+	}
+	require.NoError(t, good.Validate(testTimeouts))
+	require.Equal(t, time.Second, good.Timeout)
+
+	order := OrderRequest{Origin: Origin{Team: "warehouse"}, Body: "roll 7"}
+	err := order.Validate(testTimeouts)
+	require.Equal(t, CodeMissingRequestID, verdict.CodeOf(err))
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+}
+
+// Guards against a host that was paused and serves its old configuration when
+// it runs again.
+func TestGateClosesWithoutAnEvent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := Gate{Accepting: true, ServeUntil: now.Add(3 * time.Second)}
+	require.NoError(t, g.Check(now))
+	err := g.Check(now.Add(time.Minute))
+	require.Equal(t, CodeConfigStale, verdict.CodeOf(err))
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Equal(t, CodeNotReady, verdict.CodeOf(Gate{Reason: "starting"}.Check(now)))
+}
--- /dev/null
+++ b/internal/entry/entryhttp/http.go
@@ -0,0 +1,291 @@
+// Package entryhttp serves callers over HTTP with JSON bodies.
+package entryhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// maxBodyBytes bounds a request's body. It leaves room for an order's body
+// whose every byte is escaped.
+const maxBodyBytes = 6*entry.MaxOrderBodyBytes + 64<<10
+
+// codeBodyTooLarge is the code of a refusal with status 413.
+const codeBodyTooLarge verdict.Code = "body_too_large"
+
+// RequestIDHeader carries the request ID of a caller and of the reply.
+const RequestIDHeader = "X-Request-Id"
+
+// OrderResult is the outcome of an order that ran.
+type OrderResult struct {
+	RequestID string
+	Result    string
+}
+
+// Service answers checked requests.
+type Service interface {
+	Query(ctx context.Context, q entry.QueryRequest) (*query.Answer, error)
+	Order(ctx context.Context, o entry.OrderRequest) (*OrderResult, error)
+	LookUpOrder(ctx context.Context, requestID string) (*OrderResult, error)
+}
+
+// Handler serves the callers' interface.
+type Handler struct {
+	service  Service
+	timeouts entry.Timeouts
+	newID    func() string
+}
+
+// NewRouter returns the routes of the callers' interface. newID makes request
+// IDs for queries that have none.
+func NewRouter(s Service, t entry.Timeouts, newID func() string) http.Handler {
+	h := &Handler{service: s, timeouts: t, newID: newID}
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/query", h.query).Methods(http.MethodPost)
+	r.HandleFunc("/v1/orders", h.order).Methods(http.MethodPost)
+	r.HandleFunc("/v1/orders/{request_id}", h.lookUpOrder).Methods(http.MethodGet)
+	return r
+}
+
+type originMessage struct {
+	RequestID string            `json:"request_id"`
+	Team      string            `json:"team"`
+	Labels    map[string]string `json:"labels"`
+	Group     string            `json:"group"`
+}
+
+type queryMessage struct {
+	originMessage
+	Terms       string  `json:"terms"`
+	K           int     `json:"k"`
+	TimeoutMS   int64   `json:"timeout_ms"`
+	MinCoverage float64 `json:"min_coverage"`
+}
+
+type orderMessage struct {
+	originMessage
+	Body       string `json:"body"`
+	IssuedAtMS int64  `json:"issued_at_ms"`
+	TimeoutMS  int64  `json:"timeout_ms"`
+}
+
+type answerMessage struct {
+	RequestID     string          `json:"request_id"`
+	Group         string          `json:"group"`
+	IndexSnapshot string          `json:"index_snapshot"`
+	Verdict       verdict.Verdict `json:"verdict"`
+	Coverage      coverageMessage `json:"coverage"`
+	Hits          []hitMessage    `json:"hits"`
+}
+
+type coverageMessage struct {
+	Total    int              `json:"total"`
+	Answered []string         `json:"answered"`
+	Missing  []missingMessage `json:"missing"`
+}
+
+type missingMessage struct {
+	Shard  string       `json:"shard"`
+	Reason query.Reason `json:"reason"`
+}
+
+type hitMessage struct {
+	ID    string  `json:"id"`
+	Score float64 `json:"score"`
+	Text  string  `json:"text"`
+}
+
+type orderReplyMessage struct {
+	RequestID string          `json:"request_id"`
+	Verdict   verdict.Verdict `json:"verdict"`
+	Result    string          `json:"result"`
+}
+
+type errorMessage struct {
+	Error errorBody `json:"error"`
+}
+
+type errorBody struct {
+	Code         verdict.Code    `json:"code"`
+	Message      string          `json:"message"`
+	Verdict      verdict.Verdict `json:"verdict"`
+	RequestID    string          `json:"request_id,omitempty"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+}
+
+func (h *Handler) query(w http.ResponseWriter, r *http.Request) {
+	var m queryMessage
+	if err := decode(w, r, &m); err != nil {
+		writeError(w, "", err)
+		return
+	}
+	q := entry.QueryRequest{
+		Origin: h.origin(r, m.originMessage), Terms: m.Terms, K: m.K,
+		Timeout: milliseconds(m.TimeoutMS), MinCoverage: m.MinCoverage,
+	}
+	if q.RequestID == "" {
+		q.RequestID = h.newID()
+	}
+	if err := q.Validate(h.timeouts); err != nil {
+		writeError(w, q.RequestID, err)
+		return
+	}
+	answer, err := h.service.Query(r.Context(), q)
+	if err != nil {
+		writeError(w, q.RequestID, err)
+		return
+	}
+	w.Header().Set(RequestIDHeader, q.RequestID)
+	writeJSON(w, http.StatusOK, encodeAnswer(answer))
+}
+
+func (h *Handler) order(w http.ResponseWriter, r *http.Request) {
+	var m orderMessage
+	if err := decode(w, r, &m); err != nil {
+		writeError(w, "", err)
+		return
+	}
+	o := entry.OrderRequest{Origin: h.origin(r, m.originMessage), Body: m.Body, Timeout: milliseconds(m.TimeoutMS)}
+	if m.IssuedAtMS != 0 {
+		o.IssuedAt = time.UnixMilli(m.IssuedAtMS)
+	}
+	if err := o.Validate(h.timeouts); err != nil {
+		writeError(w, o.RequestID, err)
+		return
+	}
+	result, err := h.service.Order(r.Context(), o)
+	h.writeOrder(w, o.RequestID, result, err)
+}
+
+func (h *Handler) lookUpOrder(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["request_id"]
+	result, err := h.service.LookUpOrder(r.Context(), id)
+	h.writeOrder(w, id, result, err)
+}
+
+func (h *Handler) writeOrder(w http.ResponseWriter, id string, result *OrderResult, err error) {
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	w.Header().Set(RequestIDHeader, id)
+	writeJSON(w, http.StatusOK, orderReplyMessage{RequestID: result.RequestID, Verdict: verdict.Ran, Result: result.Result})
+}
+
+// origin takes the request ID from the body or, if it has none, from the
+// header. The caller is its IP address, by which hosts keep callers fair.
+func (h *Handler) origin(r *http.Request, m originMessage) entry.Origin {
+	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		caller = r.RemoteAddr
+	}
+	id := m.RequestID
+	if id == "" {
+		id = r.Header.Get(RequestIDHeader)
+	}
+	return entry.Origin{RequestID: id, Caller: caller, Team: m.Team, Labels: routing.Labels(m.Labels), Group: m.Group}
+}
+
+// milliseconds converts a timeout and saturates values that would overflow.
+func milliseconds(ms int64) time.Duration {
+	const most = int64(time.Hour / time.Millisecond)
+	return time.Duration(min(max(ms, -most), most)) * time.Millisecond
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return verdict.New(verdict.NotRun, codeBodyTooLarge, "the body is longer than %d bytes", maxBodyBytes)
+	}
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "read the body")
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "decode the body")
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "the body holds more than one JSON value")
+	}
+	return nil
+}
+
+func encodeAnswer(a *query.Answer) answerMessage {
+	m := answerMessage{
+		RequestID: a.RequestID, Group: a.Group, IndexSnapshot: a.IndexSnapshot, Verdict: a.Verdict,
+		Coverage: coverageMessage{Total: a.Coverage.Total, Answered: a.Coverage.Answered, Missing: []missingMessage{}},
+		Hits:     []hitMessage{},
+	}
+	if m.Coverage.Answered == nil {
+		m.Coverage.Answered = []string{}
+	}
+	for _, x := range a.Coverage.Missing {
+		m.Coverage.Missing = append(m.Coverage.Missing, missingMessage(x))
+	}
+	for _, x := range a.Hits {
+		m.Hits = append(m.Hits, hitMessage(x))
+	}
+	return m
+}
+
+// statuses maps codes to HTTP statuses; other codes follow their verdict.
+var statuses = map[verdict.Code]int{
+	verdict.CodeInvalidRequest:     http.StatusBadRequest,
+	entry.CodeMissingRequestID:     http.StatusBadRequest,
+	entry.CodeImpossibleTimeout:    http.StatusBadRequest,
+	codeBodyTooLarge:               http.StatusRequestEntityTooLarge,
+	routing.CodeUnknownGroup:       http.StatusNotFound,
+	routing.CodeNoSelector:         http.StatusForbidden,
+	verdict.CodeDeadlineExceeded:   http.StatusGatewayTimeout,
+	verdict.CodeInternal:           http.StatusInternalServerError,
+	query.CodeCoverageBelowMinimum: http.StatusServiceUnavailable,
+	"order_not_found":              http.StatusNotFound,
+	"order_content_mismatch":       http.StatusConflict,
+	"order_past_retention":         http.StatusGone,
+	"too_many_requests":            http.StatusTooManyRequests,
+}
+
+// StatusOf returns the HTTP status of an error.
+func StatusOf(err error) int {
+	if status, ok := statuses[verdict.CodeOf(err)]; ok {
+		return status
+	}
+	if verdict.Of(err) == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
+func writeError(w http.ResponseWriter, requestID string, err error) {
+	body := errorBody{Code: verdict.CodeOf(err), Message: err.Error(), Verdict: verdict.Of(err), RequestID: requestID}
+	var e *verdict.Error
+	if errors.As(err, &e) && e.RetryAfter > 0 {
+		body.RetryAfterMS = max(1, e.RetryAfter.Milliseconds())
+	}
+	if requestID != "" {
+		w.Header().Set(RequestIDHeader, requestID)
+	}
+	writeJSON(w, StatusOf(err), errorMessage{Error: body})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error here means that the caller has gone; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,186 @@
+package settings
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Bounds of settings. The staleness bound leaves a second of the 4 s in which
+// a change must be in force everywhere.
+const (
+	minStaleness  = time.Second
+	maxStaleness  = 4 * time.Second
+	maxClockDrift = 0.2
+	maxPermille   = 1000
+	maxNameBytes  = 64
+)
+
+func (r *raw) check(c *checker) *Settings {
+	s := r.Settings
+	s.Roles = parseRoles(c, r.roles)
+	s.Peers = parsePeers(c, r.peers)
+	s.Voters = parseVoters(c, r.voters)
+	s.CallerListen = parseAddress(c, "caller-listen", r.callerListen)
+	s.TargetListen = parseAddress(c, "target-listen", r.targetListen)
+	s.AdminListen = parseAddress(c, "admin-listen", r.adminListen)
+	s.PeerListen = parseAddress(c, "peer-listen", r.peerIn)
+	level, err := zerolog.ParseLevel(r.logLevel)
+	if err != nil || r.logLevel == "" {
+		c.add("-log-level %q is not debug, info, warn or error", r.logLevel)
+	}
+	s.LogLevel = level
+	s.checkNames(c)
+	s.checkVoter(c)
+	s.checkListeners(c)
+	s.checkNumbers(c)
+	return &s
+}
+
+func (s *Settings) checkNames(c *checker) {
+	for _, f := range []struct{ flag, value string }{{"host", s.Host}, {"region", s.Region}, {"failure-domain", s.FailureDomain}} {
+		switch {
+		case f.value == "":
+			c.add("-%s is missing", f.flag)
+		case len(f.value) > maxNameBytes || strings.ContainsAny(f.value, " ,=/\t\n"):
+			c.add("-%s %q is longer than %d bytes or holds a space, comma, slash or equals sign", f.flag, f.value, maxNameBytes)
+		}
+	}
+}
+
+// checkVoter compares the roles with the voters, the data directory and the
+// peers, which contradict each other easily.
+func (s *Settings) checkVoter(c *checker) {
+	if n := len(s.Voters); n != 1 && n != 3 && n != 5 {
+		c.add("-voters names %d hosts; 1, 3 or 5 are possible", n)
+	}
+	voter := s.HasRole(Voter)
+	if voter && s.DataDir == "" {
+		c.add("the role voter needs -data-dir")
+	}
+	if !voter && s.DataDir != "" {
+		c.add("-data-dir is set, but the host has not the role voter")
+	}
+	i := slices.IndexFunc(s.Voters, func(v VoterAddress) bool { return v.Host == s.Host })
+	if !voter && i >= 0 {
+		c.add("-voters names this host, which has not the role voter")
+	}
+	if i >= 0 && s.Voters[i].Peer.Port() != 0 && s.PeerListen.Port() != 0 && s.Voters[i].Peer.Port() != s.PeerListen.Port() {
+		c.add("-voters gives this host port %d, but -peer-listen uses port %d", s.Voters[i].Peer.Port(), s.PeerListen.Port())
+	}
+}
+
+func (s *Settings) checkListeners(c *checker) {
+	listeners := []struct {
+		flag string
+		addr netip.AddrPort
+	}{{"caller-listen", s.CallerListen}, {"target-listen", s.TargetListen}, {"admin-listen", s.AdminListen}, {"peer-listen", s.PeerListen}}
+	for i, a := range listeners {
+		for _, b := range listeners[:i] {
+			if a.addr.IsValid() && a.addr.Port() != 0 && a.addr == b.addr {
+				c.add("-%s and -%s use the same address %s", b.flag, a.flag, a.addr)
+			}
+		}
+	}
+	if s.AdminTokenFile == "" && s.AdminListen.IsValid() && !s.AdminListen.Addr().IsLoopback() {
+		c.add("-admin-listen %s is not on loopback; that needs -admin-token-file", s.AdminListen)
+	}
+	if s.PeerListen.IsValid() && s.PeerListen.Addr().IsUnspecified() {
+		c.add("-peer-listen must name the IP address by which other hosts reach this one")
+	}
+}
+
+func (s *Settings) checkNumbers(c *checker) {
+	if s.ConfigStaleness < minStaleness || s.ConfigStaleness > maxStaleness {
+		c.add("-config-staleness %s is outside %s..%s", s.ConfigStaleness, minStaleness, maxStaleness)
+	}
+	if !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= maxClockDrift) {
+		c.add("-max-clock-drift %v is outside 0..%v", s.MaxClockDrift, maxClockDrift)
+	}
+	for _, d := range []struct {
+		flag  string
+		value time.Duration
+	}{
+		{"shutdown-timeout", s.ShutdownTimeout}, {"default-timeout", s.DefaultTimeout}, {"max-timeout", s.MaxTimeout},
+	} {
+		if d.value <= 0 {
+			c.add("-%s must be above zero", d.flag)
+		}
+	}
+	if s.BalancerLag < 0 || s.NetworkAllowance < 0 {
+		c.add("-balancer-lag and -network-allowance can't be negative")
+	}
+	if s.DefaultTimeout > s.MaxTimeout {
+		c.add("-default-timeout %s is above -max-timeout %s", s.DefaultTimeout, s.MaxTimeout)
+	}
+	if s.MaxQueries < 1 || s.QueueLength < 1 {
+		c.add("-max-queries and -queue-length must be at least 1")
+	}
+	if s.HedgePermille < 0 || s.HedgePermille > maxPermille || s.RetryPermille < 0 || s.RetryPermille > maxPermille {
+		c.add("-hedge-permille and -retry-permille are outside 0..%d", maxPermille)
+	}
+}
+
+func splitList(text string) []string {
+	var out []string
+	for _, part := range strings.Split(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+func parseRoles(c *checker, text string) []Role {
+	var out []Role
+	for _, part := range splitList(text) {
+		r := Role(part)
+		if r != Entry && r != Voter && r != Relay {
+			c.add("-roles holds %q, which is not entry, voter or relay", part)
+			continue
+		}
+		if !slices.Contains(out, r) {
+			out = append(out, r)
+		}
+	}
+	if len(out) == 0 {
+		c.add("-roles names no role")
+	}
+	return out
+}
+
+func parseAddress(c *checker, flagName, text string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		c.add("-%s %q is not an IP address and port", flagName, text)
+	}
+	return a
+}
+
+func parsePeers(c *checker, text string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, part := range splitList(text) {
+		out = append(out, parseAddress(c, "peers", part))
+	}
+	return out
+}
+
+func parseVoters(c *checker, text string) []VoterAddress {
+	var out []VoterAddress
+	for _, part := range splitList(text) {
+		name, addr, ok := strings.Cut(part, "=")
+		if !ok || name == "" {
+			c.add("-voters holds %q, which is not name=IP:port", part)
+			continue
+		}
+		v := VoterAddress{Host: name, Peer: parseAddress(c, "voters", addr)}
+		if slices.ContainsFunc(out, func(o VoterAddress) bool { return o.Host == v.Host || o.Peer == v.Peer }) {
+			c.add("-voters names %q or its address twice", part)
+		}
+		out = append(out, v)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,187 @@
+// Package settings reads the daemon's settings from flags and environment
+// variables and checks them at startup.
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rs/zerolog"
+)
+
+// EnvPrefix starts the name of every environment variable. The variable of
+// the flag -data-dir is HAWTHORNLOCK_DATA_DIR.
+const EnvPrefix = "HAWTHORNLOCK"
+
+// ExitCode is the exit code of a process that its settings keep from
+// starting.
+const ExitCode = 2
+
+// Role is a duty that a host takes.
+type Role string
+
+// Roles of a host.
+const (
+	Entry Role = "entry"
+	Voter Role = "voter"
+	Relay Role = "relay"
+)
+
+// VoterAddress names a host that holds the replicated log.
+type VoterAddress struct {
+	Host string
+	Peer netip.AddrPort
+}
+
+// Settings are the checked settings of one daemon.
+type Settings struct {
+	Host          string
+	Region        string
+	FailureDomain string
+	Roles         []Role
+	DataDir       string
+	Peers         []netip.AddrPort
+	Voters        []VoterAddress
+
+	CallerListen netip.AddrPort
+	TargetListen netip.AddrPort
+	AdminListen  netip.AddrPort
+	PeerListen   netip.AddrPort
+
+	AdminTokenFile   string
+	LogLevel         zerolog.Level
+	ConfigStaleness  time.Duration
+	MaxClockDrift    float64 // share by which two clocks' rates may differ, 0 to 0.2
+	BalancerLag      time.Duration
+	ShutdownTimeout  time.Duration
+	DefaultTimeout   time.Duration
+	MaxTimeout       time.Duration
+	NetworkAllowance time.Duration
+	MaxQueries       int
+	QueueLength      int
+	HedgePermille    int
+	RetryPermille    int
+	Seed             uint64
+}
+
+// HasRole reports whether the host takes the role.
+func (s *Settings) HasRole(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// raw holds the values as they come from flags and environment.
+type raw struct {
+	Settings
+	roles, peers, voters, logLevel                  string
+	callerListen, targetListen, adminListen, peerIn string
+}
+
+func (r *raw) flags() *flag.FlagSet {
+	fs := flag.NewFlagSet("hawthornlockd", flag.ContinueOnError)
+	fs.StringVar(&r.Host, "host", "", "name of this host, unique among all hosts")
+	fs.StringVar(&r.Region, "region", "local", "region of this host")
+	fs.StringVar(&r.FailureDomain, "failure-domain", "", "failure domain of this host")
+	fs.StringVar(&r.roles, "roles", "entry", "comma-separated roles: entry, voter, relay")
+	fs.StringVar(&r.DataDir, "data-dir", "", "data directory on the host's disk; only with the role voter")
+	fs.StringVar(&r.peers, "peers", "", "comma-separated IP:port of other hosts' peer listeners, to find the rest")
+	fs.StringVar(&r.voters, "voters", "", "comma-separated name=IP:port of the hosts that hold the replicated log: 1, 3 or 5")
+	fs.StringVar(&r.callerListen, "caller-listen", "127.0.0.1:7400", "IP:port for callers")
+	fs.StringVar(&r.targetListen, "target-listen", "127.0.0.1:7401", "IP:port for targets' announcements")
+	fs.StringVar(&r.adminListen, "admin-listen", "127.0.0.1:7402", "IP:port for administration, metrics and state")
+	fs.StringVar(&r.peerIn, "peer-listen", "127.0.0.1:7403", "IP:port for other hosts")
+	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file of team=token lines; without it the admin listener must be on loopback")
+	fs.StringVar(&r.logLevel, "log-level", "info", "least severe events to log: debug, info, warn, error")
+	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves a configuration that nothing confirms, 1s to 4s")
+	fs.Float64Var(&r.MaxClockDrift, "max-clock-drift", 0.05, "share by which the clock rates of two hosts may differ, 0 to 0.2")
+	fs.DurationVar(&r.BalancerLag, "balancer-lag", 2*time.Second, "how long the load balancer still sends work after readiness turns false")
+	fs.DurationVar(&r.ShutdownTimeout, "shutdown-timeout", 30*time.Second, "how long a graceful shutdown waits for work in progress")
+	fs.DurationVar(&r.DefaultTimeout, "default-timeout", 2*time.Second, "deadline of a query that names none")
+	fs.DurationVar(&r.MaxTimeout, "max-timeout", 30*time.Second, "longest deadline that a caller may ask for")
+	fs.DurationVar(&r.NetworkAllowance, "network-allowance", 2*time.Millisecond, "network time that is taken off the deadline passed to a target")
+	fs.IntVar(&r.MaxQueries, "max-queries", 256, "queries in progress at this host")
+	fs.IntVar(&r.QueueLength, "queue-length", 512, "queries of one group that may wait at this host")
+	fs.IntVar(&r.HedgePermille, "hedge-permille", 30, "extra sub-requests by hedging, per thousand")
+	fs.IntVar(&r.RetryPermille, "retry-permille", 100, "extra sub-requests by retries, per thousand")
+	fs.Uint64Var(&r.Seed, "seed", 0, "seed of random decisions; 0 takes one from the clock")
+	return fs
+}
+
+// Parse reads flags and environment variables and returns every problem at
+// once. It returns flag.ErrHelp after printing the usage to out.
+func Parse(args []string, out io.Writer) (*Settings, error) {
+	var r raw
+	fs := r.flags()
+	fs.SetOutput(out)
+	fs.Usage = func() { usage(out, fs) }
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		return nil, err
+	}
+	var c checker
+	if fs.NArg() > 0 {
+		c.add("unexpected argument %q", fs.Arg(0))
+	}
+	s := r.check(&c)
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func usage(out io.Writer, fs *flag.FlagSet) {
+	fmt.Fprintf(out, `hawthornlockd answers callers' queries over many shards.
+
+Usage:
+  hawthornlockd -host NAME -failure-domain NAME [flags]
+
+One host on its own:
+  hawthornlockd -host a -failure-domain fd1 -roles entry,voter \
+      -data-dir ./data -voters a=127.0.0.1:7403
+
+Every flag can be set by an environment variable: -data-dir is %s_DATA_DIR.
+
+Flags:
+`, EnvPrefix)
+	fs.PrintDefaults()
+}
+
+// Flag describes one setting for the generated reference.
+type Flag struct {
+	Name, Env, Default, Usage string
+}
+
+// Reference lists all settings by name.
+func Reference() []Flag {
+	var r raw
+	var out []Flag
+	r.flags().VisitAll(func(f *flag.Flag) {
+		env := EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(f.Name, "-", "_"))
+		out = append(out, Flag{Name: f.Name, Env: env, Default: f.DefValue, Usage: f.Usage})
+	})
+	return out
+}
+
+// Problems is the list of everything that is wrong with the settings.
+type Problems []string
+
+// Error lists the problems, one a line.
+func (p Problems) Error() string {
+	return fmt.Sprintf("%d problems with the settings:\n  - %s", len(p), strings.Join(p, "\n  - "))
+}
+
+type checker struct{ problems Problems }
+
+func (c *checker) add(format string, args ...any) {
+	c.problems = append(c.problems, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	return errors.WithStack(c.problems)
+}
