--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -34,16 +34,24 @@
 // WakeAt asks for a Tick at a time, in place of an earlier request.
 type WakeAt struct{ At time.Time }
 
+// DrainSeen reports that a target said on a reply that it is leaving. It is
+// given once per target and incarnation.
+type DrainSeen struct {
+	Target      string
+	Incarnation uint64
+}
+
 // Finish ends the query. Exactly one of Answer and Err is set.
 type Finish struct {
 	Answer *Answer
 	Err    error
 }
 
-func (Send) queryEffect()   {}
-func (Cancel) queryEffect() {}
-func (WakeAt) queryEffect() {}
-func (Finish) queryEffect() {}
+func (Send) queryEffect()      {}
+func (Cancel) queryEffect()    {}
+func (WakeAt) queryEffect()    {}
+func (DrainSeen) queryEffect() {}
+func (Finish) queryEffect()    {}
 
 // Chooser picks a replica for a sub-request. It sees the candidates that the
 // query has not tried yet and the failure domain to avoid, which is empty for
@@ -51,3 +59,23 @@
 type Chooser interface {
 	Pick(now time.Time, candidates []Replica, avoidDomain string) (index int, ok bool)
 }
+
+// Budgets limits the sub-requests that a query sends beyond one per shard.
+// Implementations are shared by all queries of a group and safe for
+// concurrent use.
+type Budgets interface {
+	// AllowHedge takes the permission for one hedge.
+	AllowHedge() bool
+	// AllowRetry takes the permission for one retry.
+	AllowRetry() bool
+	// OnSubRequest records a sub-request that is neither hedge nor retry.
+	OnSubRequest()
+}
+
+// LatencyObserver is implemented by Budgets that learn from latencies.
+type LatencyObserver interface {
+	// ObserveLatency records the time from sending a sub-request to its reply.
+	// A sub-request that was abandoned is recorded with the time it had taken
+	// by then, so that the quantiles do not lose their slowest samples.
+	ObserveLatency(now time.Time, d time.Duration, answered bool)
+}
--- a/internal/query/types.go
+++ b/internal/query/types.go
@@ -17,6 +17,14 @@
 	CodeCancelled            verdict.Code = "cancelled"
 )
 
+// Codes of errors in replies that a query reacts to.
+const (
+	CodeSnapshotGone  verdict.Code = "snapshot_gone"
+	CodeShed          verdict.Code = "shed"
+	CodeDraining      verdict.Code = "draining"
+	CodeWrongSnapshot verdict.Code = "wrong_snapshot"
+)
+
 // Query is a validated query of a caller.
 type Query struct {
 	RequestID   string
