Keep targets in a registry with leases, drains and layouts

Announcements need one place that orders them, ends the leases of targets that stop renewing and gives traffic an immutable view.

The registry keeps one record per target, ordered by (incarnation, seq, status). Two rendezvous owners watch each lease; other hosts forward renewals to them. A drain or an expiry is marked urgent.

--- a/internal/targets/announcement.go
+++ b/internal/targets/announcement.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -13,15 +12,21 @@
 // Limits on one announcement. They bound the memory that a faulty target can
 // claim.
 const (
-	MaxSearchers      = 64
-	MaxShards         = 4096
-	MaxSnapshots      = 8
-	MaxLabels         = 64
-	MaxNameBytes      = 128
-	MaxConnections    = 100_000
-	MaxSlots          = 10_000
-	codeAnnouncement  = verdict.Code("invalid_announcement")
-	codeLayoutChanged = verdict.Code("layout_changed")
+	MaxSearchers   = 64
+	MaxShards      = 4096
+	MaxSnapshots   = 8
+	MaxLabels      = 64
+	MaxNameBytes   = 128
+	MaxConnections = 100_000
+	MaxSlots       = 10_000
+)
+
+// Codes of the reasons why an announcement is refused.
+const (
+	CodeInvalid       verdict.Code = "invalid_announcement"
+	CodeStale         verdict.Code = "stale_announcement"
+	CodeLayoutChanged verdict.Code = "layout_changed"
+	CodeAddressTaken  verdict.Code = "address_taken"
 )
 
 // Phase is the state that a target reports about itself.
@@ -165,7 +170,12 @@
 		if s.Slots < 1 || s.Slots > MaxSlots {
 			return invalid("searcher %q has %d slots, outside 1..%d", s.Name, s.Slots, MaxSlots)
 		}
+		held := make(map[string]bool, len(s.Holds))
 		for _, h := range s.Holds {
+			if held[h.IndexSnapshot] {
+				return invalid("searcher %q lists index snapshot %q twice", s.Name, h.IndexSnapshot)
+			}
+			held[h.IndexSnapshot] = true
 			if layouts[h.IndexSnapshot] == nil {
 				return invalid("searcher %q holds unknown index snapshot %q", s.Name, h.IndexSnapshot)
 			}
@@ -179,40 +189,8 @@
 	return nil
 }
 
-// SameContent reports whether a and b differ at most in Seq and Reported, so
-// that a renewal needs no dissemination.
-func (a *Announcement) SameContent(b *Announcement) bool {
-	return a.Target == b.Target && a.Incarnation == b.Incarnation && a.Address == b.Address &&
-		a.FailureDomain == b.FailureDomain && a.ConnectionLimit == b.ConnectionLimit && a.Phase == b.Phase &&
-		equalLabels(a.Labels, b.Labels) &&
-		slices.EqualFunc(a.Searchers, b.Searchers, equalSearcher) &&
-		slices.EqualFunc(a.IndexSnapshots, b.IndexSnapshots, equalSnapshot)
-}
-
-func equalLabels(a, b map[string]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if w, ok := b[k]; !ok || v != w {
-			return false
-		}
-	}
-	return true
-}
-
-func equalSearcher(a, b Searcher) bool {
-	return a.Name == b.Name && a.Slots == b.Slots && slices.EqualFunc(a.Holds, b.Holds, func(x, y Holding) bool {
-		return x.IndexSnapshot == y.IndexSnapshot && slices.Equal(x.Shards, y.Shards)
-	})
-}
-
-func equalSnapshot(a, b IndexSnapshot) bool {
-	return a.Name == b.Name && a.Generation == b.Generation && slices.Equal(a.Layout, b.Layout)
-}
-
 func validName(s string) bool { return s != "" && len(s) <= MaxNameBytes }
 
 func invalid(format string, args ...any) error {
-	return verdict.New(verdict.NotRun, codeAnnouncement, format, args...)
+	return verdict.New(verdict.NotRun, CodeInvalid, format, args...)
 }
--- /dev/null
+++ b/internal/targets/layouts.go
@@ -0,0 +1,187 @@
+package targets
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+	"time"
+)
+
+// knownLayout is a layout with its use and its way into the replicated log.
+type knownLayout struct {
+	*Layout
+	recorded    bool  // in the replicated log, which decides between layouts
+	unusedSince int64 // Unix nanoseconds; meaningful while no target lists it
+	proposedAt  int64 // Unix nanoseconds; when this host last asked to record it
+}
+
+// layoutTable holds the layouts of index snapshots in use or lately in use.
+type layoutTable struct {
+	known map[string]*knownLayout
+	users map[string]int // targets, not expired, that list an index snapshot
+}
+
+func newLayoutTable() layoutTable {
+	return layoutTable{known: map[string]*knownLayout{}, users: map[string]int{}}
+}
+
+func (t *layoutTable) get(name string) *Layout {
+	if k := t.known[name]; k != nil {
+		return k.Layout
+	}
+	return nil
+}
+
+func (t *layoutTable) use(r *Record) {
+	for _, s := range r.IndexSnapshots {
+		t.users[s.Name]++
+	}
+}
+
+func (t *layoutTable) release(now time.Time, r *Record) {
+	for _, s := range r.IndexSnapshots {
+		t.users[s.Name]--
+		if t.users[s.Name] > 0 {
+			continue
+		}
+		delete(t.users, s.Name)
+		if k := t.known[s.Name]; k != nil {
+			k.unusedSince = now.UnixNano()
+		}
+	}
+}
+
+// set makes a layout known and returns whether that changes anything.
+func (t *layoutTable) set(now time.Time, l *Layout, recorded bool) bool {
+	old := t.known[l.IndexSnapshot]
+	if old != nil && old.Hash == l.Hash {
+		changed := recorded && !old.recorded
+		old.recorded = old.recorded || recorded
+		return changed
+	}
+	t.known[l.IndexSnapshot] = &knownLayout{Layout: l, recorded: recorded, unusedSince: now.UnixNano()}
+	return true
+}
+
+// proposeAgain asks for layouts to be recorded that are not in the log yet.
+// Every host that hears renewals does so, since the first one to ask may
+// have failed.
+func (t *layoutTable) proposeAgain(now time.Time, layouts []*Layout) []Effect {
+	var effects []Effect
+	for _, l := range layouts {
+		k := t.known[l.IndexSnapshot]
+		if k == nil || k.recorded || k.Hash != l.Hash {
+			continue
+		}
+		if now.UnixNano()-k.proposedAt >= int64(layoutProposal) {
+			k.proposedAt = now.UnixNano()
+			effects = append(effects, RecordLayout{Layout: k.Layout})
+		}
+	}
+	return effects
+}
+
+// prune forgets unused layouts past their retention or beyond their number,
+// oldest first, and returns the names of their index snapshots.
+func (t *layoutTable) prune(now time.Time) []string {
+	var unused []*knownLayout
+	for name, k := range t.known {
+		if t.users[name] == 0 {
+			unused = append(unused, k)
+		}
+	}
+	slices.SortFunc(unused, func(a, b *knownLayout) int {
+		return cmp.Or(cmp.Compare(a.unusedSince, b.unusedSince), cmp.Compare(a.IndexSnapshot, b.IndexSnapshot))
+	})
+	var dropped []string
+	for i, k := range unused {
+		old := now.UnixNano()-k.unusedSince >= int64(LayoutRetain)
+		if old || len(unused)-i > MaxUnusedLayouts {
+			delete(t.known, k.IndexSnapshot)
+			dropped = append(dropped, k.IndexSnapshot)
+		}
+	}
+	return dropped
+}
+
+// Layout returns a known layout and whether the replicated log has it.
+func (r *Registry) Layout(indexSnapshot string) (l *Layout, recorded, ok bool) {
+	k := r.layouts.known[indexSnapshot]
+	if k == nil {
+		return nil, false, false
+	}
+	return k.Layout, k.recorded, true
+}
+
+// Layouts returns the known layouts that targets use, in no particular
+// order.
+func (r *Registry) Layouts() iter.Seq[*Layout] {
+	return func(yield func(*Layout) bool) {
+		for name := range r.layouts.users {
+			if l := r.layouts.get(name); l != nil && !yield(l) {
+				return
+			}
+		}
+	}
+}
+
+// learnLayouts makes the layouts of an accepted announcement known.
+func (r *Registry) learnLayouts(now time.Time, layouts []*Layout, from string) []Effect {
+	var effects []Effect
+	for _, l := range layouts {
+		if r.layouts.get(l.IndexSnapshot) != nil {
+			continue
+		}
+		effects = append(effects, r.setLayout(now, l, false, from)...)
+	}
+	return append(effects, r.layouts.proposeAgain(now, layouts)...)
+}
+
+// layoutReceived merges a layout of another host. Hosts that accepted
+// different ones at the same time agree on the one with the higher hash until
+// the replicated log decides.
+func (r *Registry) layoutReceived(now time.Time, ev LayoutReceived) []Effect {
+	if ev.Layout.Validate() != nil {
+		return nil
+	}
+	l := NewLayout(ev.Layout.IndexSnapshot, ev.Layout.Generation, ev.Layout.Shards)
+	if k := r.layouts.known[l.IndexSnapshot]; k != nil && (k.recorded || k.Hash >= l.Hash) {
+		return nil
+	}
+	return r.setLayout(now, l, false, ev.From)
+}
+
+func (r *Registry) layoutRestored(now time.Time, ev LayoutRestored) []Effect {
+	l := NewLayout(ev.Layout.IndexSnapshot, ev.Layout.Generation, ev.Layout.Shards)
+	return r.setLayout(now, l, true, "")
+}
+
+// setLayout makes a layout known or replaces it, and enters what the targets
+// hold under it into the view.
+func (r *Registry) setLayout(now time.Time, l *Layout, recorded bool, from string) []Effect {
+	old := r.layouts.get(l.IndexSnapshot)
+	if !r.layouts.set(now, l, recorded) {
+		return nil
+	}
+	effects := []Effect{DisseminateLayout{IndexSnapshot: l.IndexSnapshot, From: from}}
+	if old != nil && old.Hash == l.Hash {
+		return effects
+	}
+	r.view.setLayout(l)
+	if r.layouts.users[l.IndexSnapshot] > 0 {
+		r.reindex(l.IndexSnapshot)
+	}
+	ev := eventLayoutKnown
+	if old != nil {
+		ev = eventLayoutReplaced
+	}
+	return append(effects, logEffect(ev, "", l.IndexSnapshot))
+}
+
+func (r *Registry) reindex(indexSnapshot string) {
+	for _, e := range r.entries {
+		if e.rec.Status == StatusAlive && e.rec.layoutHash(indexSnapshot) != 0 {
+			r.view.addHoldings(e.rec, indexSnapshot)
+		}
+	}
+}
--- /dev/null
+++ b/internal/targets/record.go
@@ -0,0 +1,238 @@
+package targets
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Status is the state of a target as the hosts agree on it.
+type Status uint8
+
+// Statuses in order of precedence among records of one (incarnation, seq).
+const (
+	StatusAlive    Status = iota // takes new work
+	StatusDraining               // takes no new work, finishes what it has
+	StatusExpired                // its lease ended
+)
+
+// String returns the status as logs and the state dump show it.
+func (s Status) String() string {
+	switch s {
+	case StatusAlive:
+		return "alive"
+	case StatusDraining:
+		return "draining"
+	default:
+		return "expired"
+	}
+}
+
+// Record is what the hosts know of one target. A Record is immutable once the
+// registry holds it. The layouts of its index snapshots are known apart from
+// it: IndexSnapshots[i].Layout is nil and LayoutHashes[i] names the layout.
+type Record struct {
+	Announcement
+	Status       Status
+	LayoutHashes []uint64
+	content      uint64
+}
+
+// Compare orders the records of one target: the result is positive if r
+// replaces other. Records that differ in nothing else are ordered by a hash
+// of their content, so that all hosts keep the same one.
+func (r *Record) Compare(other *Record) int {
+	return cmp.Or(
+		cmp.Compare(r.Incarnation, other.Incarnation),
+		cmp.Compare(r.Seq, other.Seq),
+		cmp.Compare(r.Status, other.Status),
+		cmp.Compare(r.content, other.content),
+	)
+}
+
+// ContentHash identifies everything the target announced except Seq and
+// Reported. It is zero until the registry holds the record.
+func (r *Record) ContentHash() uint64 { return r.content }
+
+// Validate returns the first reason why a record from another host can't be
+// used.
+func (r *Record) Validate() error {
+	if err := r.validateIdentity(); err != nil {
+		return err
+	}
+	if r.Status > StatusExpired {
+		return invalid("status %d is unknown", r.Status)
+	}
+	if len(r.IndexSnapshots) > MaxSnapshots || len(r.LayoutHashes) != len(r.IndexSnapshots) {
+		return invalid("%d index snapshots with %d layouts", len(r.IndexSnapshots), len(r.LayoutHashes))
+	}
+	if len(r.Searchers) == 0 || len(r.Searchers) > MaxSearchers {
+		return invalid("%d searchers, outside 1..%d", len(r.Searchers), MaxSearchers)
+	}
+	for _, s := range r.Searchers {
+		if !validName(s.Name) || s.Slots < 1 || s.Slots > MaxSlots || len(s.Holds) > MaxSnapshots {
+			return invalid("searcher %q is malformed", s.Name)
+		}
+		for _, h := range s.Holds {
+			if !validName(h.IndexSnapshot) || len(h.Shards) > MaxShards {
+				return invalid("searcher %q holds a malformed list of shards", s.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// with returns a copy of r that differs in seq and status.
+func (r *Record) with(seq uint64, status Status) *Record {
+	c := *r
+	c.Seq = seq
+	c.Status = status
+	return &c
+}
+
+// observedDrain reports whether the drain is known only from a reply, while
+// the target itself has not announced it yet.
+func (r *Record) observedDrain() bool {
+	return r.Status == StatusDraining && r.Phase != Draining
+}
+
+func statusOf(p Phase) Status {
+	if p == Draining {
+		return StatusDraining
+	}
+	return StatusAlive
+}
+
+// Layout is the full list of an index snapshot's shards, sorted.
+type Layout struct {
+	IndexSnapshot string
+	Generation    uint64
+	Shards        []string
+	Hash          uint64
+}
+
+// NewLayout returns the layout with sorted shards and its hash. It keeps
+// shards if they are already sorted.
+func NewLayout(name string, generation uint64, shards []string) *Layout {
+	if !slices.IsSorted(shards) {
+		shards = slices.Sorted(slices.Values(shards))
+	}
+	h := newContentHash()
+	h.number(generation)
+	for _, s := range shards {
+		h.text(s)
+	}
+	return &Layout{IndexSnapshot: name, Generation: generation, Shards: shards, Hash: h.sum()}
+}
+
+// Validate returns the first reason why a layout from another host can't be
+// used.
+func (l *Layout) Validate() error {
+	a := Announcement{IndexSnapshots: []IndexSnapshot{{Name: l.IndexSnapshot, Generation: l.Generation, Layout: l.Shards}}}
+	_, err := a.validateSnapshots()
+	return err
+}
+
+// split separates a valid announcement into its record and its layouts. The
+// order in which a target lists shards carries no meaning, so both are
+// sorted.
+func split(a Announcement) (*Record, []*Layout) {
+	layouts := make([]*Layout, len(a.IndexSnapshots))
+	rec := &Record{Announcement: a, Status: statusOf(a.Phase)}
+	rec.IndexSnapshots = make([]IndexSnapshot, len(a.IndexSnapshots))
+	rec.LayoutHashes = make([]uint64, len(a.IndexSnapshots))
+	for i, s := range a.IndexSnapshots {
+		layouts[i] = NewLayout(s.Name, s.Generation, s.Layout)
+		rec.IndexSnapshots[i] = IndexSnapshot{Name: s.Name, Generation: s.Generation}
+		rec.LayoutHashes[i] = layouts[i].Hash
+	}
+	rec.Searchers = make([]Searcher, len(a.Searchers))
+	for i, s := range a.Searchers {
+		rec.Searchers[i] = Searcher{Name: s.Name, Slots: s.Slots, Holds: sortedHolds(s.Holds)}
+	}
+	return rec, layouts
+}
+
+func sortedHolds(holds []Holding) []Holding {
+	out := make([]Holding, len(holds))
+	for i, h := range holds {
+		out[i] = Holding{IndexSnapshot: h.IndexSnapshot, Shards: slices.Compact(slices.Sorted(slices.Values(h.Shards)))}
+	}
+	return out
+}
+
+// hashContent computes the content hash of a record.
+func hashContent(r *Record) uint64 {
+	h := newContentHash()
+	h.text(r.Target)
+	h.text(r.Address.String())
+	h.text(r.FailureDomain)
+	h.text(string(r.Phase))
+	h.number(uint64(r.ConnectionLimit))
+	h.number(hashLabels(r.Labels))
+	h.number(hashSearchers(r.Searchers))
+	h.number(hashSnapshots(r.IndexSnapshots))
+	for _, l := range r.LayoutHashes {
+		h.number(l)
+	}
+	return h.sum()
+}
+
+func hashLabels(labels map[string]string) uint64 {
+	h := newContentHash()
+	for _, k := range slices.Sorted(maps.Keys(labels)) {
+		h.text(k)
+		h.text(labels[k])
+	}
+	return h.sum()
+}
+
+func hashSearchers(searchers []Searcher) uint64 {
+	h := newContentHash()
+	for _, s := range searchers {
+		h.text(s.Name)
+		h.number(uint64(s.Slots))
+		h.number(uint64(len(s.Holds)))
+		for _, hold := range s.Holds {
+			h.text(hold.IndexSnapshot)
+			h.number(uint64(len(hold.Shards)))
+			for _, shard := range hold.Shards {
+				h.text(shard)
+			}
+		}
+	}
+	return h.sum()
+}
+
+func hashSnapshots(snapshots []IndexSnapshot) uint64 {
+	h := newContentHash()
+	for _, s := range snapshots {
+		h.text(s.Name)
+		h.number(s.Generation)
+	}
+	return h.sum()
+}
+
+// contentHash hashes a sequence of fields, each followed by a separator, so
+// that moving a byte from one field to the next changes the sum.
+type contentHash struct {
+	digest *xxhash.Digest
+	buf    [24]byte
+}
+
+func newContentHash() *contentHash { return &contentHash{digest: xxhash.New()} }
+
+func (h *contentHash) text(s string) {
+	h.number(uint64(len(s)))
+	_, _ = h.digest.WriteString(s) // never fails
+}
+
+func (h *contentHash) number(n uint64) {
+	b := append(strconv.AppendUint(h.buf[:0], n, 36), ';')
+	_, _ = h.digest.Write(b) // never fails
+}
+
+func (h *contentHash) sum() uint64 { return h.digest.Sum64() }
--- /dev/null
+++ b/internal/targets/registry.go
@@ -0,0 +1,401 @@
+package targets
+
+import (
+	"fmt"
+	"iter"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Periods of the registry.
+const (
+	LeasePeriod    = 3 * time.Second        // a target without renewal for this long expires
+	StandbyDelay   = 1 * time.Second        // the standby owner waits this much longer
+	RenewalFlush   = 200 * time.Millisecond // renewals wait this long for others to the same owner
+	PauseBound     = 1 * time.Second        // a longer gap between ticks counts as a pause
+	ExpiredRetain  = 10 * time.Minute       // an expired record is kept this long
+	LayoutRetain   = 15 * time.Minute       // an unused layout is kept this long
+	housekeeping   = 10 * time.Second
+	layoutProposal = 5 * time.Second
+)
+
+// Bounds on what the registry keeps.
+const (
+	MaxExpired         = 16_384 // expired records
+	MaxUnusedLayouts   = 64     // layouts of index snapshots that no target lists
+	MaxRenewalsBatch   = 1_000  // renewals in one ForwardRenewals
+	MaxPendingRenewals = 50_000 // renewals that wait to be forwarded
+)
+
+// entry is a target's record with the lease that this host keeps for it.
+// Times are in Unix nanoseconds to keep entries small.
+type entry struct {
+	rec      *Record
+	hash     uint64 // of the name, for rendezvous weights
+	heardSeq uint64 // newest renewal of rec's content that this host heard of
+	heardAt  int64  // when it heard of that
+	leaseAt  int64  // start of the current lease period
+	statusAt int64  // when this host learned of rec.Status
+	owners   owners
+}
+
+// Registry holds what the targets announced. It belongs to the control
+// goroutine; traffic reads its View.
+type Registry struct {
+	self         *liveHost
+	hosts        hostSet
+	quorate      bool
+	entries      map[string]*entry
+	owned        map[string]*entry // leases that this host owns or stands by for
+	expired      map[string]*entry
+	byAddress    map[uint64]*entry // targets that are not expired
+	layouts      layoutTable
+	pending      map[string][]Renewal // by owner
+	pendingCount int
+	pendingSince time.Time
+	intern       *interner
+	view         *viewBuilder
+	lastTick     time.Time
+	lastCleanup  time.Time
+}
+
+// NewRegistry returns the empty registry of the host named self. Until
+// MembersChanged says otherwise, self is the only live host.
+func NewRegistry(self string) *Registry {
+	r := &Registry{
+		hosts:     newHostSet([]string{self}),
+		quorate:   true,
+		entries:   map[string]*entry{},
+		owned:     map[string]*entry{},
+		expired:   map[string]*entry{},
+		byAddress: map[uint64]*entry{},
+		layouts:   newLayoutTable(),
+		pending:   map[string][]Renewal{},
+		intern:    newInterner(),
+		view:      newViewBuilder(),
+	}
+	r.self = r.hosts.byName[self]
+	return r
+}
+
+// View returns the current view. It is immutable.
+func (r *Registry) View() *View { return r.view.publish() }
+
+// Record returns the record of a target, also if it is expired, and how long
+// ago it expired.
+func (r *Registry) Record(now time.Time, target string) (rec *Record, expiredFor time.Duration, ok bool) {
+	e := r.entries[target]
+	if e == nil {
+		return nil, 0, false
+	}
+	return e.rec, e.expiredFor(now), true
+}
+
+// Records returns all records, also expired ones, in no particular order.
+// StatusExpired records near the end of their retention are left out, so that
+// hosts that forget one at different times don't send it to each other.
+func (r *Registry) Records(now time.Time) iter.Seq[*Record] {
+	return func(yield func(*Record) bool) {
+		for _, e := range r.entries {
+			if e.expiredFor(now) > ExpiredRetain*4/5 {
+				continue
+			}
+			if !yield(e.rec) {
+				return
+			}
+		}
+	}
+}
+
+func (e *entry) expiredFor(now time.Time) time.Duration {
+	if e.rec.Status != StatusExpired {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - e.statusAt)
+}
+
+// Step applies an event.
+func (r *Registry) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Tick:
+		return r.tick(now)
+	case RecordReceived:
+		return r.recordReceived(now, ev)
+	case LayoutReceived:
+		return r.layoutReceived(now, ev)
+	case LayoutRestored:
+		return r.layoutRestored(now, ev)
+	case RenewalsReceived:
+		return r.renewalsReceived(now, ev)
+	case RenewalsFailed:
+		r.renewalsFailed(now, ev)
+	case DrainObserved:
+		return r.drainObserved(now, ev)
+	case MembersChanged:
+		r.membersChanged(now, ev)
+	}
+	return nil
+}
+
+// Announce applies an announcement that a target sent to this host. An
+// announcement that is refused changes nothing; its error has one of the
+// codes of this package.
+func (r *Registry) Announce(now time.Time, a Announcement) ([]Effect, error) {
+	if err := a.Validate(); err != nil {
+		return rejected(a.Target, err), err
+	}
+	rec, layouts := split(a)
+	rec = r.intern.canonical(rec)
+	e := r.entries[a.Target]
+	if e != nil {
+		if e.repeats(rec) {
+			return nil, nil
+		}
+		if e.supersedes(rec) {
+			return nil, verdict.New(verdict.NotRun, CodeStale,
+				"announcement (%d, %d) of target %q is older than (%d, %d)", a.Incarnation, a.Seq, a.Target, e.rec.Incarnation, max(e.rec.Seq, e.heardSeq))
+		}
+		if e.renewedBy(now, rec) {
+			r.renew(now, e, rec)
+			return r.layouts.proposeAgain(now, layouts), nil
+		}
+	}
+	if err := r.checkConflicts(rec, layouts); err != nil {
+		return rejected(a.Target, err), err
+	}
+	effects := r.learnLayouts(now, layouts, "")
+	effects = append(effects, transition(e, rec)...)
+	e = r.store(now, rec)
+	e.heardSeq = rec.Seq
+	e.heardAt = now.UnixNano()
+	return append(effects, disseminate(e, "")), nil
+}
+
+// repeats reports whether rec is the newest announcement heard, sent again.
+func (e *entry) repeats(rec *Record) bool {
+	return rec.Incarnation == e.rec.Incarnation && rec.Seq == e.heardSeq &&
+		rec.content == e.rec.content && e.rec.Status != StatusExpired
+}
+
+// supersedes reports whether rec is not newer than what is known.
+func (e *entry) supersedes(rec *Record) bool {
+	if rec.Incarnation != e.rec.Incarnation {
+		return rec.Incarnation < e.rec.Incarnation
+	}
+	return rec.Seq <= max(e.rec.Seq, e.heardSeq)
+}
+
+// renewedBy reports whether rec only extends the lease. A drain known from a
+// reply outlasts announcements that may have been sent before it: it is lifted
+// only by one that arrives more than a lease period later.
+func (e *entry) renewedBy(now time.Time, rec *Record) bool {
+	if rec.Incarnation != e.rec.Incarnation || e.rec.Status == StatusExpired {
+		return false
+	}
+	if e.rec.observedDrain() && rec.Status == StatusAlive {
+		return now.UnixNano()-e.statusAt < int64(LeasePeriod)
+	}
+	return rec.content == e.rec.content
+}
+
+// checkConflicts refuses an announcement that changes a known layout or that
+// names the address of another live target.
+func (r *Registry) checkConflicts(rec *Record, layouts []*Layout) error {
+	for _, l := range layouts {
+		if known := r.layouts.get(l.IndexSnapshot); known != nil && known.Hash != l.Hash {
+			return verdict.New(verdict.NotRun, CodeLayoutChanged,
+				"target %q announces another layout or generation of index snapshot %q than is known", rec.Target, l.IndexSnapshot)
+		}
+	}
+	other := r.byAddress[addressKey(rec.Address)]
+	if other != nil && other.rec.Target != rec.Target && other.rec.Address == rec.Address {
+		return verdict.New(verdict.NotRun, CodeAddressTaken,
+			"target %q announces address %s of target %q", rec.Target, rec.Address, other.rec.Target)
+	}
+	return nil
+}
+
+// store replaces the record of a target and starts a lease period.
+func (r *Registry) store(now time.Time, rec *Record) *entry {
+	e := r.entries[rec.Target]
+	if e == nil {
+		e = &entry{hash: xxhash.Sum64String(rec.Target)}
+		e.owners = r.hosts.owners(e.hash)
+		r.entries[rec.Target] = e
+	} else {
+		r.unlink(now, e)
+		if rec.Incarnation != e.rec.Incarnation || rec.content != e.rec.content {
+			e.heardSeq = 0
+		}
+	}
+	if e.rec == nil || e.rec.Status != rec.Status || e.rec.Incarnation != rec.Incarnation {
+		e.statusAt = now.UnixNano()
+	}
+	e.rec = rec
+	e.leaseAt = now.UnixNano()
+	r.link(e)
+	return e
+}
+
+// link enters an entry into the indexes that its record belongs to.
+func (r *Registry) link(e *entry) {
+	if e.rec.Status == StatusExpired {
+		r.expired[e.rec.Target] = e
+		delete(r.owned, e.rec.Target)
+		return
+	}
+	r.byAddress[addressKey(e.rec.Address)] = e
+	r.layouts.use(e.rec)
+	r.view.add(e.rec)
+	r.updateOwned(e)
+}
+
+// unlink takes an entry out of the indexes again.
+func (r *Registry) unlink(now time.Time, e *entry) {
+	if e.rec.Status == StatusExpired {
+		delete(r.expired, e.rec.Target)
+		return
+	}
+	if key := addressKey(e.rec.Address); r.byAddress[key] == e {
+		delete(r.byAddress, key)
+	}
+	r.layouts.release(now, e.rec)
+	r.view.remove(e.rec)
+}
+
+// recordReceived merges a record of another host. Unlike an announcement it
+// is never refused for its layout or address, because all hosts must end with
+// the same records; holdings under another layout are left out of the view.
+func (r *Registry) recordReceived(now time.Time, ev RecordReceived) []Effect {
+	if ev.Record.Validate() != nil {
+		return nil
+	}
+	rec := r.intern.canonical(ev.Record)
+	e := r.entries[rec.Target]
+	if e != nil && rec.Compare(e.rec) <= 0 {
+		return nil
+	}
+	if e == nil && rec.Status == StatusExpired && ev.ExpiredFor >= ExpiredRetain {
+		return nil
+	}
+	if e != nil && rec.Status == StatusExpired && e.refutes(now, rec) {
+		return r.revive(now, e, e.heardSeq)
+	}
+	e = r.store(now, rec)
+	if rec.Status == StatusExpired {
+		e.statusAt = now.Add(-ev.ExpiredFor).UnixNano()
+	}
+	return []Effect{disseminate(e, ev.From)}
+}
+
+// refutes reports whether this host heard a renewal, within the lease period,
+// that is newer than an expiry.
+func (e *entry) refutes(now time.Time, expiry *Record) bool {
+	return e.rec.Status != StatusExpired && expiry.Incarnation == e.rec.Incarnation &&
+		e.heardSeq > expiry.Seq && now.UnixNano()-e.heardAt < int64(LeasePeriod)
+}
+
+// revive gives a record a newer seq, so that it replaces its expiry.
+func (r *Registry) revive(now time.Time, e *entry, seq uint64) []Effect {
+	status := e.rec.Status
+	if status == StatusExpired {
+		status = statusOf(e.rec.Phase)
+	}
+	heardAt := e.heardAt
+	rec := e.rec.with(seq, status)
+	effects := transition(e, rec)
+	e = r.store(now, rec)
+	e.heardSeq, e.heardAt = seq, heardAt
+	d := disseminate(e, "")
+	d.Urgent = true
+	return append(effects, d)
+}
+
+func (r *Registry) drainObserved(now time.Time, ev DrainObserved) []Effect {
+	e := r.entries[ev.Target]
+	if e == nil || e.rec.Incarnation != ev.Incarnation || e.rec.Status != StatusAlive {
+		return nil
+	}
+	rec := e.rec.with(e.rec.Seq, StatusDraining)
+	leaseAt := e.leaseAt
+	effects := transition(e, rec)
+	e = r.store(now, rec)
+	e.leaseAt = leaseAt
+	return append(effects, disseminate(e, ""))
+}
+
+func disseminate(e *entry, from string) Disseminate {
+	return Disseminate{Target: e.rec.Target, From: from, Urgent: e.rec.Status != StatusAlive}
+}
+
+// transition returns the log record of a change made at this host. The entry
+// is nil for a target that was not known.
+func transition(e *entry, rec *Record) []Effect {
+	ev := eventChanged
+	switch {
+	case rec.Status == StatusExpired:
+		ev = eventExpired
+	case rec.Status == StatusDraining && (e == nil || e.rec.Status != StatusDraining):
+		ev = eventDraining
+	case e == nil || e.rec.Incarnation != rec.Incarnation:
+		ev = eventAccepted
+	case rec.Status == StatusAlive && e.rec.Status != StatusAlive:
+		ev = eventReturned
+	}
+	detail := fmt.Sprintf("incarnation %d, seq %d, address %s", rec.Incarnation, rec.Seq, rec.Address)
+	return []Effect{logEffect(ev, rec.Target, detail)}
+}
+
+func rejected(target string, err error) []Effect {
+	return []Effect{logEffect(eventRejected, target[:min(len(target), MaxNameBytes)], err.Error())}
+}
+
+func logEffect(ev eventlog.Event, target, detail string) Log {
+	return Log{Event: ev, Target: target, Detail: detail}
+}
+
+// cleanup forgets expired records and unused layouts past their retention.
+func (r *Registry) cleanup(now time.Time) {
+	if now.Sub(r.lastCleanup) < housekeeping {
+		return
+	}
+	r.lastCleanup = now
+	for target, e := range r.expired {
+		if e.expiredFor(now) >= ExpiredRetain {
+			delete(r.expired, target)
+			delete(r.entries, target)
+		}
+	}
+	if excess := len(r.expired) - MaxExpired; excess > 0 {
+		r.forgetOldest(excess)
+	}
+	for _, name := range r.layouts.prune(now) {
+		r.view.dropLayout(name)
+	}
+}
+
+func (r *Registry) forgetOldest(n int) {
+	all := make([]*entry, 0, len(r.expired))
+	for _, e := range r.expired {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *entry) int { return int(a.statusAt - b.statusAt) })
+	for _, e := range all[:n] {
+		delete(r.expired, e.rec.Target)
+		delete(r.entries, e.rec.Target)
+	}
+}
+
+func addressKey(a netip.AddrPort) uint64 {
+	var b [18]byte
+	ip := a.Addr().As16()
+	copy(b[:], ip[:])
+	b[16], b[17] = byte(a.Port()>>8), byte(a.Port())
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/targets/registry_test.go
@@ -0,0 +1,262 @@
+package targets
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func announcement(target string, seq uint64, port uint16) Announcement {
+	return Announcement{
+		Target: target, Incarnation: 1, Seq: seq, FailureDomain: "thu-duc", ConnectionLimit: 30, Phase: Ready,
+		Address:        netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port),
+		Labels:         map[string]string{"group": "showroom-app"},
+		Searchers:      []Searcher{{Name: "s0", Slots: 2, Holds: []Holding{{IndexSnapshot: "v1", Shards: []string{"b", "a"}}}}},
+		IndexSnapshots: []IndexSnapshot{{Name: "v1", Generation: 1, Layout: []string{"c", "a", "b"}}},
+	}
+}
+
+func announce(t *testing.T, r *Registry, now time.Time, a Announcement) []Effect {
+	t.Helper()
+	effects, err := r.Announce(now, a)
+	require.NoError(t, err)
+	return effects
+}
+
+func disseminated(effects []Effect) []Disseminate {
+	var out []Disseminate
+	for _, e := range effects {
+		if d, ok := e.(Disseminate); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Guards against a false or malformed announcement that displaces a good one.
+func TestRejectedAnnouncementChangesNothing(t *testing.T) {
+	r := NewRegistry("h1")
+	announce(t, r, start, announcement("t1", 1, 1001))
+	before := r.View()
+	layout := announcement("t2", 1, 1002)
+	layout.IndexSnapshots[0].Layout = []string{"a", "b"}
+	generation := announcement("t2", 1, 1002)
+	generation.IndexSnapshots[0].Generation = 9
+	outside := announcement("t1", 2, 1001)
+	outside.Searchers[0].Holds[0].Shards = []string{"z"}
+	twice := announcement("t1", 2, 1001)
+	twice.Searchers[0].Holds = append(twice.Searchers[0].Holds, twice.Searchers[0].Holds[0])
+	older := announcement("t1", 9, 1001)
+	older.Incarnation = 0
+	cases := map[verdict.Code][]Announcement{
+		CodeLayoutChanged: {layout, generation},
+		CodeAddressTaken:  {announcement("t2", 1, 1001)},
+		CodeInvalid:       {outside, twice, older},
+	}
+	for code, list := range cases {
+		for _, a := range list {
+			_, err := r.Announce(start, a)
+			require.Equal(t, code, verdict.CodeOf(err), "%v", err)
+			require.Equal(t, verdict.NotRun, verdict.Of(err))
+		}
+	}
+	require.Same(t, before, r.View())
+}
+
+// Guards against an older incarnation or seq that replaces a newer one, and
+// against a repeated announcement that is reported as a fault.
+func TestOlderAnnouncementsLose(t *testing.T) {
+	r := NewRegistry("h1")
+	a := announcement("t1", 5, 1001)
+	a.Incarnation = 7
+	announce(t, r, start, a)
+	require.Empty(t, announce(t, r, start, a))
+	older := announcement("t1", 99, 1003)
+	older.Incarnation = 6
+	_, err := r.Announce(start, older)
+	require.Equal(t, CodeStale, verdict.CodeOf(err))
+	a.Seq, a.ConnectionLimit = 4, 1
+	_, err = r.Announce(start, a)
+	require.Equal(t, CodeStale, verdict.CodeOf(err))
+}
+
+// Guards against renewals that are disseminated to every host, which would
+// cost 110,000 messages a second at every host.
+func TestRenewalsReachTheOwnersOnly(t *testing.T) {
+	r := NewRegistry("h1")
+	r.Step(start, MembersChanged{Live: []string{"h1", "h2", "h3", "h4", "h5"}, Quorate: true})
+	now := start
+	for i := range 50 {
+		announce(t, r, now, announcement(fmt.Sprint("t", i), 1, uint16(1000+i)))
+	}
+	for i := range 50 {
+		require.Empty(t, disseminated(announce(t, r, now.Add(time.Second), announcement(fmt.Sprint("t", i), 2, uint16(1000+i)))))
+	}
+	forwarded := map[string]int{}
+	for _, e := range r.Step(now.Add(1200*time.Millisecond), Tick{}) {
+		f, ok := e.(ForwardRenewals)
+		require.True(t, ok)
+		for _, renewal := range f.Renewals {
+			require.NotEqual(t, "h1", f.To)
+			forwarded[renewal.Target]++
+		}
+	}
+	for i := range 50 {
+		e := r.entries[fmt.Sprint("t", i)]
+		want := 2
+		if e.owners.contains(r.self) {
+			want = 1
+		}
+		require.Equal(t, want, forwarded[e.rec.Target])
+	}
+}
+
+// Guards against a target that stays expired although it renews, and against
+// a drain or a vanished target that keeps receiving work.
+func TestLeaseLifeCycle(t *testing.T) {
+	r := NewRegistry("h1")
+	now := start
+	announce(t, r, now, announcement("t1", 1, 1001))
+	tickUntil := func(end time.Time) (effects []Effect) {
+		for ; now.Before(end); now = now.Add(100 * time.Millisecond) {
+			effects = append(effects, r.Step(now, Tick{})...)
+		}
+		return effects
+	}
+	require.Empty(t, disseminated(tickUntil(start.Add(3*time.Second))))
+	require.Equal(t, []Disseminate{{Target: "t1", Urgent: true}}, disseminated(tickUntil(start.Add(3300*time.Millisecond))))
+	_, ok := r.View().Target("t1")
+	require.False(t, ok)
+	_, err := r.Announce(now, announcement("t1", 1, 1001))
+	require.Equal(t, CodeStale, verdict.CodeOf(err))
+	require.Len(t, disseminated(announce(t, r, now, announcement("t1", 2, 1001))), 1)
+	snap, _ := r.View().Snapshot("v1")
+	require.Len(t, snap.Replicas("a"), 1)
+	require.Empty(t, snap.Replicas("c"))
+	a := announcement("t1", 3, 1001)
+	a.Phase = Draining
+	require.Equal(t, []Disseminate{{Target: "t1", Urgent: true}}, disseminated(announce(t, r, now, a)))
+	snap, _ = r.View().Snapshot("v1")
+	require.Empty(t, snap.Replicas("a"))
+}
+
+// Guards against an announcement sent before a drain, but received after a
+// reply showed the drain, that brings the target back.
+func TestObservedDrainOutlastsAnnouncementsInFlight(t *testing.T) {
+	r := NewRegistry("h1")
+	announce(t, r, start, announcement("t1", 1, 1001))
+	require.Empty(t, r.Step(start, DrainObserved{Target: "t1", Incarnation: 2}))
+	require.Len(t, disseminated(r.Step(start, DrainObserved{Target: "t1", Incarnation: 1})), 1)
+	announce(t, r, start.Add(time.Second), announcement("t1", 2, 1001))
+	rec, _ := r.View().Target("t1")
+	require.Equal(t, StatusDraining, rec.Status)
+	announce(t, r, start.Add(LeasePeriod+time.Second), announcement("t1", 9, 1001))
+	rec, _ = r.View().Target("t1")
+	require.Equal(t, StatusAlive, rec.Status)
+}
+
+// Guards against owners that expire live targets right after a change of
+// membership, a pause, or the return of a majority.
+func TestOwnersGiveGrace(t *testing.T) {
+	r := NewRegistry("h1")
+	r.Step(start, MembersChanged{Live: []string{"h1", "h2", "h3", "h4", "h5"}, Quorate: true})
+	target := ""
+	for i := 0; target == ""; i++ {
+		if o := r.hosts.owners(xxhash.Sum64String(fmt.Sprint("t", i))); !o.contains(r.self) {
+			target = fmt.Sprint("t", i)
+		}
+	}
+	announce(t, r, start, announcement(target, 1, 1001))
+	now := start.Add(time.Minute)
+	tick := func(d time.Duration) (out []Disseminate) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(100 * time.Millisecond)
+			out = append(out, disseminated(r.Step(now, Tick{}))...)
+		}
+		return out
+	}
+	require.Empty(t, tick(10*time.Second), "not an owner")
+	r.Step(now, MembersChanged{Live: []string{"h1", "h2"}, Quorate: true})
+	require.Empty(t, tick(2900*time.Millisecond), "new owner")
+	now = now.Add(time.Minute)
+	require.Empty(t, tick(2900*time.Millisecond), "pause")
+	r.Step(now, MembersChanged{Live: []string{"h1", "h2"}, Quorate: false})
+	require.Empty(t, tick(10*time.Second), "minority")
+	r.Step(now, MembersChanged{Live: []string{"h1", "h2"}, Quorate: true})
+	require.Empty(t, tick(2900*time.Millisecond), "majority regained")
+	require.Len(t, tick(1300*time.Millisecond), 1)
+}
+
+// Guards against a layout that depends on which of two simultaneous
+// announcements a host saw first, and against holdings counted under the
+// wrong layout.
+func TestReplicatedLogDecidesBetweenLayouts(t *testing.T) {
+	r := NewRegistry("h1")
+	effects := announce(t, r, start, announcement("t1", 1, 1001))
+	require.Contains(t, effects, Effect(RecordLayout{Layout: r.layouts.get("v1")}))
+	other := announcement("t2", 1, 1002)
+	other.IndexSnapshots[0].Layout = []string{"a", "b", "x"}
+	peer := NewRegistry("h2")
+	announce(t, peer, start, other)
+	rec, _, _ := peer.Record(start, "t2")
+	r.Step(start, RecordReceived{From: "h2", Record: rec})
+	snap, _ := r.View().Snapshot("v1")
+	require.Equal(t, "t1", snap.Replicas("a")[0].Target.Target)
+	require.Len(t, snap.Replicas("a"), 1)
+	r.Step(start, LayoutRestored{Layout: peer.layouts.get("v1")})
+	snap, _ = r.View().Snapshot("v1")
+	require.Equal(t, []string{"a", "b", "x"}, snap.Shards)
+	require.Equal(t, "t2", snap.Replicas("a")[0].Target.Target)
+	require.Len(t, snap.Replicas("a"), 1)
+	r.Step(start, LayoutReceived{Layout: NewLayout("v1", 1, []string{"a", "b", "c"})})
+	snap, _ = r.View().Snapshot("v1")
+	require.Equal(t, []string{"a", "b", "x"}, snap.Shards, "a recorded layout is final")
+}
+
+// Guards against a published view that changes under its readers.
+func TestPublishedViewIsImmutable(t *testing.T) {
+	r := NewRegistry("h1")
+	announce(t, r, start, announcement("t1", 1, 1001))
+	old := r.View()
+	announce(t, r, start, announcement("t2", 1, 1002))
+	a := announcement("t1", 2, 1001)
+	a.Phase = Draining
+	announce(t, r, start, a)
+	require.Equal(t, 1, old.Len())
+	snap, _ := old.Snapshot("v1")
+	require.Len(t, snap.Replicas("b"), 1)
+	require.Equal(t, StatusAlive, snap.Replicas("b")[0].Target.Status)
+	require.Equal(t, 2, r.View().Len())
+}
+
+// Guards against layouts and expired records that pile up without bound.
+func TestUnusedStateIsForgotten(t *testing.T) {
+	r := NewRegistry("h1")
+	now := start
+	for i := range 2 * MaxUnusedLayouts {
+		a := announcement("t1", uint64(i+1), 1001)
+		name := fmt.Sprint("v", i)
+		a.IndexSnapshots[0].Name, a.Searchers[0].Holds[0].IndexSnapshot = name, name
+		announce(t, r, now, a)
+	}
+	for range 400 {
+		now = now.Add(100 * time.Millisecond)
+		r.Step(now, Tick{})
+	}
+	require.Len(t, r.layouts.known, MaxUnusedLayouts)
+	require.Len(t, r.entries, 1)
+	for end := now.Add(ExpiredRetain + LayoutRetain); now.Before(end); now = now.Add(time.Second) {
+		r.Step(now, Tick{})
+	}
+	require.Empty(t, r.layouts.known)
+	require.Empty(t, r.entries)
+	require.Empty(t, r.View().Snapshots())
+}
--- /dev/null
+++ b/internal/targets/rendezvous.go
@@ -0,0 +1,103 @@
+package targets
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// liveHost is a host that may own leases.
+type liveHost struct {
+	name string
+	hash uint64
+}
+
+// weight is the rendezvous weight of a host for a target (Thaler and
+// Ravishankar, 1998). The finalizer is that of SplitMix64.
+func (h *liveHost) weight(target uint64) uint64 {
+	z := h.hash ^ target
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+// heavier reports whether h comes before other for the target.
+func (h *liveHost) heavier(other *liveHost, target uint64) bool {
+	if other == nil {
+		return true
+	}
+	a, b := h.weight(target), other.weight(target)
+	if a != b {
+		return a > b
+	}
+	return h.name < other.name
+}
+
+// owners are the primary and the standby owner of a lease. Either is nil
+// while there are too few live hosts.
+type owners [2]*liveHost
+
+// consider inserts h if it is heavier than an owner.
+func (o *owners) consider(h *liveHost, target uint64) {
+	switch {
+	case h.heavier(o[0], target):
+		o[1] = o[0]
+		o[0] = h
+	case h.heavier(o[1], target):
+		o[1] = h
+	}
+}
+
+func (o *owners) contains(h *liveHost) bool { return h != nil && (o[0] == h || o[1] == h) }
+
+// hostSet holds the live hosts.
+type hostSet struct {
+	byName map[string]*liveHost
+	sorted []*liveHost
+}
+
+func newHostSet(names []string) hostSet {
+	s := hostSet{byName: map[string]*liveHost{}}
+	s.update(names)
+	return s
+}
+
+// update replaces the set and returns the hosts that joined and left. Hosts
+// that stay keep their identity.
+func (s *hostSet) update(names []string) (joined, left []*liveHost) {
+	wanted := make(map[string]bool, len(names))
+	for _, n := range names {
+		wanted[n] = true
+		if s.byName[n] == nil {
+			h := &liveHost{name: n, hash: xxhash.Sum64String(n)}
+			s.byName[n] = h
+			joined = append(joined, h)
+		}
+	}
+	for n, h := range s.byName {
+		if !wanted[n] {
+			delete(s.byName, n)
+			left = append(left, h)
+		}
+	}
+	s.sorted = s.sorted[:0]
+	for _, h := range s.byName {
+		s.sorted = append(s.sorted, h)
+	}
+	slices.SortFunc(s.sorted, func(a, b *liveHost) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return joined, left
+}
+
+// owners returns the two heaviest hosts for a target.
+func (s *hostSet) owners(target uint64) owners {
+	var o owners
+	for _, h := range s.sorted {
+		o.consider(h, target)
+	}
+	return o
+}
