Track proposals and follow the configuration from feeds

Cause: hosts without a log need the accepted configuration and a bound on its age; proposers need a true verdict when a leader changes.

--- /dev/null
+++ b/internal/control/messages.go
@@ -0,0 +1,138 @@
+// Package control is the pure part of a host's control goroutine. Its Core
+// owns the control state of all slices, steps them in one sequence of events,
+// and publishes what traffic goroutines read. The controlrun subpackage drives
+// it.
+package control
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+)
+
+// TickInterval is the time between two ticks. It is a fraction of the
+// shortest period that a slice keeps, the leader's heartbeat.
+const TickInterval = 25 * time.Millisecond
+
+// Event is an input of the core.
+type Event interface{ isControlEvent() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Announced brings an announcement from a target.
+type Announced struct {
+	Token        uint64
+	Announcement targets.Announcement
+}
+
+// TargetsEvent is an event for the target registry.
+type TargetsEvent struct{ Event targets.Event }
+
+// ConsensusEvent is an event for the replicated log.
+type ConsensusEvent struct{ Event consensus.Event }
+
+// FollowEvent is an event for the follower.
+type FollowEvent struct{ Event follow.Event }
+
+// PollReceived asks this host's feed for changes.
+type PollReceived struct {
+	Token uint64
+	Poll  follow.Poll
+}
+
+// Submit asks for a command to be appended to the replicated log. Data is the
+// encoded command.
+type Submit struct {
+	Token    uint64
+	Kind     proposals.Kind
+	Data     []byte
+	Deadline time.Time
+}
+
+// SnapshotEncoded brings the encoded state that EncodeState asked for.
+type SnapshotEncoded struct {
+	Index uint64
+	Data  []byte
+}
+
+// Inspect asks for a copy of the control state.
+type Inspect struct{ Token uint64 }
+
+func (Tick) isControlEvent()            {}
+func (Announced) isControlEvent()       {}
+func (TargetsEvent) isControlEvent()    {}
+func (ConsensusEvent) isControlEvent()  {}
+func (FollowEvent) isControlEvent()     {}
+func (PollReceived) isControlEvent()    {}
+func (Submit) isControlEvent()          {}
+func (SnapshotEncoded) isControlEvent() {}
+func (Inspect) isControlEvent()         {}
+
+// Effect is an output of the core.
+type Effect interface{ isControlEffect() }
+
+// Resolve hands a result to the goroutine that waits under Token.
+type Resolve struct {
+	Token  uint64
+	Result any
+	Err    error
+}
+
+// Persist asks the journal to make a change of the replicated log durable.
+type Persist struct{ Change consensus.Persist }
+
+// SendConsensus sends a message of the replicated log to another voter.
+type SendConsensus struct{ Send consensus.Send }
+
+// SendPoll sends a poll to a feed.
+type SendPoll struct {
+	To   string
+	Poll follow.Poll
+}
+
+// SendUpdate pushes an update to a follower.
+type SendUpdate struct {
+	To     string
+	Update follow.Update
+}
+
+// EncodeState asks for the replicated state at Index to be encoded as a
+// snapshot, away from the control goroutine.
+type EncodeState struct {
+	Index uint64
+	State ReplicatedState
+}
+
+// Log writes a numbered event.
+type Log struct {
+	Event  eventlog.Event
+	Fields []Field
+}
+
+// Field is a named value of a log event.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// LogConsensus writes the event that belongs to an effect of the replicated
+// log.
+type LogConsensus struct{ Effect consensus.Effect }
+
+// Fail ends the process because its state can no longer be trusted.
+type Fail struct{ Err error }
+
+func (Resolve) isControlEffect()       {}
+func (Persist) isControlEffect()       {}
+func (SendConsensus) isControlEffect() {}
+func (SendPoll) isControlEffect()      {}
+func (SendUpdate) isControlEffect()    {}
+func (EncodeState) isControlEffect()   {}
+func (Log) isControlEffect()           {}
+func (LogConsensus) isControlEffect()  {}
+func (Fail) isControlEffect()          {}
--- /dev/null
+++ b/internal/proposals/proposals.go
@@ -0,0 +1,156 @@
+// Package proposals tracks what this host has asked the replicated log to
+// hold, from the request to the outcome, and gives every request a true
+// verdict.
+package proposals
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Codes of the errors of this package.
+const (
+	CodeUnknownOutcome verdict.Code = "unknown_outcome"
+	CodeLostLeadership verdict.Code = "lost_leadership"
+)
+
+// Kind says which replicated state machine a command is for.
+type Kind uint8
+
+// Kinds of commands.
+const (
+	KindChange Kind = iota + 1 // internal/config
+	KindOrder                  // internal/orders
+)
+
+// Command is one entry of the replicated log. At is the proposer's clock, so
+// that every host decides with the same time.
+type Command struct {
+	Kind Kind
+	At   time.Time
+	Data []byte
+}
+
+// Outcome is what became of a proposal. Exactly one of Err and Result is set;
+// Result is what the state machine returned when the command was applied.
+type Outcome struct {
+	Result any
+	Err    error
+}
+
+// Resolve hands the outcome of a proposal to the goroutine that waits for it.
+type Resolve struct {
+	Token   uint64
+	Outcome Outcome
+}
+
+type pending struct {
+	deadline time.Time
+	index    uint64 // zero until the leader appended it
+	term     uint64
+}
+
+// Tracker holds the proposals in progress. The control goroutine owns it.
+//
+// Invariant: a proposal is resolved exactly once. It is resolved with NotRun
+// only if the log refused it or its place in the log was taken by an entry of
+// another term, after which it can't be committed.
+type Tracker struct {
+	pending map[uint64]*pending
+	byIndex map[uint64][]uint64
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{pending: make(map[uint64]*pending), byIndex: make(map[uint64][]uint64)}
+}
+
+// Len returns the number of proposals in progress.
+func (t *Tracker) Len() int { return len(t.pending) }
+
+// Add starts to track a proposal until its deadline.
+func (t *Tracker) Add(token uint64, deadline time.Time) {
+	t.pending[token] = &pending{deadline: deadline}
+}
+
+// Appended records the place of a proposal in the leader's log.
+func (t *Tracker) Appended(token, index, term uint64) {
+	p := t.pending[token]
+	if p == nil {
+		return
+	}
+	p.index, p.term = index, term
+	t.byIndex[index] = append(t.byIndex[index], token)
+}
+
+// Refused resolves a proposal that the log did not take.
+func (t *Tracker) Refused(token uint64, err error) []Resolve {
+	if t.pending[token] == nil {
+		return nil
+	}
+	return []Resolve{t.resolve(token, Outcome{Err: err})}
+}
+
+// Applied resolves the proposals that were waiting for the entry at index.
+func (t *Tracker) Applied(index, term uint64, result any) []Resolve {
+	tokens := t.byIndex[index]
+	if len(tokens) == 0 {
+		return nil
+	}
+	var out []Resolve
+	for _, token := range slices.Clone(tokens) {
+		p := t.pending[token]
+		if p == nil {
+			continue
+		}
+		o := Outcome{Result: result}
+		if p.term != term {
+			o = Outcome{Err: verdict.New(verdict.NotRun, CodeLostLeadership, "another leader's entry took the proposal's place in the log")}
+		}
+		out = append(out, t.resolve(token, o))
+	}
+	return out
+}
+
+// Restored resolves the proposals whose index a snapshot covers. Whether they
+// are part of it is unknown.
+func (t *Tracker) Restored(index uint64) []Resolve {
+	return t.resolveWhere(func(p *pending) bool { return p.index != 0 && p.index <= index }, "a snapshot replaced the log before the outcome was known")
+}
+
+// Expire resolves the proposals whose deadline has passed. They may still be
+// committed.
+func (t *Tracker) Expire(now time.Time) []Resolve {
+	return t.resolveWhere(func(p *pending) bool { return !now.Before(p.deadline) }, "the log did not commit the proposal in time")
+}
+
+func (t *Tracker) resolveWhere(match func(*pending) bool, why string) []Resolve {
+	var tokens []uint64
+	for token, p := range t.pending {
+		if match(p) {
+			tokens = append(tokens, token)
+		}
+	}
+	slices.Sort(tokens)
+	out := make([]Resolve, 0, len(tokens))
+	for _, token := range tokens {
+		out = append(out, t.resolve(token, Outcome{Err: verdict.New(verdict.MayHaveRun, CodeUnknownOutcome, "%s", why)}))
+	}
+	return out
+}
+
+func (t *Tracker) resolve(token uint64, o Outcome) Resolve {
+	p := t.pending[token]
+	delete(t.pending, token)
+	if p.index != 0 {
+		rest := slices.DeleteFunc(t.byIndex[p.index], func(x uint64) bool { return x == token })
+		if len(rest) == 0 {
+			delete(t.byIndex, p.index)
+		} else {
+			t.byIndex[p.index] = rest
+		}
+	}
+	return Resolve{Token: token, Outcome: o}
+}
