--- /dev/null
+++ b/internal/targets/targethttp/client.go
@@ -0,0 +1,345 @@
+// Package targethttp speaks the HTTP and JSON protocol of targets.
+package targethttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Codes of the errors of Client. The codes of a target's own refusal are
+// target_shed, target_draining, target_snapshot_gone and target_refused.
+const (
+	CodeCanceled           verdict.Code = "canceled"
+	CodeReplyInvalid       verdict.Code = "target_reply_invalid"
+	CodeReplyTooLarge      verdict.Code = "target_reply_too_large"
+	CodeTargetError        verdict.Code = "target_error"
+	CodeTargetShed         verdict.Code = "target_shed"
+	CodeTargetDraining     verdict.Code = "target_draining"
+	CodeTargetSnapshotGone verdict.Code = "target_snapshot_gone"
+	CodeTargetRefused      verdict.Code = "target_refused"
+)
+
+// Defaults of ClientConfig. The allowance covers one-way latency in both
+// directions (about 1 ms each) and the work of reading the reply.
+const (
+	DefaultNetworkAllowance = 3 * time.Millisecond
+	DefaultMaxReplyBytes    = 4 << 20
+)
+
+const (
+	pathSearch       = "/v1/search"
+	pathOrder        = "/v1/order"
+	headerRequestID  = "X-Request-Id"
+	faultLogInterval = time.Second
+	smallReplyBytes  = 64 << 10 // a reply of a declared size up to this is read in one allocation
+)
+
+// Transports returns the round tripper that holds the connections to the
+// target at an address.
+type Transports interface {
+	RoundTripper(address netip.AddrPort) (http.RoundTripper, error)
+}
+
+// SealableConn is a connection that knows whether a byte was written to it.
+// After SealWrites, which returns the final count, no further byte is written.
+type SealableConn interface {
+	Written() uint64
+	SealWrites() uint64
+	Close() error
+}
+
+// ClientConfig holds the settings of a Client. Zero fields take the defaults.
+type ClientConfig struct {
+	NetworkAllowance time.Duration // taken off the deadline that the target gets
+	MaxReplyBytes    int64
+}
+
+// Client sends sub-requests to targets. Every error it returns carries the
+// verdict not_run only if no byte of the request was written or the target
+// said so. It is safe for concurrent use.
+type Client struct {
+	cfg        ClientConfig
+	transports Transports
+	log        *eventlog.Logger
+	start      time.Time
+	nextFault  atomic.Int64 // time of the next permitted fault record, since start
+}
+
+// NewClient returns a client over the given transports.
+func NewClient(cfg ClientConfig, transports Transports, log *eventlog.Logger) *Client {
+	if cfg.NetworkAllowance <= 0 {
+		cfg.NetworkAllowance = DefaultNetworkAllowance
+	}
+	if cfg.MaxReplyBytes <= 0 {
+		cfg.MaxReplyBytes = DefaultMaxReplyBytes
+	}
+	return &Client{cfg: cfg, transports: transports, log: log, start: time.Now()}
+}
+
+// Search runs a sub-request at the target at address. The context must have a
+// deadline; canceling it closes the connection, which cancels the search.
+func (c *Client) Search(ctx context.Context, address netip.AddrPort, req SearchRequest) (SearchReply, error) {
+	var reply SearchReply
+	left, err := c.timeLeft(ctx)
+	if err != nil {
+		return SearchReply{}, err
+	}
+	req.DeadlineMS = left
+	answers := func() bool {
+		return reply.RequestID == req.RequestID && reply.Attempt == req.Attempt &&
+			reply.IndexSnapshot == req.IndexSnapshot && reply.Shard == req.Shard
+	}
+	if err := c.call(ctx, address, pathSearch, req.RequestID, &req, &reply, answers); err != nil {
+		return SearchReply{}, err
+	}
+	return reply, nil
+}
+
+// Order sends a non-idempotent request to the target at address, at most
+// once. The context must have a deadline.
+func (c *Client) Order(ctx context.Context, address netip.AddrPort, req OrderRequest) (OrderReply, error) {
+	var reply OrderReply
+	left, err := c.timeLeft(ctx)
+	if err != nil {
+		return OrderReply{}, err
+	}
+	req.DeadlineMS = left
+	answers := func() bool { return reply.RequestID == req.RequestID }
+	if err := c.call(ctx, address, pathOrder, req.RequestID, &req, &reply, answers); err != nil {
+		return OrderReply{}, err
+	}
+	return reply, nil
+}
+
+// timeLeft returns the deadline for the target in milliseconds from now.
+func (c *Client) timeLeft(ctx context.Context) (int64, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "a request to a target needs a deadline")
+	}
+	left := (time.Until(deadline) - c.cfg.NetworkAllowance).Milliseconds()
+	if left < 1 {
+		return 0, verdict.New(verdict.NotRun, verdict.CodeDeadlineExceeded, "too little time is left to reach the target")
+	}
+	return left, nil
+}
+
+// call sends one request, decodes its reply and checks that it answers the
+// request. A connection whose replies can't be trusted is closed, since the
+// next reply on it may belong to this request.
+func (c *Client) call(ctx context.Context, address netip.AddrPort, path, requestID string, in, out any, answers func() bool) error {
+	payload, err := json.Marshal(in)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "encode request")
+	}
+	rt, err := c.transports.RoundTripper(address)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, codeOr(err, verdict.CodeUnavailable), "no connection to target")
+	}
+	resp, conn, err := c.send(ctx, rt, address, path, requestID, payload)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := readReply(resp, c.cfg.MaxReplyBytes)
+	if err != nil {
+		return c.readFailed(ctx, address, requestID, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return c.refused(address, requestID, resp.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		closeConn(conn)
+		c.logFault(address, requestID, "reply is not valid JSON")
+		return verdict.Wrap(err, verdict.MayHaveRun, CodeReplyInvalid, "decode reply")
+	}
+	if !answers() {
+		closeConn(conn)
+		c.logFault(address, requestID, "reply to another request")
+		return verdict.New(verdict.MayHaveRun, CodeReplyInvalid, "the reply belongs to another request than %q", requestID)
+	}
+	return nil
+}
+
+func closeConn(conn SealableConn) {
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// send makes one attempt, and one more if the first ended on a reused
+// connection, which the target had closed, before a byte was written.
+func (c *Client) send(ctx context.Context, rt http.RoundTripper, address netip.AddrPort, path, requestID string, payload []byte) (*http.Response, SealableConn, error) {
+	for attempt := 0; ; attempt++ {
+		var w writeWatch
+		resp, err := rt.RoundTrip(newRequest(ctx, &w, address, path, requestID, payload))
+		if err == nil {
+			return resp, w.conn, nil
+		}
+		written := w.mayHaveWritten()
+		if !written && w.reused && attempt == 0 && ctx.Err() == nil {
+			continue
+		}
+		return nil, nil, sendError(ctx, err, written)
+	}
+}
+
+// newRequest builds a POST that net/http can't send twice: the body has no
+// GetBody, and the header has no Idempotency-Key or X-Idempotency-Key, either
+// of which would let the transport replay it. A round tripper follows no
+// redirects.
+func newRequest(ctx context.Context, w *writeWatch, address netip.AddrPort, path, requestID string, payload []byte) *http.Request {
+	host := address.String()
+	req := &http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "http", Host: host, Path: path},
+		Host:          host,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        http.Header{"Content-Type": {"application/json"}, headerRequestID: {requestID}},
+		Body:          io.NopCloser(bytes.NewReader(payload)),
+		ContentLength: int64(len(payload)),
+	}
+	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn}))
+}
+
+// writeWatch records which connections a request got and how much had been
+// written to them before.
+type writeWatch struct {
+	conn    SealableConn
+	before  uint64
+	reused  bool
+	unknown bool // a connection that doesn't count, or a second one
+}
+
+// gotConn runs on the goroutine that called RoundTrip.
+func (w *writeWatch) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(SealableConn)
+	if !ok || w.conn != nil {
+		w.unknown = true
+		return
+	}
+	w.conn = conn
+	w.before = conn.Written()
+	w.reused = info.Reused
+}
+
+// mayHaveWritten reports whether a byte of the failed request may have been
+// written. It seals the connection, so the answer stays true while net/http's
+// write loop winds down.
+func (w *writeWatch) mayHaveWritten() bool {
+	if w.unknown {
+		return true
+	}
+	return w.conn != nil && w.conn.SealWrites() != w.before
+}
+
+func sendError(ctx context.Context, err error, written bool) error {
+	v := verdict.NotRun
+	if written {
+		v = verdict.MayHaveRun
+	}
+	return verdict.Wrap(err, v, failureCode(ctx, err), "send request to target")
+}
+
+func failureCode(ctx context.Context, err error) verdict.Code {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.CodeDeadlineExceeded
+	case errors.Is(err, context.Canceled) || errors.Is(ctx.Err(), context.Canceled):
+		return CodeCanceled
+	default:
+		return codeOr(err, verdict.CodeUnavailable)
+	}
+}
+
+func codeOr(err error, other verdict.Code) verdict.Code {
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return other
+}
+
+var errReplyTooLarge = errors.New("reply is larger than the limit")
+
+// readReply reads at most limit bytes. It reads to the end of a permitted
+// reply, so the connection can be used again.
+func readReply(resp *http.Response, limit int64) ([]byte, error) {
+	if resp.ContentLength > limit {
+		return nil, errReplyTooLarge
+	}
+	var buf bytes.Buffer
+	if n := resp.ContentLength; n > 0 && n <= smallReplyBytes {
+		buf.Grow(int(n) + bytes.MinRead)
+	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if n > limit {
+		return nil, errReplyTooLarge
+	}
+	return buf.Bytes(), nil
+}
+
+func (c *Client) readFailed(ctx context.Context, address netip.AddrPort, requestID string, err error) error {
+	if errors.Is(err, errReplyTooLarge) {
+		c.logFault(address, requestID, "reply is larger than "+strconv.FormatInt(c.cfg.MaxReplyBytes, 10)+" bytes")
+		return verdict.Wrap(err, verdict.MayHaveRun, CodeReplyTooLarge, "read reply")
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, failureCode(ctx, err), "read reply")
+}
+
+// refused interprets a status other than 200. Only the target's explicit
+// not_run in a 503 or 409 that names no other request means that nothing ran.
+func (c *Client) refused(address netip.AddrPort, requestID string, status int, body []byte) error {
+	if status == http.StatusServiceUnavailable || status == http.StatusConflict {
+		var r refusal
+		if err := json.Unmarshal(body, &r); err == nil && r.NotRun && (r.RequestID == "" || r.RequestID == requestID) {
+			return verdict.New(verdict.NotRun, refusalCode(r.Reason), "target refused: %s", r.Reason)
+		}
+	}
+	c.logFault(address, requestID, "status "+strconv.Itoa(status))
+	return verdict.New(verdict.MayHaveRun, CodeTargetError, "target replied with status %d", status)
+}
+
+func refusalCode(reason string) verdict.Code {
+	switch reason {
+	case "shed":
+		return CodeTargetShed
+	case "draining":
+		return CodeTargetDraining
+	case "snapshot_gone":
+		return CodeTargetSnapshotGone
+	default:
+		return CodeTargetRefused
+	}
+}
+
+// logFault writes at most one record a second, so a faulty target can't flood
+// the log.
+func (c *Client) logFault(address netip.AddrPort, requestID, fault string) {
+	now := time.Since(c.start)
+	next := c.nextFault.Load()
+	if int64(now) < next || !c.nextFault.CompareAndSwap(next, int64(now+faultLogInterval)) {
+		return
+	}
+	c.log.Log(eventProtocolFault).Stringer("target_address", address).
+		Str("request_id", requestID).Str("fault", fault).Send()
+}
