--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,290 @@
+package control
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Options are the fixed inputs of a core.
+type Options struct {
+	Self      string
+	Staleness time.Duration // how long an unconfirmed configuration is served
+	Voters    []follow.FeedHost
+	Node      *consensus.Node // nil on a host without a log
+	Codec     Codec
+}
+
+// Codec decodes what the replicated log holds. The core needs the values and
+// must not know their encoding.
+type Codec interface {
+	DecodeCommand(data []byte) (Command, error)
+	DecodeState(data []byte) (ReplicatedState, error)
+}
+
+// Command is a decoded entry of the replicated log.
+type Command struct {
+	Kind   proposals.Kind
+	At     time.Time
+	Change *config.Change // with proposals.KindChange
+}
+
+// ReplicatedState is the state of all replicated state machines.
+type ReplicatedState struct {
+	Config config.State
+}
+
+// compactAfter is the number of log entries after which the log is replaced by
+// a snapshot.
+const compactAfter = 10_000
+
+// Core owns the control state of a host.
+type Core struct {
+	opts      Options
+	registry  *targets.Registry
+	store     *config.Store
+	node      *consensus.Node
+	tracker   *proposals.Tracker
+	follower  *follow.Follower
+	feed      *follow.Feed
+	confirmed follow.Confirmation
+	leader    consensus.Member
+	encoding  bool // a snapshot is being encoded
+
+	shared   shared
+	snapshot *Snapshot // last published
+}
+
+// NewCore returns the core of a host that has just started.
+func NewCore(opts Options) *Core {
+	c := &Core{
+		opts:     opts,
+		registry: targets.NewRegistry(opts.Self),
+		store:    config.NewStore(),
+		node:     opts.Node,
+		tracker:  proposals.NewTracker(),
+		follower: follow.NewFollower(opts.Self, opts.Node != nil),
+		feed:     follow.NewFeed(opts.Self),
+	}
+	c.shared.tableStale = true
+	return c
+}
+
+// Start returns the first effects.
+func (c *Core) Start(now time.Time) []Effect {
+	out := c.follow(now, follow.FeedsChanged{Feeds: c.opts.Voters})
+	return append(out, c.Step(now, Tick{})...)
+}
+
+// Step advances the core by one event.
+func (c *Core) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Tick:
+		return c.tick(now)
+	case Announced:
+		effects, err := c.registry.Announce(now, ev.Announcement)
+		out := c.targetEffects(now, effects)
+		return append(out, Resolve{Token: ev.Token, Err: err})
+	case TargetsEvent:
+		return c.targetEffects(now, c.registry.Step(now, ev.Event))
+	case ConsensusEvent:
+		return c.consensus(now, ev.Event)
+	case FollowEvent:
+		return c.follow(now, ev.Event)
+	case PollReceived:
+		return []Effect{Resolve{Token: ev.Token, Result: c.answerPoll(now, ev.Poll)}}
+	case Submit:
+		return c.submit(now, ev)
+	case SnapshotEncoded:
+		c.encoding = false
+		return c.consensus(now, consensus.Compact{Index: ev.Index, Data: ev.Data})
+	case Inspect:
+		return []Effect{Resolve{Token: ev.Token, Result: c.dump(now)}}
+	}
+	return nil
+}
+
+func (c *Core) tick(now time.Time) []Effect {
+	out := c.targetEffects(now, c.registry.Step(now, targets.Tick{}))
+	if c.node != nil {
+		out = append(out, c.consensus(now, consensus.Tick{})...)
+		out = append(out, c.confirmAsLeader(now)...)
+	}
+	out = append(out, c.follow(now, follow.Tick{})...)
+	return append(out, resolveAll(c.tracker.Expire(now))...)
+}
+
+// confirmAsLeader takes the leader's own lease as the confirmation of the
+// configuration that it has applied.
+func (c *Core) confirmAsLeader(now time.Time) []Effect {
+	s := c.node.Status()
+	if s.Role != consensus.Leader || !s.LeaseHeld || s.Applied < s.Commit {
+		return nil
+	}
+	c.confirm(follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
+	return nil
+}
+
+func (c *Core) confirm(e follow.Confirmed) {
+	if e.Term < c.confirmed.Term || e.Term == c.confirmed.Term && e.At.Before(c.confirmed.At) {
+		return
+	}
+	c.confirmed = follow.Confirmation{Term: e.Term, Revision: e.Revision, At: e.At}
+}
+
+func (c *Core) answerPoll(now time.Time, p follow.Poll) follow.Update {
+	return c.feed.Answer(now, p, c.confirmed, c.store.Revision(), c.followerState)
+}
+
+// followerState is the configuration without the records of past changes,
+// which only hosts with a log need.
+func (c *Core) followerState() config.State {
+	s := c.store.State()
+	s.Records = nil
+	s.RecordStart = s.Revision
+	s.History = nil
+	s.HistoryFrom = s.Revision
+	return s
+}
+
+func (c *Core) follow(now time.Time, ev follow.Event) []Effect {
+	c.follower.SetRevision(c.store.Revision())
+	var out []Effect
+	for _, e := range c.follower.Step(now, ev) {
+		switch e := e.(type) {
+		case follow.SendPoll:
+			out = append(out, SendPoll{To: e.To, Poll: e.Poll})
+		case follow.Apply:
+			out = append(out, c.applyFollowed(now, e.Changes)...)
+		case follow.Restore:
+			c.store = config.Restore(e.State)
+			c.feed.Reset()
+			out = append(out, c.configChanged(now)...)
+		case follow.Confirmed:
+			c.confirm(e)
+		case follow.FeedReplaced:
+			out = append(out, Log{Event: EventFeedReplaced, Fields: []Field{{"old", e.Old}, {"new", e.New}}})
+		}
+	}
+	return out
+}
+
+// applyFollowed puts changes in force that the log has already accepted. The
+// base is set to the present revision because this host keeps no history to
+// compare an older base with.
+func (c *Core) applyFollowed(now time.Time, changes []follow.Accepted) []Effect {
+	var out []Effect
+	for _, a := range changes {
+		change := a.Change
+		change.Base = c.store.Revision()
+		r := c.store.Apply(c.store.Index()+1, a.At, change)
+		if r.Outcome != config.Accepted || r.Revision != a.Revision {
+			return append(out, Fail{Err: verdict.New(verdict.Ran, verdict.CodeInternal,
+				"change %q was accepted as revision %d but not here: %s", change.ID, a.Revision, r.Message)})
+		}
+		out = append(out, c.publishAccepted(now, a)...)
+	}
+	return append(out, c.configChanged(now)...)
+}
+
+func (c *Core) publishAccepted(now time.Time, a follow.Accepted) []Effect {
+	var out []Effect
+	for _, p := range c.feed.Accepted(now, c.confirmed.Term, a) {
+		out = append(out, SendUpdate{To: p.To, Update: p.Update})
+	}
+	return out
+}
+
+// configChanged passes what changed in the configuration to other slices.
+func (c *Core) configChanged(now time.Time) []Effect {
+	c.shared.tableStale = true
+	var out []Effect
+	for _, l := range c.store.Layouts() {
+		layout := targets.NewLayout(l.IndexSnapshot, l.Generation, l.Shards)
+		out = append(out, c.targetEffects(now, c.registry.Step(now, targets.LayoutRestored{Layout: layout}))...)
+	}
+	return out
+}
+
+func (c *Core) submit(now time.Time, ev Submit) []Effect {
+	if c.node == nil {
+		return []Effect{Resolve{Token: ev.Token, Err: verdict.New(verdict.NotRun, consensus.CodeNotLeader, "this host holds no replicated log")}}
+	}
+	c.tracker.Add(ev.Token, ev.Deadline)
+	return c.consensus(now, consensus.Propose{ID: strconv.FormatUint(ev.Token, 10), Data: ev.Data})
+}
+
+func resolveAll(rs []proposals.Resolve) []Effect {
+	out := make([]Effect, 0, len(rs))
+	for _, r := range rs {
+		out = append(out, Resolve{Token: r.Token, Result: r.Outcome.Result, Err: r.Outcome.Err})
+	}
+	return out
+}
+
+// targetEffects turns the registry's effects into the core's.
+func (c *Core) targetEffects(now time.Time, effects []targets.Effect) []Effect {
+	var out []Effect
+	for _, e := range effects {
+		switch e := e.(type) {
+		case targets.Log:
+			out = append(out, Log{Event: e.Event, Fields: []Field{{"target", e.Target}, {"detail", e.Detail}}})
+		case targets.RecordLayout:
+			out = append(out, c.recordLayout(now, e.Layout)...)
+		}
+	}
+	return out
+}
+
+// systemTokenBit marks the proposals that nobody waits for.
+const systemTokenBit = 1 << 63
+
+// recordLayout writes a layout to the replicated log, for every group whose
+// targets list the index snapshot.
+func (c *Core) recordLayout(_ time.Time, l *targets.Layout) []Effect {
+	var out []Effect
+	for _, group := range c.groupsListing(l.IndexSnapshot) {
+		change := config.Change{
+			Author: c.opts.Self, Team: config.SystemTeam, Base: c.store.Revision(),
+			Ops: []config.Op{config.AddLayout{Group: group, IndexSnapshot: l.IndexSnapshot, Generation: l.Generation, Layout: l.Shards}},
+		}
+		change.ID = change.DerivedID()
+		if r := c.store.Check(change); r.Outcome == config.Accepted && !r.Resend {
+			out = append(out, ProposeChange{Change: change})
+		}
+	}
+	return out
+}
+
+func (c *Core) groupsListing(indexSnapshot string) []string {
+	var out []string
+	table := c.store.Table()
+	for rec := range c.registry.View().Targets() {
+		lists := slices.ContainsFunc(rec.IndexSnapshots, func(s targets.IndexSnapshot) bool { return s.Name == indexSnapshot })
+		if !lists {
+			continue
+		}
+		for _, g := range table.GroupsOf(rec.Labels) {
+			if !slices.Contains(out, g) {
+				out = append(out, g)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (c *Core) gate() entry.Gate {
+	if c.confirmed.At.IsZero() {
+		return entry.Gate{Reason: "its configuration has not been confirmed yet"}
+	}
+	return entry.Gate{Accepting: true, ServeUntil: c.confirmed.At.Add(c.opts.Staleness)}
+}
--- /dev/null
+++ b/internal/control/events.go
@@ -0,0 +1,20 @@
+package control
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+)
+
+// Events of this package, numbers 1200 to 1299.
+var (
+	EventFeedReplaced = eventlog.Define(1200, zerolog.WarnLevel, "configuration feed replaced",
+		"A feed did not answer for a second, or a peer had a newer revision.",
+		"Check the old feed's host. The host goes on with the new one.")
+	EventChangeInForce = eventlog.Define(1201, zerolog.InfoLevel, "change accepted",
+		"The replicated log committed an operators' or hosts' change.",
+		"None.")
+	EventControlSlow = eventlog.Define(1202, zerolog.WarnLevel, "control loop was late",
+		"The control goroutine did not run for longer than a heartbeat interval, because the process was paused or overloaded.",
+		"Check the load of the host.")
+)
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
@@ -136,3 +137,10 @@
 func (Log) isControlEffect()           {}
 func (LogConsensus) isControlEffect()  {}
 func (Fail) isControlEffect()          {}
+
+// ProposeChange asks for a change that this host makes itself to be encoded
+// and submitted to the replicated log. Nobody waits for its result; the slice
+// that wants it asks again.
+type ProposeChange struct{ Change config.Change }
+
+func (ProposeChange) isControlEffect() {}
--- /dev/null
+++ b/internal/control/replicated.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// consensus steps the replicated log and handles its effects.
+func (c *Core) consensus(now time.Time, ev consensus.Event) []Effect {
+	if c.node == nil {
+		return nil
+	}
+	var out []Effect
+	for _, e := range c.node.Step(now, ev) {
+		out = append(out, c.consensusEffect(now, e)...)
+	}
+	return out
+}
+
+func (c *Core) consensusEffect(now time.Time, e consensus.Effect) []Effect {
+	switch e := e.(type) {
+	case consensus.Send:
+		return []Effect{SendConsensus{Send: e}}
+	case consensus.Persist:
+		return []Effect{Persist{Change: e}}
+	case consensus.ProposalAppended:
+		if token, ok := parseToken(e.ID); ok {
+			c.tracker.Appended(token, e.Index, e.Term)
+		}
+		return nil
+	case consensus.ProposalRefused:
+		return c.proposalRefused(e)
+	case consensus.Apply:
+		return c.apply(now, e.Entries)
+	case consensus.RestoreSnapshot:
+		return c.restore(now, e.Snapshot)
+	case consensus.RoleChanged:
+		c.leader = e.Leader
+		c.shared.stale = true
+	}
+	return []Effect{LogConsensus{Effect: e}}
+}
+
+func parseToken(id string) (uint64, bool) {
+	token, err := strconv.ParseUint(id, 10, 64)
+	return token, err == nil
+}
+
+func (c *Core) proposalRefused(e consensus.ProposalRefused) []Effect {
+	token, ok := parseToken(e.ID)
+	if !ok {
+		return nil
+	}
+	return resolveAll(c.tracker.Refused(token, e.Err))
+}
+
+// apply runs committed entries through the replicated state machines.
+//
+// Invariant: what an entry does depends only on the entry and the state
+// before it, so all hosts with a log reach the same state.
+func (c *Core) apply(now time.Time, entries []consensus.Entry) []Effect {
+	var out []Effect
+	changed := false
+	for _, e := range entries {
+		result, effects, err := c.applyEntry(now, e)
+		if err != nil {
+			return append(out, Fail{Err: err})
+		}
+		changed = changed || len(effects) > 0
+		out = append(out, effects...)
+		out = append(out, resolveAll(c.tracker.Applied(e.Index, e.Term, result))...)
+	}
+	if changed {
+		out = append(out, c.configChanged(now)...)
+	}
+	return append(out, c.maybeCompact()...)
+}
+
+func (c *Core) applyEntry(now time.Time, e consensus.Entry) (any, []Effect, error) {
+	if e.Kind != consensus.EntryNormal {
+		return nil, nil, nil
+	}
+	cmd, err := c.opts.Codec.DecodeCommand(e.Data)
+	if err != nil {
+		// Skipping the entry would let this host's state differ from the others'.
+		return nil, nil, verdict.Wrap(err, verdict.Ran, verdict.CodeInternal, "decode a committed log entry")
+	}
+	if cmd.Kind == proposals.KindChange {
+		result := c.store.Apply(e.Index, cmd.At, *cmd.Change)
+		if result.Outcome != config.Accepted || result.Resend {
+			return result, nil, nil
+		}
+		return result, c.publishChange(now, cmd, result), nil
+	}
+	return nil, nil, verdict.New(verdict.Ran, verdict.CodeInternal, "log entry %d has the unknown kind %d", e.Index, cmd.Kind)
+}
+
+func (c *Core) publishChange(now time.Time, cmd Command, r config.Result) []Effect {
+	out := []Effect{Log{Event: EventChangeInForce, Fields: []Field{
+		{"change", cmd.Change.ID}, {"author", cmd.Change.Author}, {"revision", r.Revision},
+	}}}
+	return append(out, c.publishAccepted(now, follow.Accepted{Revision: r.Revision, At: cmd.At, Change: *cmd.Change})...)
+}
+
+func (c *Core) restore(now time.Time, s consensus.Snapshot) []Effect {
+	if len(s.Data) > 0 {
+		state, err := c.opts.Codec.DecodeState(s.Data)
+		if err != nil {
+			return []Effect{Fail{Err: verdict.Wrap(err, verdict.Ran, verdict.CodeInternal, "decode the snapshot of the replicated state")}}
+		}
+		c.store = config.Restore(state.Config)
+		c.feed.Reset()
+	}
+	out := resolveAll(c.tracker.Restored(s.Index))
+	return append(out, c.configChanged(now)...)
+}
+
+// maybeCompact asks for a snapshot when the log has grown. The state is copied
+// here and encoded elsewhere.
+func (c *Core) maybeCompact() []Effect {
+	s := c.node.Status()
+	if c.encoding || s.Applied < s.Snapshot+compactAfter {
+		return nil
+	}
+	c.encoding = true
+	return []Effect{EncodeState{Index: s.Applied, State: ReplicatedState{Config: c.store.State()}}}
+}
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+)
+
+// Snapshot is what traffic goroutines read of the control state. It is
+// immutable.
+type Snapshot struct {
+	Gate     entry.Gate
+	Table    *routing.Table
+	Catalogs map[string]*query.Catalog // by group
+	Targets  *targets.View
+	Leader   consensus.Member // zero if unknown
+}
+
+// shared notes what changed since the last published snapshot.
+type shared struct {
+	stale      bool
+	tableStale bool
+}
+
+// Snapshot returns the present snapshot. It builds a new one only if
+// something changed.
+func (c *Core) Snapshot(now time.Time) *Snapshot {
+	view, gate := c.registry.View(), c.gate()
+	old := c.snapshot
+	if old != nil && !c.shared.stale && !c.shared.tableStale && old.Targets == view && old.Gate == gate {
+		return old
+	}
+	s := &Snapshot{Gate: gate, Targets: view, Leader: c.leader}
+	if old != nil && !c.shared.tableStale && old.Targets == view {
+		s.Table, s.Catalogs = old.Table, old.Catalogs
+	} else {
+		s.Table = c.store.Table()
+		s.Catalogs = buildCatalogs(s.Table, view)
+	}
+	c.shared = shared{}
+	c.snapshot = s
+	return s
+}
+
+func buildCatalogs(table *routing.Table, view *targets.View) map[string]*query.Catalog {
+	snapshots := view.Snapshots()
+	out := make(map[string]*query.Catalog)
+	for _, name := range table.GroupNames() {
+		g, _ := table.Group(name)
+		out[name] = buildCatalog(g, snapshots)
+	}
+	return out
+}
+
+// buildCatalog lists the index snapshots of which the group's targets hold at
+// least one shard.
+func buildCatalog(g routing.Group, snapshots []*targets.Snapshot) *query.Catalog {
+	c := &query.Catalog{Group: g.Name}
+	members := map[*targets.Record]bool{}
+	for _, s := range snapshots {
+		qs := query.Snapshot{Name: s.IndexSnapshot, Generation: s.Generation, Layout: s.Shards, Replicas: make([][]query.Replica, len(s.Shards))}
+		for i := range s.Shards {
+			for _, r := range s.ReplicasAt(i) {
+				in, seen := members[r.Target]
+				if !seen {
+					in = routing.Labels(r.Target.Labels).Matches(g.Match)
+					members[r.Target] = in
+				}
+				if in {
+					qs.Replicas[i] = append(qs.Replicas[i], replicaOf(r))
+				}
+			}
+		}
+		if qs.Covered() > 0 {
+			c.Snapshots = append(c.Snapshots, qs)
+		}
+	}
+	return c
+}
+
+func replicaOf(r targets.Replica) query.Replica {
+	s := r.Target.Searchers[r.Searcher]
+	return query.Replica{
+		Target: r.Target.Target, Searcher: s.Name, Address: r.Target.Address,
+		FailureDomain: r.Target.FailureDomain, Slots: s.Slots, Incarnation: r.Target.Incarnation,
+	}
+}
+
+// Dump is a copy of the control state for the state dump.
+type Dump struct {
+	Now       time.Time
+	Revision  uint64
+	Confirmed time.Time
+	Gate      entry.Gate
+	Feeds     []string
+	Followers int
+	Pending   int
+	Targets   int
+	Members   config.Members
+	Consensus *consensus.Status `json:",omitempty"`
+}
+
+func (c *Core) dump(now time.Time) Dump {
+	d := Dump{
+		Now: now, Revision: c.store.Revision(), Confirmed: c.confirmed.At, Gate: c.gate(),
+		Feeds: c.follower.Feeds(), Followers: c.feed.Followers(), Pending: c.tracker.Len(),
+		Targets: c.registry.View().Len(), Members: c.store.Members(),
+	}
+	if c.node != nil {
+		s := c.node.Status()
+		d.Consensus = &s
+	}
+	return d
+}
