--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+)
+
+// State is the whole content of a Store, for snapshots.
+type State struct {
+	Index       uint64
+	Revision    uint64
+	Groups      []routing.Group    // by name
+	Selectors   []routing.Selector // by name
+	Members     Members
+	Layouts     []Layout
+	RecordStart uint64
+	Clock       time.Time
+	Records     []Record // oldest first
+	HistoryFrom uint64   // changes after this revision are in History
+	History     []Entry  // oldest first
+}
+
+// State returns a copy that later changes leave alone. What an entry or a
+// group holds is shared and must not be changed.
+func (s *Store) State() State {
+	groups := slices.Collect(maps.Values(s.groups))
+	slices.SortFunc(groups, func(a, b routing.Group) int { return strings.Compare(a.Name, b.Name) })
+	selectors := slices.Collect(maps.Values(s.selectors))
+	slices.SortFunc(selectors, func(a, b routing.Selector) int { return strings.Compare(a.Name, b.Name) })
+	return State{
+		Index: s.index, Revision: s.revision,
+		Groups: groups, Selectors: selectors, Members: s.Members(), Layouts: s.Layouts(),
+		RecordStart: s.record.Start, Clock: s.record.clock, Records: slices.Clone(s.record.entries),
+		HistoryFrom: s.firstKept, History: slices.Clone(s.history),
+	}
+}
+
+// Restore returns a store with the content of a snapshot.
+func Restore(st State) *Store {
+	s := NewStore()
+	s.index, s.revision = st.Index, st.Revision
+	for _, g := range st.Groups {
+		s.groups[g.Name] = g
+	}
+	for _, sel := range st.Selectors {
+		s.replaceSelector(sel.Name, &sel)
+	}
+	s.members = Members{Epoch: st.Members.Epoch, Hosts: slices.Clone(st.Members.Hosts)}
+	for _, l := range st.Layouts {
+		s.layouts[layoutKey{l.Group, l.IndexSnapshot}] = l
+	}
+	s.record.Start, s.record.clock = st.RecordStart, st.Clock
+	s.record.ids = make(map[Hash]uint64, len(st.Records))
+	s.record.bases = make(map[Hash]uint64, len(st.Records))
+	for _, r := range st.Records {
+		s.record.push(r, baseKey(r.Base, r.Content))
+	}
+	s.firstKept = st.HistoryFrom
+	s.history = slices.Clone(st.History)
+	return s
+}
--- /dev/null
+++ b/internal/config/staged.go
@@ -0,0 +1,379 @@
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// staged holds what one change would replace. A nil value means removal.
+type staged struct {
+	store     *Store
+	groups    map[string]*routing.Group
+	selectors map[string]*routing.Selector
+	members   *Members
+	layouts   map[layoutKey]*Layout
+	before    []Before
+}
+
+func (s *Store) stage(c Change) *staged {
+	return &staged{store: s, before: make([]Before, 0, len(c.Ops))}
+}
+
+// group returns the staged group, or else the one in force.
+func (st *staged) group(name string) *routing.Group {
+	if g, ok := st.groups[name]; ok {
+		return g
+	}
+	if g, ok := st.store.groups[name]; ok {
+		return &g
+	}
+	return nil
+}
+
+func (st *staged) selector(name string) *routing.Selector {
+	if sel, ok := st.selectors[name]; ok {
+		return sel
+	}
+	if sel, ok := st.store.selectors[name]; ok {
+		return &sel
+	}
+	return nil
+}
+
+// apply stages all operations of a change.
+func (st *staged) apply(c Change) error {
+	for _, op := range c.Ops {
+		if err := st.applyOp(c.Team, op); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (st *staged) applyOp(team string, op Op) error {
+	switch op := op.(type) {
+	case PutGroup:
+		return st.putGroup(team, op.Group)
+	case DeleteGroup:
+		return st.deleteGroup(team, op.Name)
+	case PutSelector:
+		return st.putSelector(team, op.Selector)
+	case DeleteSelector:
+		return st.deleteSelector(team, op.Name)
+	case ForgetHost:
+		return st.forgetHost(op.Host)
+	case SetMembers:
+		return st.setMembers(op)
+	case AddLayout:
+		return st.addLayout(op)
+	case RemoveLayout:
+		return st.removeLayout(op)
+	default:
+		return invalid("unknown operation %T", op)
+	}
+}
+
+// owns checks that a team may change an object of the owning team.
+func owns(team, owner string, o Object) error {
+	if team == owner || team == AdminTeam {
+		return nil
+	}
+	return refusal(CodeNotOwner, "%s belongs to team %q, and the change is of team %q", o, owner, team)
+}
+
+func (st *staged) putGroup(team string, g routing.Group) error {
+	o := Object{KindGroup, g.Name}
+	old := st.group(g.Name)
+	if old != nil {
+		if err := owns(team, old.Team, o); err != nil {
+			return err
+		}
+	}
+	if err := owns(team, g.Team, o); err != nil {
+		return err
+	}
+	g.Match = maps.Clone(g.Match)
+	st.setGroup(g.Name, &g)
+	st.before = append(st.before, Before{Object: o, Group: old})
+	return nil
+}
+
+func (st *staged) deleteGroup(team, name string) error {
+	o := Object{KindGroup, name}
+	old := st.group(name)
+	if old == nil {
+		return refusal(CodeUnknownObject, "%s does not exist", o)
+	}
+	if err := owns(team, old.Team, o); err != nil {
+		return err
+	}
+	st.setGroup(name, nil)
+	st.before = append(st.before, Before{Object: o, Group: old})
+	return nil
+}
+
+func (st *staged) setGroup(name string, g *routing.Group) {
+	if st.groups == nil {
+		st.groups = map[string]*routing.Group{}
+	}
+	st.groups[name] = g
+}
+
+func (st *staged) putSelector(team string, sel routing.Selector) error {
+	o := Object{KindSelector, sel.Name}
+	old := st.selector(sel.Name)
+	if old != nil {
+		if err := owns(team, old.Owner, o); err != nil {
+			return err
+		}
+	}
+	if err := owns(team, sel.Owner, o); err != nil {
+		return err
+	}
+	sel.Match = maps.Clone(sel.Match)
+	st.setSelector(sel.Name, &sel)
+	st.before = append(st.before, Before{Object: o, Selector: old})
+	return nil
+}
+
+func (st *staged) deleteSelector(team, name string) error {
+	o := Object{KindSelector, name}
+	old := st.selector(name)
+	if old == nil {
+		return refusal(CodeUnknownObject, "%s does not exist", o)
+	}
+	if err := owns(team, old.Owner, o); err != nil {
+		return err
+	}
+	st.setSelector(name, nil)
+	st.before = append(st.before, Before{Object: o, Selector: old})
+	return nil
+}
+
+func (st *staged) setSelector(name string, sel *routing.Selector) {
+	if st.selectors == nil {
+		st.selectors = map[string]*routing.Selector{}
+	}
+	st.selectors[name] = sel
+}
+
+func (st *staged) currentMembers() Members {
+	if st.members != nil {
+		return *st.members
+	}
+	return st.store.members
+}
+
+func (st *staged) forgetHost(host string) error {
+	m := st.currentMembers()
+	i, ok := slices.BinarySearch(m.Hosts, host)
+	if !ok {
+		return refusal(CodeUnknownObject, "host %q is not a member", host)
+	}
+	hosts := slices.Delete(slices.Clone(m.Hosts), i, i+1)
+	st.members = &Members{Epoch: m.Epoch + 1, Hosts: hosts}
+	st.before = append(st.before, Before{Object: Object{KindHost, host}})
+	return nil
+}
+
+func (st *staged) setMembers(op SetMembers) error {
+	if epoch := st.currentMembers().Epoch; op.Epoch <= epoch {
+		return refusal(CodeStaleEpoch, "member list of epoch %d is not newer than epoch %d", op.Epoch, epoch)
+	}
+	hosts := slices.Clone(op.Members)
+	slices.Sort(hosts)
+	if len(slices.Compact(slices.Clone(hosts))) != len(hosts) {
+		return invalid("the member list names a host twice")
+	}
+	st.members = &Members{Epoch: op.Epoch, Hosts: hosts}
+	return nil
+}
+
+func (st *staged) addLayout(op AddLayout) error {
+	if st.group(op.Group) == nil {
+		return refusal(CodeUnknownGroup, "group %q does not exist", op.Group)
+	}
+	k := layoutKey{op.Group, op.IndexSnapshot}
+	known := st.layoutsOf(op.Group)
+	if old, ok := known[k]; ok && (!slices.Equal(old.Shards, op.Layout) || old.Generation != op.Generation) {
+		return refusal(CodeLayoutChanged, "index snapshot %q of group %q is known with another layout or generation", op.IndexSnapshot, op.Group)
+	}
+	known[k] = Layout{Group: op.Group, IndexSnapshot: op.IndexSnapshot, Generation: op.Generation, Shards: slices.Clone(op.Layout)}
+	if len(known) > MaxLayoutsPerGroup {
+		oldest := slices.MaxFunc(slices.Collect(maps.Values(known)), compareLayouts)
+		if oldest.IndexSnapshot == op.IndexSnapshot {
+			return refusal(CodeTooMany, "group %q already has %d layouts of higher generations", op.Group, MaxLayoutsPerGroup)
+		}
+		st.setLayout(layoutKey{oldest.Group, oldest.IndexSnapshot}, nil)
+	}
+	l := known[k]
+	st.setLayout(k, &l)
+	return nil
+}
+
+func (st *staged) removeLayout(op RemoveLayout) error {
+	k := layoutKey{op.Group, op.IndexSnapshot}
+	if _, ok := st.layoutsOf(op.Group)[k]; !ok {
+		return refusal(CodeUnknownObject, "index snapshot %q of group %q is not known", op.IndexSnapshot, op.Group)
+	}
+	st.setLayout(k, nil)
+	return nil
+}
+
+func (st *staged) layoutsOf(group string) map[layoutKey]Layout {
+	out := map[layoutKey]Layout{}
+	for k, l := range st.store.layouts {
+		if k.group == group {
+			out[k] = l
+		}
+	}
+	for k, l := range st.layouts {
+		switch {
+		case k.group != group:
+		case l == nil:
+			delete(out, k)
+		default:
+			out[k] = *l
+		}
+	}
+	return out
+}
+
+func (st *staged) setLayout(k layoutKey, l *Layout) {
+	if st.layouts == nil {
+		st.layouts = map[layoutKey]*Layout{}
+	}
+	st.layouts[k] = l
+}
+
+// compareLayouts orders by group, then newest generation first.
+func compareLayouts(a, b Layout) int {
+	return cmp.Or(
+		strings.Compare(a.Group, b.Group),
+		cmp.Compare(b.Generation, a.Generation),
+		strings.Compare(b.IndexSnapshot, a.IndexSnapshot),
+	)
+}
+
+// check validates the state that the change would lead to. What it does not
+// touch is valid already.
+func (st *staged) check() error {
+	if err := st.checkSelectors(); err != nil {
+		return err
+	}
+	if err := st.checkDeletedGroups(); err != nil {
+		return err
+	}
+	return st.checkCounts()
+}
+
+func (st *staged) checkSelectors() error {
+	for _, name := range slices.Sorted(maps.Keys(st.selectors)) {
+		sel := st.selectors[name]
+		if sel == nil {
+			continue
+		}
+		if st.group(sel.Group) == nil {
+			return refusal(CodeUnknownGroup, "selector %q leads to group %q, which does not exist", name, sel.Group)
+		}
+		if other, ok := st.conflicting(*sel); ok {
+			return refusal(CodeAmbiguous,
+				"selectors %q and %q have %d requirements each, can match one request, and lead to groups %q and %q; add a requirement to one of them",
+				sel.Name, other.Name, sel.Specificity(), sel.Group, other.Group)
+		}
+	}
+	return nil
+}
+
+// conflicting returns the selector of the lowest name that conflicts with sel.
+func (st *staged) conflicting(sel routing.Selector) (routing.Selector, bool) {
+	var found routing.Selector
+	consider := func(o routing.Selector) {
+		if sel.ConflictsWith(o) && (found.Name == "" || o.Name < found.Name) {
+			found = o
+		}
+	}
+	for name := range st.store.overlaps.candidates(sel) {
+		if _, replaced := st.selectors[name]; !replaced {
+			consider(st.store.selectors[name])
+		}
+	}
+	for _, o := range st.selectors {
+		if o != nil {
+			consider(*o)
+		}
+	}
+	return found, found.Name != ""
+}
+
+func (st *staged) checkDeletedGroups() error {
+	for _, name := range slices.Sorted(maps.Keys(st.groups)) {
+		if st.groups[name] != nil {
+			continue
+		}
+		if user, ok := st.userOf(name); ok {
+			return refusal(CodeGroupInUse, "group %q is used by selector %q; delete or change the selector first", name, user)
+		}
+	}
+	return nil
+}
+
+// userOf returns the selector of the lowest name that leads to a group.
+func (st *staged) userOf(group string) (string, bool) {
+	found := ""
+	consider := func(o routing.Selector) {
+		if o.Group == group && (found == "" || o.Name < found) {
+			found = o.Name
+		}
+	}
+	for name, o := range st.store.selectors {
+		if _, replaced := st.selectors[name]; !replaced {
+			consider(o)
+		}
+	}
+	for _, o := range st.selectors {
+		if o != nil {
+			consider(*o)
+		}
+	}
+	return found, found != ""
+}
+
+func (st *staged) checkCounts() error {
+	if n := countAfter(st.store.groups, st.groups); n > MaxGroups && n > len(st.store.groups) {
+		return refusal(CodeTooMany, "%d groups, at most %d are allowed", n, MaxGroups)
+	}
+	if n := countAfter(st.store.selectors, st.selectors); n > MaxSelectors && n > len(st.store.selectors) {
+		return refusal(CodeTooMany, "%d selectors, at most %d are allowed", n, MaxSelectors)
+	}
+	return nil
+}
+
+func countAfter[T any](now map[string]T, staged map[string]*T) int {
+	n := len(now)
+	for name, v := range staged {
+		_, exists := now[name]
+		switch {
+		case v != nil && !exists:
+			n++
+		case v == nil && exists:
+			n--
+		}
+	}
+	return n
+}
+
+func codeOf(err error) verdict.Code {
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return verdict.CodeInternal
+}
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,248 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+)
+
+// Members is the agreed member list.
+type Members struct {
+	Epoch uint64
+	Hosts []string // sorted
+}
+
+// Layout is the full shard list of a group's index snapshot.
+type Layout struct {
+	Group         string
+	IndexSnapshot string
+	Generation    uint64
+	Shards        []string
+}
+
+type layoutKey struct{ group, snapshot string }
+
+// Store is the replicated state machine. One goroutine owns it.
+type Store struct {
+	index     uint64 // of the last applied log entry
+	revision  uint64 // number of accepted changes
+	groups    map[string]routing.Group
+	selectors map[string]routing.Selector
+	overlaps  selectorIndex
+	members   Members
+	layouts   map[layoutKey]Layout
+	record    record
+	history   []Entry // oldest first
+	firstKept uint64  // changes after this revision are in history
+
+	table *routing.Table // nil after a change until it is asked for
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		groups:    map[string]routing.Group{},
+		selectors: map[string]routing.Selector{},
+		overlaps:  newSelectorIndex(),
+		layouts:   map[layoutKey]Layout{},
+		record:    newRecord(),
+	}
+}
+
+// Revision returns the number of the last accepted change.
+func (s *Store) Revision() uint64 { return s.revision }
+
+// Index returns the index of the last applied log entry.
+func (s *Store) Index() uint64 { return s.index }
+
+// Members returns the agreed member list.
+func (s *Store) Members() Members {
+	return Members{Epoch: s.members.Epoch, Hosts: slices.Clone(s.members.Hosts)}
+}
+
+// Layouts returns the known layouts by group, newest generation first. The
+// shard lists are shared and must not be changed.
+func (s *Store) Layouts() []Layout {
+	out := slices.Collect(maps.Values(s.layouts))
+	slices.SortFunc(out, compareLayouts)
+	return out
+}
+
+// Table returns the groups and selectors in force.
+func (s *Store) Table() *routing.Table {
+	if s.table == nil {
+		s.table = routing.NewTable(s.revision, slices.Collect(maps.Values(s.groups)), slices.Collect(maps.Values(s.selectors)))
+	}
+	return s.table
+}
+
+// Check returns the result that Apply would return now.
+func (s *Store) Check(c Change) Result {
+	res, _ := s.decide(newSubmission(c))
+	return res
+}
+
+// Apply decides a change and puts it in force if it is accepted. Index is the
+// position of its log entry, and at the proposer's clock carried in the
+// entry. An entry at or below the last applied index changes nothing.
+func (s *Store) Apply(index uint64, at time.Time, c Change) Result {
+	if index <= s.index {
+		return s.alreadyApplied(c)
+	}
+	s.index = index
+	at = s.record.advance(at)
+	sub := newSubmission(c)
+	res, st := s.decide(sub)
+	switch {
+	case res.Resend:
+		s.record.addAlias(sub)
+		s.record.trim(s.revision)
+		return res
+	case sub.invalid != nil || res.Code == CodeContentMismatch:
+		return res
+	}
+	res.At = at
+	if res.Outcome == Accepted {
+		s.revision++
+		res.Revision = s.revision
+		s.commit(st)
+		s.remember(c, at, st)
+	}
+	s.record.add(sub, s.revision, res)
+	s.trim()
+	return res
+}
+
+// alreadyApplied answers an entry that the log delivers twice.
+func (s *Store) alreadyApplied(c Change) Result {
+	if res, ok := s.Lookup(c.ID); ok {
+		res.Resend = true
+		return res
+	}
+	return refused(refusal(CodeStaleEntry, "the log entry was applied before and its result is no longer kept"))
+}
+
+// Lookup returns the result of a past change.
+func (s *Store) Lookup(changeID string) (Result, bool) {
+	r, ok := s.record.byID(hashID(changeID))
+	if !ok {
+		return Result{}, false
+	}
+	return r.result(), true
+}
+
+// decide returns the result of a change, and the new state of what it touches
+// if it is accepted.
+func (s *Store) decide(c submission) (Result, *staged) {
+	if c.invalid != nil {
+		return final(refused(c.invalid)), nil
+	}
+	if r, ok := s.record.byID(c.id); ok {
+		if r.Content != c.content {
+			return final(refused(refusal(CodeContentMismatch,
+				"change ID %q was used for another change at %s; push this change under another ID", c.ID, r.At.UTC().Format(time.RFC3339)))), nil
+		}
+		return resent(r), nil
+	}
+	if r, ok := s.record.byBase(c.base); ok {
+		return resent(r), nil
+	}
+	if res, ok := s.checkBase(c.Change); !ok {
+		return res, nil
+	}
+	st := s.stage(c.Change)
+	if err := st.apply(c.Change); err != nil {
+		return refused(err), nil
+	}
+	if err := st.check(); err != nil {
+		return refused(err), nil
+	}
+	return Result{Outcome: Accepted, Revision: s.revision + 1}, st
+}
+
+// checkBase compares the change's base with what happened since. System
+// changes are ordered by epochs and generations instead.
+func (s *Store) checkBase(c Change) (Result, bool) {
+	switch {
+	case c.Base > s.revision:
+		return refused(refusal(CodeBaseTooNew, "the change's base is revision %d, and the current revision is %d", c.Base, s.revision)), false
+	case c.Base < s.record.Start:
+		return final(refused(refusal(CodeBaseTooOld,
+			"the change's base is revision %d, and results are kept only for changes since revision %d; look at the current state and push again with base %d",
+			c.Base, s.record.Start, s.revision))), false
+	case c.Team == SystemTeam:
+		return Result{}, true
+	case c.Base < s.firstKept:
+		return final(refused(refusal(CodeBaseTooOld,
+			"the change's base is revision %d, and changes are kept only since revision %d; look at the current state and push again with base %d",
+			c.Base, s.firstKept, s.revision))), false
+	}
+	conflict := s.conflictSince(c)
+	if conflict == nil {
+		return Result{}, true
+	}
+	res := final(refused(refusal(CodeConflict,
+		"%s was changed in revision %d by %s at %s (change %s), after the change's base %d; look at it and push again with base %d",
+		conflict.Object, conflict.Revision, conflict.Author, conflict.At.UTC().Format(time.RFC3339), conflict.ChangeID, c.Base, s.revision)))
+	res.Conflict = conflict
+	return res, false
+}
+
+func refused(err error) Result {
+	return Result{Outcome: Refused, Code: codeOf(err), Message: err.Error()}
+}
+
+func final(r Result) Result {
+	r.Final = true
+	return r
+}
+
+func resent(r *Record) Result {
+	res := r.result()
+	res.Resend = true
+	res.Final = res.Outcome == Refused
+	return res
+}
+
+// commit puts the staged objects in force.
+func (s *Store) commit(st *staged) {
+	for name, g := range st.groups {
+		if g == nil {
+			delete(s.groups, name)
+			s.dropLayouts(name)
+			continue
+		}
+		s.groups[name] = *g
+	}
+	for name, sel := range st.selectors {
+		s.replaceSelector(name, sel)
+	}
+	if st.members != nil {
+		s.members = *st.members
+	}
+	for k, l := range st.layouts {
+		if l == nil {
+			delete(s.layouts, k)
+			continue
+		}
+		s.layouts[k] = *l
+	}
+	s.table = nil
+}
+
+func (s *Store) replaceSelector(name string, sel *routing.Selector) {
+	if old, ok := s.selectors[name]; ok {
+		s.overlaps.remove(old)
+		delete(s.selectors, name)
+	}
+	if sel != nil {
+		s.selectors[name] = *sel
+		s.overlaps.add(*sel)
+	}
+}
+
+func (s *Store) dropLayouts(group string) {
+	maps.DeleteFunc(s.layouts, func(k layoutKey, _ Layout) bool { return k.group == group })
+}
--- /dev/null
+++ b/internal/routing/explain.go
@@ -0,0 +1,115 @@
+package routing
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Overlaps reports whether some request meets the requirements of both
+// selectors.
+func (s Selector) Overlaps(o Selector) bool {
+	if s.Team != "" && o.Team != "" && s.Team != o.Team {
+		return false
+	}
+	for k, v := range s.Match {
+		if w, ok := o.Match[k]; ok && v != w {
+			return false
+		}
+	}
+	return true
+}
+
+// ConflictsWith reports whether some request meets the requirements of both
+// selectors and nothing but their names decides which group it reaches.
+func (s Selector) ConflictsWith(o Selector) bool {
+	return s.Name != o.Name && s.Group != o.Group && s.Specificity() == o.Specificity() && s.Overlaps(o)
+}
+
+// Ambiguity names two selectors that conflict, in order of their names.
+type Ambiguity struct {
+	First, Second Selector
+}
+
+// Ambiguous returns every pair of selectors that conflict. The result does
+// not depend on the order of the argument.
+func Ambiguous(selectors []Selector) []Ambiguity {
+	sorted := slices.Clone(selectors)
+	slices.SortFunc(sorted, comparePrecedence)
+	var out []Ambiguity
+	for i, a := range sorted {
+		for _, b := range sorted[i+1:] {
+			if a.Specificity() != b.Specificity() {
+				break
+			}
+			if a.ConflictsWith(b) {
+				out = append(out, Ambiguity{First: a, Second: b})
+			}
+		}
+	}
+	return out
+}
+
+// Judgement says whether one selector admits a request, and why.
+type Judgement struct {
+	Selector Selector
+	Matches  bool
+	Reason   string
+}
+
+// Explanation shows how a request is routed. Winner is nil when no selector
+// admits the request.
+type Explanation struct {
+	Request    Request
+	Revision   uint64
+	Judgements []Judgement // in order of precedence
+	Winner     *Selector
+	Err        error // the error that Route returns
+}
+
+// Explain routes the request and says of each selector why it matches or not.
+func (t *Table) Explain(r Request) Explanation {
+	e := Explanation{Request: r, Revision: t.Revision}
+	_, winner, err := t.Route(r)
+	if err == nil {
+		e.Winner = &winner
+	}
+	e.Err = err
+	for _, s := range t.selectors {
+		reason := t.mismatch(s, r)
+		j := Judgement{Selector: s, Matches: reason == "", Reason: reason}
+		switch {
+		case !j.Matches:
+		case s.Name == winner.Name:
+			j.Reason = "matches and comes first in precedence"
+		default:
+			j.Reason = fmt.Sprintf("matches, but selector %q comes before it (%d against %d requirements)",
+				winner.Name, winner.Specificity(), s.Specificity())
+		}
+		e.Judgements = append(e.Judgements, j)
+	}
+	return e
+}
+
+// mismatch returns why the selector does not admit the request, or "".
+func (t *Table) mismatch(s Selector, r Request) string {
+	if r.Group != "" && s.Group != r.Group {
+		return fmt.Sprintf("leads to group %q, and the request names %q", s.Group, r.Group)
+	}
+	if s.Team != "" && s.Team != r.Team {
+		return fmt.Sprintf("is for team %q, and the request is of team %q", s.Team, r.Team)
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.Match)) {
+		got, ok := r.Labels[k]
+		if !ok {
+			return fmt.Sprintf("requires label %s=%s, which the request lacks", k, s.Match[k])
+		}
+		if got != s.Match[k] {
+			return fmt.Sprintf("requires label %s=%s, and the request has %s=%s", k, s.Match[k], k, got)
+		}
+	}
+	if _, ok := t.groups[s.Group]; !ok {
+		return fmt.Sprintf("leads to group %q, which does not exist", s.Group)
+	}
+	return ""
+}
