Learn hedge delays from recent latencies and test the run

Cause: a fixed hedge delay is wrong as soon as the load changes, and the invariants of a run need tests against any order of events.

--- /dev/null
+++ b/internal/query/behaviour_test.go
@@ -0,0 +1,247 @@
+package query
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+func twoSnapshots() *Catalog {
+	return catalogOf(snapshotOf("s2", 2, 2, 1), snapshotOf("s1", 1, 3, 2))
+}
+
+func onlyOld() *Catalog { return catalogOf(snapshotOf("s1", 1, 3, 2)) }
+
+// Guards against an answer that mixes two layouts, and against giving up
+// while another replica or a newer snapshot could answer.
+func TestVanishedSnapshot(t *testing.T) {
+	h := start(DefaultPolicy(), testQuery(), onlyOld(), budgets())
+	h.at(ms(1), CatalogChanged{twoSnapshots()})
+	h.refuse(ms(2), 1, CodeSnapshotGone)
+	require.Len(t, h.order, 4, "first another replica of the same snapshot")
+	require.Equal(t, "s1", h.sent[4].IndexSnapshot)
+	h.ok(ms(3), 2, Hit{ID: "old"})
+	h.refuse(ms(4), 4, CodeSnapshotGone)
+	require.Len(t, h.order, 6, "then the whole query on the newer snapshot")
+	require.True(t, h.cancelled[3])
+	h.ok(ms(5), 3, Hit{ID: "old too"})
+	require.Equal(t, 1, h.Counters().Late)
+	h.ok(ms(6), 5, Hit{ID: "new"})
+	h.ok(ms(6), 6)
+	a := h.end.Answer
+	require.Equal(t, "s2", a.IndexSnapshot)
+	require.Equal(t, []Hit{{ID: "new"}}, a.Hits)
+	require.Equal(t, 2, a.Coverage.Total)
+	require.Equal(t, 1, a.Restarts)
+}
+
+// Guards against a restart that cannot answer in time, or that would lose
+// coverage.
+func TestVanishedSnapshotWithoutRestart(t *testing.T) {
+	holes := snapshotOf("s2", 2, 3, 1)
+	holes.Replicas[0], holes.Replicas[1] = nil, nil
+	cases := map[string]struct {
+		catalog *Catalog
+		at      int
+	}{
+		"too late":           {twoSnapshots(), 90},
+		"newer has holes":    {catalogOf(holes, snapshotOf("s1", 1, 3, 2)), 10},
+		"nothing else known": {onlyOld(), 10},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := DefaultPolicy()
+			p.HedgeDelay = 0
+			h := start(p, testQuery(), onlyOld(), budgets())
+			h.at(ms(1), CatalogChanged{c.catalog})
+			h.refuse(ms(c.at), 1, CodeSnapshotGone)
+			h.ok(ms(c.at), 2)
+			h.ok(ms(c.at), 3)
+			h.refuse(ms(c.at), 4, CodeSnapshotGone)
+			require.Equal(t, "s1", h.end.Answer.IndexSnapshot)
+			require.Equal(t, []MissingShard{{"s1/00", ReasonSnapshotGone}}, h.end.Answer.Coverage.Missing)
+		})
+	}
+}
+
+// Guards against waiting for the deadline when the catalog drops the pinned
+// snapshot and its searchers no longer reply.
+func TestSnapshotLeavesCatalog(t *testing.T) {
+	h := start(DefaultPolicy(), testQuery(), onlyOld(), budgets())
+	h.at(ms(1), CatalogChanged{catalogOf(snapshotOf("s2", 2, 2, 1))})
+	h.ok(ms(2), 1)
+	require.Len(t, h.order, 3, "attempts in flight may still answer")
+	h.at(ms(50), Tick{})
+	require.Equal(t, "s2", h.sent[4].IndexSnapshot)
+}
+
+// Guards against hits of another snapshot or shard entering an answer.
+func TestMismatchedReplyCountsAsFailed(t *testing.T) {
+	h := start(DefaultPolicy(), testQuery(), catalogOf(snapshotOf("s1", 1, 1, 1)), budgets())
+	h.at(ms(1), ReplyArrived{Reply{Attempt: 1, IndexSnapshot: "s0", Shard: "s1/00", Hits: []Hit{{ID: "x"}}}})
+	require.Error(t, h.end.Err)
+	require.Equal(t, verdict.Ran, verdict.Of(h.end.Err))
+	require.Equal(t, 1, h.Counters().Mismatched)
+}
+
+// Guards against a partial answer below the caller's minimum, and against a
+// verdict that hides attempts which may have run.
+func TestErrorsCarryTrueVerdict(t *testing.T) {
+	cases := map[string]struct {
+		end     func(h *harness)
+		code    verdict.Code
+		verdict verdict.Verdict
+	}{
+		"one shard ran": {func(h *harness) {
+			h.ok(ms(1), 1)
+			h.at(ms(98), Tick{})
+		}, CodeCoverageBelowMinimum, verdict.Ran},
+		"all refused": {func(h *harness) {
+			h.refuse(ms(1), 1, CodeDraining)
+			h.refuse(ms(1), 2, CodeDraining)
+		}, CodeCoverageBelowMinimum, verdict.NotRun},
+		"one lost": {func(h *harness) {
+			h.refuse(ms(1), 1, CodeDraining)
+			h.at(ms(98), Tick{})
+		}, CodeCoverageBelowMinimum, verdict.MayHaveRun},
+		"caller left":       {func(h *harness) { h.at(ms(1), CallerGone{}) }, CodeCancelled, verdict.MayHaveRun},
+		"past the deadline": {func(h *harness) { h.at(ms(100), Tick{}) }, verdict.CodeDeadlineExceeded, verdict.MayHaveRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := testQuery()
+			q.MinCoverage = 0.9
+			h := start(DefaultPolicy(), q, catalogOf(snapshotOf("s1", 1, 2, 1)), budgets())
+			c.end(h)
+			require.Equal(t, c.code, verdict.CodeOf(h.end.Err))
+			require.Equal(t, c.verdict, verdict.Of(h.end.Err))
+		})
+	}
+	h := start(DefaultPolicy(), testQuery(), nil, budgets())
+	require.Equal(t, CodeNoSnapshot, verdict.CodeOf(h.end.Err))
+	require.Equal(t, verdict.NotRun, verdict.Of(h.end.Err))
+}
+
+// Guards against sub-requests that cannot answer in time.
+func TestDeadlines(t *testing.T) {
+	q := testQuery()
+	h := start(DefaultPolicy(), q, onlyOld(), budgets())
+	require.Equal(t, ms(97), h.sent[1].Deadline, "less the time to answer and the network")
+	h.at(ms(97), ReplyArrived{Reply{Attempt: 1, Err: verdict.New(verdict.NotRun, CodeShed, "shed")}})
+	require.Len(t, h.order, 3, "too late for a retry")
+	q.Deadline = ms(3)
+	h = start(DefaultPolicy(), q, onlyOld(), budgets())
+	require.Empty(t, h.order)
+	require.Equal(t, verdict.NotRun, verdict.Of(h.end.Err))
+}
+
+// Guards against a hedge to the same failure domain, before its delay, past
+// the budget, to a saturated group, and against a loser left running.
+func TestHedge(t *testing.T) {
+	p := DefaultPolicy()
+	p.HedgeDelay = 20 * time.Millisecond
+	catalog := catalogOf(snapshotOf("s1", 1, 1, 3))
+	catalog.Snapshots[0].Replicas[0][1].FailureDomain = "d0"
+	h := start(p, testQuery(), catalog, budgets())
+	require.Equal(t, ms(20), h.wake)
+	h.at(ms(19), Tick{})
+	require.Len(t, h.order, 1)
+	h.at(ms(20), Tick{})
+	require.Equal(t, "d2", h.sent[2].Replica.FailureDomain)
+	require.True(t, h.sent[2].Hedge)
+	h.ok(ms(21), 2)
+	require.True(t, h.cancelled[1])
+	require.Equal(t, 1, h.Counters().HedgeWins)
+
+	b := NewSharedBudgets(BudgetLimits{HedgePermille: 30})
+	h = start(p, testQuery(), catalog, b)
+	h.at(ms(20), Tick{})
+	require.Len(t, h.order, 1, "no budget")
+	b = budgets()
+	b.SetSaturated(true)
+	h = start(p, testQuery(), catalog, b)
+	h.at(ms(20), Tick{})
+	require.Len(t, h.order, 1, "saturated")
+}
+
+// Guards against spending the budget on shards that do not decide the tail
+// when the whole group is slow.
+func TestHedgeWaitsForTheTail(t *testing.T) {
+	p := DefaultPolicy()
+	p.HedgeDelay = 20 * time.Millisecond
+	h := start(p, testQuery(), catalogOf(snapshotOf("s1", 1, 10, 2)), budgets())
+	h.at(ms(20), Tick{})
+	require.Len(t, h.order, 10)
+	for k := uint32(1); k <= 8; k++ {
+		h.ok(ms(30), k)
+	}
+	require.Len(t, h.order, 12)
+	require.Equal(t, 8, h.sent[11].Shard)
+	require.Equal(t, 9, h.sent[12].Shard)
+}
+
+// Guards against a retry storm when every target is down.
+func TestRetriesStayInBudget(t *testing.T) {
+	b := NewSharedBudgets(BudgetLimits{RetryPermille: 100, RetryBurst: 5})
+	catalog := catalogOf(snapshotOf("s1", 1, 10, 3))
+	total, retries := 0, 0
+	for range 100 {
+		h := start(DefaultPolicy(), testQuery(), catalog, b)
+		for k := uint32(1); int(k) <= len(h.order); k++ {
+			h.refuse(ms(1), k, verdict.CodeUnavailable)
+		}
+		require.NotNil(t, h.end)
+		total += h.Counters().Sent
+		retries += h.Counters().Retries
+	}
+	require.Equal(t, 1000, total-retries)
+	require.LessOrEqual(t, retries, 5+100)
+}
+
+// Guards against more work for a target that says it is leaving.
+func TestDrainingTargetGetsNoMoreWork(t *testing.T) {
+	s := snapshotOf("s1", 1, 2, 2)
+	s.Replicas[1][0].Target = s.Replicas[0][0].Target
+	s.Replicas[1] = s.Replicas[1][:1]
+	h := start(DefaultPolicy(), testQuery(), catalogOf(s), budgets())
+	h.refuse(ms(1), 1, CodeDraining)
+	h.refuse(ms(2), 2, CodeShed)
+	require.Equal(t, []DrainSeen{{Target: "t0-0"}}, h.drains)
+	h.ok(ms(3), 3)
+	require.Len(t, h.order, 3)
+	require.Equal(t, []MissingShard{{"s1/01", ReasonShed}}, h.end.Answer.Coverage.Missing)
+}
+
+// Guards against giving up a shard whose only replica shed load briefly.
+func TestShedReplicaIsTriedAgainAfterBackoff(t *testing.T) {
+	h := start(DefaultPolicy(), testQuery(), catalogOf(snapshotOf("s1", 1, 1, 1)), budgets())
+	h.refuse(ms(1), 1, CodeShed)
+	require.Nil(t, h.end)
+	h.at(ms(5), Tick{})
+	h.ok(ms(7), 2)
+	require.NoError(t, h.end.Err)
+}
+
+// Guards against quantiles that forget nothing, or that a few samples decide.
+func TestGroupPolicyFollowsLatencies(t *testing.T) {
+	g := NewGroup(DefaultPolicy(), DefaultBudgetLimits())
+	g.ObserveLatency(t0, time.Second, true)
+	require.Equal(t, DefaultHedgeDelay, g.Policy(t0).HedgeDelay)
+	for i := range 1000 {
+		d := 5 * time.Millisecond
+		if i%40 == 0 {
+			d = 12 * time.Millisecond
+		}
+		g.ObserveLatency(ms(1), d, true)
+	}
+	p := g.Policy(ms(200))
+	require.InDelta(t, 5, p.MinLatency.Seconds()*1000, 0.1)
+	require.InDelta(t, 5, p.HedgeDelay.Seconds()*1000, 0.1)
+	for range 1000 {
+		g.ObserveLatency(ms(20_000), 9*time.Millisecond, true)
+	}
+	require.InDelta(t, 9, g.Policy(ms(20_200)).MinLatency.Seconds()*1000, 0.1)
+}
--- a/internal/query/hedge.go
+++ b/internal/query/hedge.go
@@ -43,7 +43,7 @@
 	}
 	if !r.budgets.AllowHedge() {
 		r.counters.Denied++
-		r.hedgeAt = min(r.hedgeAt, at+r.policy.HedgeDelay/hedgeRetryFraction)
+		r.hedgeAt = min(r.hedgeAt, at+max(1, r.policy.HedgeDelay/hedgeRetryFraction))
 		return
 	}
 	if !r.send(at, i, candidates, avoid, hedgeAttempt) {
--- /dev/null
+++ b/internal/query/latency.go
@@ -0,0 +1,140 @@
+package query
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds and resolution of the recorded latencies.
+const (
+	latencyUnit     = time.Microsecond
+	maxLatency      = time.Minute
+	latencyDigits   = 2
+	latencyWindows  = 6
+	latencyWindow   = time.Second
+	latencyRefresh  = 100 * time.Millisecond
+	minLatencyCount = 200 // samples before quantiles replace the defaults
+)
+
+// Shape of the hedge delay.
+const (
+	// hedgeShareOfBudget is the part of the hedging budget that the delay's
+	// quantile plans to use. The rest absorbs bursts.
+	hedgeShareOfBudget = 0.9
+	// hedgeOverP90 bounds the delay to this multiple of the 90th percentile.
+	// When more sub-requests straggle than the budget can hedge, the quantile
+	// lies among the stragglers, and a hedge at that age comes too late.
+	hedgeOverP90 = 3.0
+)
+
+// estimate is what the recent latencies say about a group.
+type estimate struct {
+	refreshAt      time.Time
+	minLatency     time.Duration
+	typicalLatency time.Duration
+	hedgeDelay     time.Duration
+	known          bool
+}
+
+// Group is what the queries of one group share: budgets and the latencies
+// observed lately. It is safe for concurrent use.
+type Group struct {
+	*SharedBudgets
+	base     Policy
+	estimate atomic.Pointer[estimate]
+
+	mu       sync.Mutex
+	recent   *hdrhistogram.WindowedHistogram
+	rotateAt time.Time
+}
+
+// NewGroup returns a group without observations. The policy's latencies are
+// used until there are enough of them.
+func NewGroup(base Policy, limits BudgetLimits) *Group {
+	g := &Group{
+		SharedBudgets: NewSharedBudgets(limits),
+		base:          base,
+		recent:        hdrhistogram.NewWindowed(latencyWindows, 1, int64(maxLatency/latencyUnit), latencyDigits),
+	}
+	g.estimate.Store(&estimate{})
+	return g
+}
+
+// ObserveLatency records one latency. Old latencies are forgotten a window at
+// a time.
+func (g *Group) ObserveLatency(now time.Time, d time.Duration, _ bool) {
+	value := min(max(int64(d/latencyUnit), 1), int64(maxLatency/latencyUnit))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rotate(now)
+	// RecordValue fails only outside the bounds applied above.
+	_ = g.recent.Current.RecordValue(value)
+}
+
+func (g *Group) rotate(now time.Time) {
+	if g.rotateAt.IsZero() {
+		g.rotateAt = now.Add(latencyWindow)
+	}
+	for n := 0; n < latencyWindows && !now.Before(g.rotateAt); n++ {
+		g.recent.Rotate()
+		g.rotateAt = g.rotateAt.Add(latencyWindow)
+	}
+	if !now.Before(g.rotateAt) {
+		g.rotateAt = now.Add(latencyWindow)
+	}
+}
+
+// Policy returns the policy for a query that starts now.
+func (g *Group) Policy(now time.Time) Policy {
+	e := g.estimate.Load()
+	if !now.Before(e.refreshAt) {
+		e = g.refresh(now)
+	}
+	p := g.base
+	if !e.known {
+		return p
+	}
+	p.MinLatency = e.minLatency
+	p.TypicalLatency = e.typicalLatency
+	if p.HedgeDelay > 0 {
+		p.HedgeDelay = e.hedgeDelay
+	}
+	return p
+}
+
+// refresh computes the estimate from the recorded latencies.
+func (g *Group) refresh(now time.Time) *estimate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.estimate.Load(); now.Before(e.refreshAt) {
+		return e
+	}
+	g.rotate(now)
+	h := g.recent.Merge()
+	e := &estimate{refreshAt: now.Add(latencyRefresh)}
+	if h.TotalCount() >= minLatencyCount {
+		e.known = true
+		e.minLatency = latencyAt(h, 0)
+		e.typicalLatency = latencyAt(h, 90)
+		e.hedgeDelay = hedgeDelay(h, g.base.HedgePermille)
+	}
+	g.estimate.Store(e)
+	return e
+}
+
+// hedgeDelay is the age beyond which the budget can hedge every sub-request.
+func hedgeDelay(h *hdrhistogram.Histogram, permille int) time.Duration {
+	quantile := latencyAt(h, 100-hedgeShareOfBudget*float64(permille)/10)
+	limit := time.Duration(hedgeOverP90 * float64(latencyAt(h, 90)))
+	return max(min(quantile, limit), latencyUnit)
+}
+
+func latencyAt(h *hdrhistogram.Histogram, percentile float64) time.Duration {
+	if percentile <= 0 {
+		return time.Duration(h.Min()) * latencyUnit
+	}
+	return time.Duration(h.ValueAtQuantile(percentile)) * latencyUnit
+}
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -45,7 +45,7 @@
 // the same replica useful.
 func (r *Run) retryShed(at time.Duration, i int) {
 	s := &r.shards[i]
-	if s.reason != ReasonShed || r.gone || s.refused >= maxBackoffs {
+	if s.reason != ReasonShed || s.refused >= maxBackoffs || len(r.shedCandidates(i)) == 0 {
 		r.lose(i, s.reason)
 		return
 	}
