--- a/cmd/hawthornlockd/main.go
+++ b/cmd/hawthornlockd/main.go
@@ -1,8 +1,46 @@
-// Command hawthornlockd is the daemon of the query tier.
+// Command hawthornlockd is the daemon of the query tier. One runs on every
+// host.
 package main
 
-import "net"
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
-func main() {
-	_ = net.IPv4len
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/daemon"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/settings"
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	s, err := settings.Parse(args, os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return settings.ExitCode
+	}
+	if s.Seed == 0 {
+		s.Seed = uint64(time.Now().UnixNano())
+	}
+	d, err := daemon.New(s, eventlog.New(os.Stderr, s.LogLevel, s.Host))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		return 1
+	}
+	return 0
 }
--- /dev/null
+++ b/internal/control/controlcodec/codec.go
@@ -0,0 +1,111 @@
+// Package controlcodec encodes the entries and the snapshots of the replicated
+// log. The first byte of each encoding is its version.
+package controlcodec
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/config/configcodec"
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+)
+
+// Version is the version that this package writes and the newest it reads.
+const Version = 1
+
+// commandHeader is the length of version, kind and time.
+const commandHeader = 1 + 1 + 8
+
+// Errors of decoding.
+var (
+	ErrMalformed    = errors.New("control: malformed encoding")
+	ErrNewerVersion = errors.New("control: encoding has a newer version than this program reads")
+)
+
+// Codec implements control.Codec.
+type Codec struct{}
+
+// EncodeChange returns the log entry of a change.
+func EncodeChange(at time.Time, c config.Change) ([]byte, error) {
+	data, err := configcodec.EncodeChange(c)
+	if err != nil {
+		return nil, err
+	}
+	return encodeCommand(proposals.KindChange, at, data), nil
+}
+
+func encodeCommand(kind proposals.Kind, at time.Time, data []byte) []byte {
+	out := make([]byte, 0, commandHeader+len(data))
+	out = append(out, Version, byte(kind))
+	out = binary.BigEndian.AppendUint64(out, uint64(at.UnixNano()))
+	return append(out, data...)
+}
+
+// DecodeCommand reads a log entry.
+func (Codec) DecodeCommand(b []byte) (control.Command, error) {
+	if len(b) < commandHeader {
+		return control.Command{}, ErrMalformed
+	}
+	if b[0] > Version {
+		return control.Command{}, ErrNewerVersion
+	}
+	cmd := control.Command{Kind: proposals.Kind(b[1]), At: time.Unix(0, int64(binary.BigEndian.Uint64(b[2:])))}
+	data := b[commandHeader:]
+	switch cmd.Kind {
+	case proposals.KindChange:
+		c, err := configcodec.DecodeChange(data)
+		if err != nil {
+			return control.Command{}, err
+		}
+		cmd.Change = &c
+	default:
+		return control.Command{}, errors.Wrapf(ErrMalformed, "kind %d", b[1])
+	}
+	return cmd, nil
+}
+
+// EncodeState returns the snapshot of a state: a sequence of length-prefixed
+// parts, one for each state machine.
+func EncodeState(s control.ReplicatedState) ([]byte, error) {
+	data, err := configcodec.EncodeState(s.Config)
+	if err != nil {
+		return nil, err
+	}
+	return appendPart([]byte{Version}, data), nil
+}
+
+func appendPart(out, data []byte) []byte {
+	out = binary.AppendUvarint(out, uint64(len(data)))
+	return append(out, data...)
+}
+
+func cutPart(b []byte) (part, rest []byte, err error) {
+	n, size := binary.Uvarint(b)
+	if size <= 0 || n > uint64(len(b)-size) {
+		return nil, nil, ErrMalformed
+	}
+	return b[size : size+int(n)], b[size+int(n):], nil
+}
+
+// DecodeState reads a snapshot.
+func (Codec) DecodeState(b []byte) (control.ReplicatedState, error) {
+	if len(b) == 0 {
+		return control.ReplicatedState{}, ErrMalformed
+	}
+	if b[0] > Version {
+		return control.ReplicatedState{}, ErrNewerVersion
+	}
+	part, rest, err := cutPart(b[1:])
+	if err != nil {
+		return control.ReplicatedState{}, err
+	}
+	if len(rest) != 0 {
+		return control.ReplicatedState{}, ErrMalformed
+	}
+	cfg, err := configcodec.DecodeState(part)
+	return control.ReplicatedState{Config: cfg}, err
+}
--- /dev/null
+++ b/internal/control/controlrun/loop.go
@@ -0,0 +1,212 @@
+// Package controlrun runs the control goroutine of a host.
+package controlrun
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+const (
+	eventQueueLength = 4096
+	// maxBatch bounds the events between two publications of the snapshot.
+	maxBatch = 256
+	// lateTick is the gap between two ticks that is logged.
+	lateTick = 250 * time.Millisecond
+)
+
+// Executor carries out effects. Execute must not block.
+type Executor interface {
+	Execute(control.Effect)
+}
+
+// Loop is the control goroutine and the ways into it.
+type Loop struct {
+	core     *control.Core
+	executor Executor
+	log      *eventlog.Logger
+	events   chan control.Event
+
+	current atomic.Pointer[published]
+	token   atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[uint64]chan outcome
+}
+
+// published is a snapshot with the channel that is closed when the next one
+// replaces it.
+type published struct {
+	snapshot *control.Snapshot
+	replaced chan struct{}
+}
+
+type outcome struct {
+	result any
+	err    error
+}
+
+// New returns a loop that has not started. Effects go to the executor that
+// Run is given.
+func New(core *control.Core, log *eventlog.Logger) *Loop {
+	l := &Loop{
+		core:    core,
+		log:     log,
+		events:  make(chan control.Event, eventQueueLength),
+		waiting: make(map[uint64]chan outcome),
+	}
+	l.current.Store(&published{snapshot: core.Snapshot(time.Now()), replaced: make(chan struct{})})
+	return l
+}
+
+// Run steps the core until ctx ends.
+func (l *Loop) Run(ctx context.Context, executor Executor) {
+	l.executor = executor
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	last := time.Now()
+	l.execute(l.core.Start(last))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-l.events:
+			l.step(ev)
+			l.drain()
+		case <-ticker.C:
+			now := time.Now()
+			if gap := now.Sub(last); gap > lateTick {
+				l.log.Log(control.EventControlSlow).Dur("gap", gap).Send()
+			}
+			last = now
+			l.step(control.Tick{})
+		}
+		l.publish()
+	}
+}
+
+// drain handles the events that are already queued.
+func (l *Loop) drain() {
+	for range maxBatch {
+		select {
+		case ev := <-l.events:
+			l.step(ev)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop) step(ev control.Event) {
+	l.execute(l.core.Step(time.Now(), ev))
+}
+
+func (l *Loop) execute(effects []control.Effect) {
+	for _, e := range effects {
+		if r, ok := e.(control.Resolve); ok {
+			l.resolve(r)
+			continue
+		}
+		l.executor.Execute(e)
+	}
+}
+
+func (l *Loop) resolve(r control.Resolve) {
+	l.mu.Lock()
+	ch := l.waiting[r.Token]
+	delete(l.waiting, r.Token)
+	l.mu.Unlock()
+	if ch != nil {
+		ch <- outcome{r.Result, r.Err}
+	}
+}
+
+func (l *Loop) publish() {
+	s := l.core.Snapshot(time.Now())
+	old := l.current.Load()
+	if s == old.snapshot {
+		return
+	}
+	l.current.Store(&published{snapshot: s, replaced: make(chan struct{})})
+	close(old.replaced)
+}
+
+// Snapshot returns the latest published snapshot.
+func (l *Loop) Snapshot() *control.Snapshot { return l.current.Load().snapshot }
+
+// Watch returns the latest snapshot and a channel that is closed when a newer
+// one is published.
+func (l *Loop) Watch() (*control.Snapshot, <-chan struct{}) {
+	p := l.current.Load()
+	return p.snapshot, p.replaced
+}
+
+// Catalog returns the catalog of a group and a channel that is closed when a
+// newer one may be available.
+func (l *Loop) Catalog(group string) (*query.Catalog, <-chan struct{}) {
+	s, replaced := l.Watch()
+	if c := s.Catalogs[group]; c != nil {
+		return c, replaced
+	}
+	return &query.Catalog{Group: group}, replaced
+}
+
+// Post hands an event to the control goroutine. It waits for room in the
+// queue until ctx ends.
+func (l *Loop) Post(ctx context.Context, ev control.Event) error {
+	select {
+	case l.events <- ev:
+		return nil
+	default:
+	}
+	select {
+	case l.events <- ev:
+		return nil
+	case <-ctx.Done():
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeUnavailable, "the control queue is full")
+	}
+}
+
+// TryPost hands over an event if there is room for it.
+func (l *Loop) TryPost(ev control.Event) bool {
+	select {
+	case l.events <- ev:
+		return true
+	default:
+		return false
+	}
+}
+
+// Call posts the event that build makes for a new token and waits for its
+// result. If ctx ends while it waits, the verdict is MayHaveRun.
+func (l *Loop) Call(ctx context.Context, build func(token uint64) control.Event) (any, error) {
+	token := l.token.Add(1)
+	ch := make(chan outcome, 1)
+	l.mu.Lock()
+	l.waiting[token] = ch
+	l.mu.Unlock()
+	if err := l.Post(ctx, build(token)); err != nil {
+		l.forget(token)
+		return nil, err
+	}
+	select {
+	case o := <-ch:
+		return o.result, o.err
+	case <-ctx.Done():
+		l.forget(token)
+		return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, proposals.CodeUnknownOutcome, "the control goroutine did not answer in time")
+	}
+}
+
+func (l *Loop) forget(token uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, token)
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/peerlink"
+	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
+)
+
+func (d *Daemon) adminRouter() http.Handler {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r := mux.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", d.readyz).Methods(http.MethodGet)
+	r.HandleFunc("/debug/state", d.debugState).Methods(http.MethodGet)
+	return r
+}
+
+// readyz tells the load balancer whether this host takes new work.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := d.loop.Snapshot().Gate.Check(time.Now()); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// stateDump is the state of this process by slice.
+type stateDump struct {
+	Host        string
+	Control     control.Dump
+	Connections []poolrun.Stats
+	Links       peerlink.Stats
+	Queries     queryrun.Stats
+}
+
+func (d *Daemon) debugState(w http.ResponseWriter, r *http.Request) {
+	result, err := d.loop.Call(r.Context(), func(token uint64) control.Event { return control.Inspect{Token: token} })
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	// An error here means that the reader has gone.
+	_ = e.Encode(stateDump{
+		Host: d.settings.Host, Control: result.(control.Dump), Connections: d.pools.Stats(),
+		Links: d.links.Stats(), Queries: d.driver.Stats(),
+	})
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,267 @@
+// Package daemon assembles one host from its slices: listeners, control
+// goroutine, traffic, and what carries out the control goroutine's effects.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
+	"github.com/hawthornlock/hawthornlock/internal/control/controlrun"
+	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/entry/entryhttp"
+	"github.com/hawthornlock/hawthornlock/internal/entry/entryrun"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/peerlink"
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
+	"github.com/hawthornlock/hawthornlock/internal/settings"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/targets/targethttp"
+)
+
+// readHeaderTimeout bounds how long a client may take to send its headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Daemon is one running host.
+type Daemon struct {
+	settings  *settings.Settings
+	log       *eventlog.Logger
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	loop      *controlrun.Loop
+	links     *peerlink.Links
+	directory *directory
+	pools     *poolrun.Pools
+	driver    *queryrun.Driver
+	queries   *entryrun.Queries
+	requests  atomic.Uint64
+	servers   []*server
+	workers   sync.WaitGroup
+}
+
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// New opens the listeners and the durable state of a host. Run starts it.
+func New(s *settings.Settings, log *eventlog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, directory: newDirectory(), links: peerlink.New()}
+	d.ctx, d.cancel = context.WithCancelCause(context.Background())
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	if err := d.assemble(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		name    string
+		address netip.AddrPort
+	}{
+		{"caller", d.settings.CallerListen},
+		{"target", d.settings.TargetListen},
+		{"admin", d.settings.AdminListen},
+		{"peer", d.settings.PeerListen},
+	} {
+		ln, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return errors.Wrapf(err, "listen for the %s interface", l.name)
+		}
+		d.servers = append(d.servers, &server{name: l.name, listener: ln})
+	}
+	return nil
+}
+
+// Address returns the address on which a listener ("caller", "target",
+// "admin" or "peer") accepts connections.
+func (d *Daemon) Address(name string) netip.AddrPort {
+	for _, s := range d.servers {
+		if s.name == name {
+			return s.listener.Addr().(*net.TCPAddr).AddrPort()
+		}
+	}
+	return netip.AddrPort{}
+}
+
+func (d *Daemon) assemble() error {
+	node, err := d.openLog()
+	if err != nil {
+		return err
+	}
+	core := control.NewCore(control.Options{
+		Self: d.settings.Host, Staleness: d.settings.ConfigStaleness, Voters: d.voterFeeds(),
+		Node: node, Codec: controlcodec.Codec{},
+	})
+	d.loop = controlrun.New(core, d.log)
+	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
+	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
+	d.driver = queryrun.New(queryrun.Config{
+		Transport: entryrun.NewTransport(client), Catalogs: d.loop, Log: d.log, OnDrain: d.drainSeen, Seed: d.settings.Seed,
+	})
+	d.queries = entryrun.NewQueries(d.loop, d.driver, d.budgetLimits(), d.settings.Seed)
+	for _, s := range d.servers {
+		s.http = &http.Server{Handler: d.router(s.name), ReadHeaderTimeout: readHeaderTimeout}
+	}
+	return nil
+}
+
+func (d *Daemon) voterFeeds() []follow.FeedHost {
+	var out []follow.FeedHost
+	for _, v := range d.settings.Voters {
+		d.directory.fixed[v.Host] = v.Peer
+		out = append(out, follow.FeedHost{Host: v.Host})
+	}
+	return out
+}
+
+func (d *Daemon) budgetLimits() query.BudgetLimits {
+	l := query.DefaultBudgetLimits()
+	l.HedgePermille = d.settings.HedgePermille
+	l.RetryPermille = d.settings.RetryPermille
+	return l
+}
+
+func (d *Daemon) router(name string) http.Handler {
+	switch name {
+	case "caller":
+		return entryhttp.NewRouter(entryhttp.Config{
+			Queries:  d.queries,
+			Timeouts: entry.Timeouts{Default: d.settings.DefaultTimeout, Max: d.settings.MaxTimeout},
+			NewID:    d.newRequestID,
+		})
+	case "target":
+		mux := http.NewServeMux()
+		mux.Handle("POST /v1/announce", targethttp.AnnounceHandler(d.announce))
+		return mux
+	case "peer":
+		return d.peerRouter()
+	default:
+		return d.adminRouter()
+	}
+}
+
+// newRequestID makes an ID that is unique among hosts and restarts.
+func (d *Daemon) newRequestID() string {
+	return fmt.Sprintf("%s-%x-%x", d.settings.Host, d.settings.Seed, d.requests.Add(1))
+}
+
+func (d *Daemon) announce(r *http.Request, a targets.Announcement) error {
+	_, err := d.loop.Call(r.Context(), func(token uint64) control.Event {
+		return control.Announced{Token: token, Announcement: a}
+	})
+	return err
+}
+
+// drainSeen tells the control goroutine what a reply said. A full queue drops
+// it; the next reply or announcement of the target says it again.
+func (d *Daemon) drainSeen(seen query.DrainSeen) {
+	d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: seen.Target, Incarnation: seen.Incarnation}})
+}
+
+// Run serves until ctx ends or the host fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.close()
+	d.start(func() { d.loop.Run(d.ctx, d) })
+	d.start(d.applyShares)
+	for _, s := range d.servers {
+		d.start(func() { d.serve(s) })
+	}
+	d.log.Log(eventStarted).
+		Stringer("caller", d.Address("caller")).Stringer("target", d.Address("target")).
+		Stringer("admin", d.Address("admin")).Stringer("peer", d.Address("peer")).Send()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.ctx.Done():
+		return context.Cause(d.ctx)
+	}
+}
+
+func (d *Daemon) start(f func()) {
+	d.workers.Add(1)
+	go func() {
+		defer d.workers.Done()
+		f()
+	}()
+}
+
+func (d *Daemon) serve(s *server) {
+	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.fail(errors.Wrapf(err, "serve the %s interface", s.name))
+	}
+}
+
+// fail ends the host because it can't go on safely.
+func (d *Daemon) fail(err error) {
+	if d.ctx.Err() == nil {
+		d.log.Log(eventFailed).Err(err).Send()
+	}
+	d.cancel(err)
+}
+
+func (d *Daemon) close() {
+	for _, s := range d.servers {
+		_ = s.http.Close()
+	}
+	d.cancel(nil)
+	d.links.Close()
+	d.workers.Wait()
+	d.log.Log(eventStopped).Send()
+}
+
+func (d *Daemon) closeListeners() {
+	for _, s := range d.servers {
+		_ = s.listener.Close()
+	}
+}
+
+// applyShares keeps the pools' shares equal to what the control snapshot
+// says.
+func (d *Daemon) applyShares() {
+	shares := make(map[netip.AddrPort]int)
+	for {
+		snapshot, replaced := d.loop.Watch()
+		d.setShares(shares, snapshot)
+		select {
+		case <-replaced:
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) setShares(shares map[netip.AddrPort]int, s *control.Snapshot) {
+	seen := make(map[netip.AddrPort]bool, s.Targets.Len())
+	for r := range s.Targets.Targets() {
+		seen[r.Address] = true
+		if shares[r.Address] != r.ConnectionLimit {
+			shares[r.Address] = r.ConnectionLimit
+			d.pools.SetShare(r.Address, r.ConnectionLimit)
+		}
+	}
+	for address := range shares {
+		if !seen[address] {
+			delete(shares, address)
+			d.pools.SetShare(address, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/executor.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/consensus/consensusrpc"
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/follow/followrpc"
+)
+
+// systemSubmitTimeout bounds the proposals that hosts make themselves.
+const systemSubmitTimeout = 5 * time.Second
+
+// Execute carries out an effect of the control core. It runs on the control
+// goroutine and hands all work that can block to others.
+func (d *Daemon) Execute(e control.Effect) {
+	switch e := e.(type) {
+	case control.Persist:
+		d.persist(e)
+	case control.SendConsensus:
+		d.sendConsensus(e.Send)
+	case control.SendPoll:
+		d.sendPoll(e)
+	case control.SendUpdate:
+		d.sendUpdate(e)
+	case control.EncodeState:
+		go d.encodeState(e)
+	case control.ProposeChange:
+		go d.proposeChange(e.Change)
+	case control.Log:
+		d.logEvent(e)
+	case control.LogConsensus:
+		consensus.LogEffect(d.log, e.Effect)
+	case control.Fail:
+		d.fail(e.Err)
+	}
+}
+
+func (d *Daemon) logEvent(e control.Log) {
+	line := d.log.Log(e.Event)
+	for _, f := range e.Fields {
+		line = line.Interface(f.Name, f.Value)
+	}
+	line.Send()
+}
+
+func (d *Daemon) sendConsensus(s consensus.Send) {
+	address, err := netip.ParseAddrPort(s.To.Address)
+	if err != nil {
+		return
+	}
+	m := s.Message
+	d.links.Send(address, func(ctx context.Context, client *http.Client, baseURL string) {
+		c := consensusrpc.NewConsensusProtobufClient(baseURL, client)
+		// A lost message is sent again by the protocol.
+		_, _ = c.Deliver(ctx, consensusrpc.Encode(m))
+	})
+}
+
+func (d *Daemon) sendPoll(e control.SendPoll) {
+	address, ok := d.directory.lookup(e.To)
+	if !ok {
+		return
+	}
+	d.links.Send(address, func(ctx context.Context, client *http.Client, baseURL string) {
+		reply, err := followrpc.NewFollowProtobufClient(baseURL, client).GetUpdate(ctx, followrpc.EncodePoll(e.Poll))
+		if err != nil {
+			return
+		}
+		d.postUpdate(ctx, reply)
+	})
+}
+
+func (d *Daemon) postUpdate(ctx context.Context, m *followrpc.Update) {
+	u, err := followrpc.DecodeUpdate(m)
+	if err != nil {
+		d.log.Log(eventBadPeerMessage).Err(err).Str("peer", m.GetFrom()).Send()
+		return
+	}
+	_ = d.loop.Post(ctx, control.FollowEvent{Event: follow.UpdateReceived{Update: u}})
+}
+
+func (d *Daemon) sendUpdate(e control.SendUpdate) {
+	address, ok := d.directory.lookup(e.To)
+	if !ok {
+		return
+	}
+	d.links.Send(address, func(ctx context.Context, client *http.Client, baseURL string) {
+		m, err := followrpc.EncodeUpdate(e.Update)
+		if err != nil {
+			d.fail(err)
+			return
+		}
+		// A lost push is made good by the follower's next poll.
+		_, _ = followrpc.NewFollowProtobufClient(baseURL, client).Push(ctx, m)
+	})
+}
+
+func (d *Daemon) encodeState(e control.EncodeState) {
+	data, err := controlcodec.EncodeState(e.State)
+	if err != nil {
+		d.fail(err)
+		return
+	}
+	_ = d.loop.Post(d.ctx, control.SnapshotEncoded{Index: e.Index, Data: data})
+}
+
+// proposeChange submits a change that this host makes itself. The slice that
+// wants it asks again if it fails.
+func (d *Daemon) proposeChange(c config.Change) {
+	ctx, cancel := context.WithTimeout(d.ctx, systemSubmitTimeout)
+	defer cancel()
+	_, _ = d.Propose(ctx, c)
+}
--- /dev/null
+++ b/internal/daemon/path_test.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+	"github.com/hawthornlock/hawthornlock/internal/settings"
+	"github.com/hawthornlock/hawthornlock/internal/standin"
+)
+
+// patience bounds how long a test waits for a state that must come. It says
+// nothing about speed.
+const patience = 30 * time.Second
+
+func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+func startHost(t *testing.T) *Daemon {
+	t.Helper()
+	s, err := settings.Parse([]string{
+		"-host", "a", "-failure-domain", "fd1", "-roles", "entry,voter", "-data-dir", t.TempDir(), "-voters", "a=127.0.0.1:7403",
+		"-balancer-lag", "0s",
+	}, io.Discard)
+	require.NoError(t, err)
+	s.CallerListen, s.TargetListen, s.AdminListen, s.PeerListen = loopback(), loopback(), loopback(), loopback()
+	d, err := New(s, eventlog.New(testWriter{t}, zerolog.WarnLevel, s.Host))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	return d
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Logf("%s", bytes.TrimSpace(p))
+	return len(p), nil
+}
+
+// startTargets serves each shard of the dataset from one searcher.
+func startTargets(t *testing.T, d *Daemon, data *standin.Dataset, n int) []*standin.Target {
+	t.Helper()
+	holds := make([][]string, n)
+	for i, shard := range data.Layout() {
+		holds[i%n] = append(holds[i%n], shard)
+	}
+	var out []*standin.Target
+	for i := range n {
+		target, err := standin.Start(standin.Config{
+			Name: fmt.Sprintf("target-%d", i), FailureDomain: fmt.Sprintf("fd%d", i%3), Labels: map[string]string{"app": "names"},
+			ConnectionLimit: 30, QueueLength: 1000,
+			Searchers: []standin.Searcher{{Name: "s0", Slots: 2, Holds: map[string][]string{"v1": holds[i]}}},
+			Snapshots: []standin.Snapshot{{Name: "v1", Generation: 1, Data: data}},
+			Seed:      uint64(i),
+		})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = target.Close() })
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go standin.NewAnnouncer(target, []string{d.Address("target").String()}).Run(ctx)
+		out = append(out, target)
+	}
+	return out
+}
+
+func pushGroup(t *testing.T, d *Daemon) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := config.Change{ID: "first", Author: "an", Team: "names", Ops: []config.Op{
+		config.PutGroup{Group: routing.Group{Name: "names", Team: "names", Match: routing.Labels{"app": "names"}}},
+		config.PutSelector{Selector: routing.Selector{Name: "all", Owner: "names", Team: "names", Group: "names"}},
+	}}
+	result, err := d.Propose(ctx, c)
+	require.NoError(t, err)
+	require.NoError(t, result.Err())
+}
+
+type answerBody struct {
+	IndexSnapshot string `json:"index_snapshot"`
+	Verdict       string `json:"verdict"`
+	Coverage      struct {
+		Total    int      `json:"total"`
+		Answered []string `json:"answered"`
+		Missing  []struct {
+			Shard, Reason string
+		} `json:"missing"`
+	} `json:"coverage"`
+	Hits []struct {
+		ID    string  `json:"id"`
+		Score float64 `json:"score"`
+		Text  string  `json:"text"`
+	} `json:"hits"`
+	Error struct{ Code, Message, Verdict string } `json:"error"`
+}
+
+func post(t *testing.T, d *Daemon, body string) (int, answerBody) {
+	t.Helper()
+	resp, err := http.Post("http://"+d.Address("caller").String()+"/v1/query", "application/json", bytes.NewBufferString(body))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var a answerBody
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&a))
+	return resp.StatusCode, a
+}
+
+func requireScan(t *testing.T, want []standin.Match, a answerBody) {
+	t.Helper()
+	require.Len(t, a.Hits, len(want))
+	for i, m := range want {
+		require.Equal(t, m.ID, a.Hits[i].ID)
+		require.Equal(t, m.Text, a.Hits[i].Text)
+	}
+}
+
+const leafQuery = `{"team":"names","terms":"latin letter","k":50,"timeout_ms":5000}`
+
+// Guards against an answer over the whole path that differs from a full scan
+// or hides the shard whose only replica is gone.
+func TestWholePathAnswersWithTrueCoverage(t *testing.T) {
+	d := startHost(t)
+	data := standin.NewDataset("v1-", 12)
+	started := startTargets(t, d, data, 12)
+	pushGroup(t, d)
+	require.Eventually(t, func() bool {
+		status, a := post(t, d, leafQuery)
+		return status == http.StatusOK && len(a.Coverage.Missing) == 0
+	}, patience, 50*time.Millisecond)
+	_, a := post(t, d, leafQuery)
+	require.Equal(t, "ran", a.Verdict)
+	require.Equal(t, 12, a.Coverage.Total)
+	requireScan(t, data.FullScan("latin letter", 50), a)
+
+	require.NoError(t, started[3].Close())
+	_, a = post(t, d, leafQuery)
+	require.Len(t, a.Coverage.Answered, 11)
+	require.Len(t, a.Coverage.Missing, 1)
+	require.Equal(t, "v1-003", a.Coverage.Missing[0].Shard)
+	requireScan(t, data.FullScan("latin letter", 50, "v1-003"), a)
+
+	status, a := post(t, d, `{"team":"names","terms":"latin letter","k":50,"timeout_ms":5000,"min_coverage":1}`)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "coverage_below_minimum", a.Error.Code)
+	require.Empty(t, a.Hits)
+}
+
+// Guards against bad input that is answered with anything but a typed refusal
+// that says "not run".
+func TestBadInputIsRefusedOverHTTP(t *testing.T) {
+	d := startHost(t)
+	pushGroup(t, d)
+	for body, want := range map[string]int{
+		`{"team":"names"`: http.StatusBadRequest,
+		`{"team":"names","terms":"a","k":1,"colour":"red"}`:     http.StatusBadRequest,
+		`{"team":"names","terms":"a","k":1} {}`:                 http.StatusBadRequest,
+		`{"team":"names","terms":"a","k":1,"group":"nowhere"}`:  http.StatusNotFound,
+		`{"team":"strangers","terms":"a","k":1}`:                http.StatusForbidden,
+		`{"team":"names","terms":"a","k":1,"timeout_ms":-5}`:    http.StatusBadRequest,
+		`{"terms":"` + string(bytes.Repeat([]byte("a"), 1<<20)): http.StatusRequestEntityTooLarge,
+	} {
+		status, a := post(t, d, body)
+		require.Equal(t, want, status, body[:min(60, len(body))])
+		require.Equal(t, "not_run", a.Error.Verdict)
+		require.NotEmpty(t, a.Error.Message)
+	}
+}
--- /dev/null
+++ b/internal/daemon/submit.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/config/configcodec"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
+	"github.com/hawthornlock/hawthornlock/internal/peerlink"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// submitRetryDelay is the wait before the leader is looked for again. An
+// election takes one to two seconds, so a dozen tries cover it.
+const submitRetryDelay = 200 * time.Millisecond
+
+// Propose submits a change to the replicated log and returns its result. An
+// error says whether the change may have been accepted.
+func (d *Daemon) Propose(ctx context.Context, c config.Change) (config.Result, error) {
+	if err := c.Validate(); err != nil {
+		return config.Result{}, err
+	}
+	data, err := controlcodec.EncodeChange(time.Now(), c)
+	if err != nil {
+		return config.Result{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode the change")
+	}
+	result, err := d.submit(ctx, proposals.KindChange, data)
+	if err != nil {
+		return config.Result{}, err
+	}
+	return configcodec.DecodeResult(result)
+}
+
+// submit hands an encoded command to the leader and returns the encoded
+// result. It looks for another leader only while the command certainly has
+// not been taken.
+func (d *Daemon) submit(ctx context.Context, kind proposals.Kind, data []byte) ([]byte, error) {
+	var last error
+	for try := 0; ; try++ {
+		host := d.leaderCandidate(try)
+		result, err := d.submitTo(ctx, host, kind, data)
+		if err == nil || !retryElsewhere(err) {
+			return result, err
+		}
+		last = err
+		select {
+		case <-ctx.Done():
+			return nil, last
+		case <-time.After(submitRetryDelay):
+		}
+	}
+}
+
+// retryElsewhere reports whether the command was certainly not taken and
+// another host may take it.
+func retryElsewhere(err error) bool {
+	if verdict.Of(err) != verdict.NotRun {
+		return false
+	}
+	switch verdict.CodeOf(err) {
+	case consensus.CodeNotLeader, proposals.CodeLostLeadership, verdict.CodeUnavailable, consensus.CodeTransferring:
+		return true
+	}
+	return false
+}
+
+// leaderCandidate returns the known leader first and then each voter in turn.
+func (d *Daemon) leaderCandidate(try int) string {
+	if leader := d.loop.Snapshot().Leader.Name; leader != "" && try%2 == 0 {
+		return leader
+	}
+	voters := d.settings.Voters
+	return voters[try%len(voters)].Host
+}
+
+func (d *Daemon) submitTo(ctx context.Context, host string, kind proposals.Kind, data []byte) ([]byte, error) {
+	if host == d.settings.Host {
+		return d.submitHere(ctx, kind, data)
+	}
+	address, ok := d.directory.lookup(host)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the address of host %q is unknown", host)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(systemSubmitTimeout)
+	}
+	client := proposalsrpc.NewProposalsProtobufClient(peerlink.BaseURL(address), d.links.Client())
+	reply, err := client.Submit(ctx, &proposalsrpc.SubmitRequest{Kind: uint32(kind), Data: data, TimeoutMs: time.Until(deadline).Milliseconds()})
+	if err != nil {
+		return nil, submitError(err, host)
+	}
+	if reply.GetFailure() != nil {
+		return nil, proposalsrpc.DecodeFailure(reply.GetFailure())
+	}
+	return reply.GetResult(), nil
+}
+
+// submitError gives a failed call its verdict. Only a connection that could
+// not be set up proves that the command did not reach the host.
+func submitError(err error, host string) error {
+	var te twirp.Error
+	if errors.As(err, &te) && peerlink.NotSent(err) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "connect to host "+host)
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, proposals.CodeUnknownOutcome, "submit to host "+host)
+}
+
+func (d *Daemon) submitHere(ctx context.Context, kind proposals.Kind, data []byte) ([]byte, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(systemSubmitTimeout)
+	}
+	result, err := d.loop.Call(ctx, func(token uint64) control.Event {
+		return control.Submit{Token: token, Kind: kind, Data: data, Deadline: deadline}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return encodeResult(result)
+}
+
+func encodeResult(result any) ([]byte, error) {
+	switch r := result.(type) {
+	case config.Result:
+		return configcodec.EncodeResult(r)
+	default:
+		return nil, verdict.New(verdict.Ran, verdict.CodeInternal, "the log returned a %T", result)
+	}
+}
--- a/internal/entry/entryhttp/http.go
+++ b/internal/entry/entryhttp/http.go
@@ -35,24 +35,30 @@
 	Result    string
 }
 
-// Service answers checked requests.
-type Service interface {
+// Queries answers checked queries.
+type Queries interface {
 	Query(ctx context.Context, q entry.QueryRequest) (*query.Answer, error)
+}
+
+// Orders runs checked orders.
+type Orders interface {
 	Order(ctx context.Context, o entry.OrderRequest) (*OrderResult, error)
 	LookUpOrder(ctx context.Context, requestID string) (*OrderResult, error)
 }
 
-// Handler serves the callers' interface.
-type Handler struct {
-	service  Service
-	timeouts entry.Timeouts
-	newID    func() string
+// Config holds what the callers' interface needs.
+type Config struct {
+	Queries  Queries
+	Orders   Orders
+	Timeouts entry.Timeouts
+	NewID    func() string // makes request IDs for queries that have none
 }
 
-// NewRouter returns the routes of the callers' interface. newID makes request
-// IDs for queries that have none.
-func NewRouter(s Service, t entry.Timeouts, newID func() string) http.Handler {
-	h := &Handler{service: s, timeouts: t, newID: newID}
+type handler struct{ Config }
+
+// NewRouter returns the routes of the callers' interface.
+func NewRouter(cfg Config) http.Handler {
+	h := &handler{cfg}
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/query", h.query).Methods(http.MethodPost)
 	r.HandleFunc("/v1/orders", h.order).Methods(http.MethodPost)
@@ -126,7 +132,7 @@
 	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
 }
 
-func (h *Handler) query(w http.ResponseWriter, r *http.Request) {
+func (h *handler) query(w http.ResponseWriter, r *http.Request) {
 	var m queryMessage
 	if err := decode(w, r, &m); err != nil {
 		writeError(w, "", err)
@@ -137,13 +143,13 @@
 		Timeout: milliseconds(m.TimeoutMS), MinCoverage: m.MinCoverage,
 	}
 	if q.RequestID == "" {
-		q.RequestID = h.newID()
+		q.RequestID = h.NewID()
 	}
-	if err := q.Validate(h.timeouts); err != nil {
+	if err := q.Validate(h.Timeouts); err != nil {
 		writeError(w, q.RequestID, err)
 		return
 	}
-	answer, err := h.service.Query(r.Context(), q)
+	answer, err := h.Queries.Query(r.Context(), q)
 	if err != nil {
 		writeError(w, q.RequestID, err)
 		return
@@ -152,7 +158,7 @@
 	writeJSON(w, http.StatusOK, encodeAnswer(answer))
 }
 
-func (h *Handler) order(w http.ResponseWriter, r *http.Request) {
+func (h *handler) order(w http.ResponseWriter, r *http.Request) {
 	var m orderMessage
 	if err := decode(w, r, &m); err != nil {
 		writeError(w, "", err)
@@ -162,21 +168,21 @@
 	if m.IssuedAtMS != 0 {
 		o.IssuedAt = time.UnixMilli(m.IssuedAtMS)
 	}
-	if err := o.Validate(h.timeouts); err != nil {
+	if err := o.Validate(h.Timeouts); err != nil {
 		writeError(w, o.RequestID, err)
 		return
 	}
-	result, err := h.service.Order(r.Context(), o)
+	result, err := h.Orders.Order(r.Context(), o)
 	h.writeOrder(w, o.RequestID, result, err)
 }
 
-func (h *Handler) lookUpOrder(w http.ResponseWriter, r *http.Request) {
+func (h *handler) lookUpOrder(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["request_id"]
-	result, err := h.service.LookUpOrder(r.Context(), id)
+	result, err := h.Orders.LookUpOrder(r.Context(), id)
 	h.writeOrder(w, id, result, err)
 }
 
-func (h *Handler) writeOrder(w http.ResponseWriter, id string, result *OrderResult, err error) {
+func (h *handler) writeOrder(w http.ResponseWriter, id string, result *OrderResult, err error) {
 	if err != nil {
 		writeError(w, id, err)
 		return
@@ -187,7 +193,7 @@
 
 // origin takes the request ID from the body or, if it has none, from the
 // header. The caller is its IP address, by which hosts keep callers fair.
-func (h *Handler) origin(r *http.Request, m originMessage) entry.Origin {
+func (h *handler) origin(r *http.Request, m originMessage) entry.Origin {
 	caller, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		caller = r.RemoteAddr
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,193 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+)
+
+// host is a follower with a feed, as every host is.
+type host struct {
+	name      string
+	follower  *Follower
+	feed      *Feed
+	revision  uint64
+	restored  uint64
+	confirmed Confirmation
+}
+
+// network runs one source of changes, a second feed and some hosts on virtual
+// time, with delayed, lost and repeated messages.
+type network struct {
+	t        *rapid.T
+	now      time.Time
+	hosts    map[string]*host
+	accepted uint64
+	term     uint64
+	// confirmations are the times at which the source had each revision as its
+	// latest one.
+	acceptedAt map[uint64]time.Time
+	cut        map[string]bool
+	queue      []delivery
+}
+
+type delivery struct {
+	at   time.Time
+	to   string
+	poll *Poll
+	upd  *Update
+}
+
+func newNetwork(t *rapid.T) *network {
+	n := &network{t: t, now: time.Unix(1000, 0), hosts: map[string]*host{}, term: 1, acceptedAt: map[uint64]time.Time{}, cut: map[string]bool{}}
+	for _, name := range []string{"source", "relay", "h1", "h2"} {
+		n.hosts[name] = &host{name: name, follower: NewFollower(name, name == "source"), feed: NewFeed(name)}
+	}
+	n.step("relay", FeedsChanged{Feeds: []FeedHost{{"source", "a"}}})
+	for _, name := range []string{"h1", "h2"} {
+		n.step(name, FeedsChanged{Feeds: []FeedHost{{"source", "a"}, {"relay", "b"}}})
+	}
+	return n
+}
+
+func (n *network) step(name string, ev Event) {
+	h := n.hosts[name]
+	for _, e := range h.follower.Step(n.now, ev) {
+		switch e := e.(type) {
+		case SendPoll:
+			n.send(delivery{to: e.To, poll: &e.Poll})
+		case Apply:
+			for _, a := range e.Changes {
+				require.Equal(n.t, h.revision+1, a.Revision, "changes apply in order")
+				h.revision = a.Revision
+				n.push(h, a)
+			}
+		case Restore:
+			require.Greater(n.t, e.State.Revision, h.revision)
+			h.revision = e.State.Revision
+			h.feed.Reset()
+		case Confirmed:
+			n.checkConfirmation(h, e)
+		}
+	}
+}
+
+// checkConfirmation requires that the source really had no newer revision at
+// the time that the confirmation names.
+func (n *network) checkConfirmation(h *host, e Confirmed) {
+	require.LessOrEqual(n.t, e.Revision, h.revision)
+	if newer, ok := n.acceptedAt[e.Revision+1]; ok {
+		require.False(n.t, newer.Before(e.At), "%s confirmed revision %d for a time after the next one was accepted", h.name, e.Revision)
+	}
+	if e.At.After(h.confirmed.At) {
+		h.confirmed = Confirmation(e)
+	}
+}
+
+func (n *network) push(h *host, a Accepted) {
+	for _, p := range h.feed.Accepted(n.now, n.term, a) {
+		n.send(delivery{to: p.To, upd: &p.Update})
+	}
+}
+
+func (n *network) send(d delivery) {
+	copies := rapid.SampledFrom([]int{1, 1, 1, 0, 2}).Draw(n.t, "copies")
+	for range copies {
+		d.at = n.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(n.t, "delay")) * time.Millisecond)
+		n.queue = append(n.queue, d)
+	}
+}
+
+func (n *network) accept() {
+	n.accepted++
+	n.acceptedAt[n.accepted] = n.now
+	s := n.hosts["source"]
+	s.revision = n.accepted
+	n.push(s, Accepted{Revision: n.accepted, At: n.now, Change: config.Change{ID: fmt.Sprint(n.accepted)}})
+}
+
+func (n *network) advance(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); {
+		n.now = n.now.Add(100 * time.Millisecond)
+		for _, name := range []string{"relay", "h1", "h2"} {
+			n.step(name, Tick{})
+		}
+		n.deliver()
+	}
+}
+
+func (n *network) deliver() {
+	due := n.queue
+	n.queue = nil
+	for _, d := range due {
+		if d.at.After(n.now) {
+			n.queue = append(n.queue, d)
+			continue
+		}
+		if n.cut[d.to] {
+			continue
+		}
+		if d.upd != nil {
+			n.step(d.to, UpdateReceived{Update: *d.upd})
+			continue
+		}
+		h := n.hosts[d.to]
+		c := h.confirmed
+		if d.to == "source" {
+			c = Confirmation{Term: n.term, Revision: n.accepted, At: n.now}
+		}
+		u := h.feed.Answer(n.now, *d.poll, c, h.revision, func() config.State { return config.State{Revision: h.revision} })
+		n.send(delivery{to: d.poll.From, upd: &u})
+	}
+}
+
+// Guards against changes that are skipped, repeated or reverted, and against a
+// confirmation that covers a time at which a newer revision was in force.
+func TestFollowersNeverRevertAndConfirmOnlyWhatIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(*rapid.T) { n.accept() },
+			"time": func(t *rapid.T) {
+				n.advance(time.Duration(rapid.IntRange(1, 15).Draw(t, "ticks")) * 100 * time.Millisecond)
+			},
+			"cut":  func(t *rapid.T) { n.cut[rapid.SampledFrom([]string{"source", "relay", "h1"}).Draw(t, "cut")] = true },
+			"heal": func(*rapid.T) { clear(n.cut) },
+		})
+	})
+}
+
+// Guards against a change that is not in force on every host within 4 s while
+// one of the two feeds is cut off.
+func TestChangeIsInForceWithinFourSecondsWithOneFeedCut(t *testing.T) {
+	for _, cut := range []string{"", "relay"} {
+		rapid.Check(t, func(t *rapid.T) {
+			n := newNetwork(t)
+			n.advance(5 * time.Second)
+			n.cut[cut] = true
+			n.accept()
+			n.advance(4 * time.Second)
+			for _, name := range []string{"h1", "h2"} {
+				require.Equal(t, n.accepted, n.hosts[name].revision, name)
+			}
+		})
+	}
+}
+
+// Guards against a feed that keeps answering while it is cut off from the
+// leader, so that a host would stay behind although a peer is ahead.
+func TestPeerAheadReplacesAFeed(t *testing.T) {
+	f := NewFollower("h", false)
+	now := time.Unix(1000, 0)
+	f.Step(now, FeedsChanged{Feeds: []FeedHost{{"v1", "a"}, {"v2", "b"}, {"v3", "c"}}})
+	require.Equal(t, []string{"v1", "v2"}, f.Feeds())
+	require.Empty(t, f.Step(now, PeerAhead{Revision: 0}))
+	effects := f.Step(now, PeerAhead{Revision: 7})
+	require.Contains(t, effects, Effect(FeedReplaced{Old: "v1", New: "v3"}))
+	require.Equal(t, []string{"v3", "v2"}, f.Feeds())
+}
--- /dev/null
+++ b/internal/follow/followrpc/codec.go
@@ -0,0 +1,65 @@
+// Package followrpc is the twirp interface of feeds and followers.
+package followrpc
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/config/configcodec"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+)
+
+// EncodePoll converts a poll to its message.
+func EncodePoll(p follow.Poll) *Poll {
+	return &Poll{From: p.From, Seq: p.Seq, Revision: p.Revision}
+}
+
+// DecodePoll converts a message to a poll.
+func DecodePoll(m *Poll) follow.Poll {
+	return follow.Poll{From: m.GetFrom(), Seq: m.GetSeq(), Revision: m.GetRevision()}
+}
+
+// EncodeUpdate converts an update to its message.
+func EncodeUpdate(u follow.Update) (*Update, error) {
+	m := &Update{
+		From: u.From, Seq: u.Seq, Term: u.Term, Confirmed: u.Confirmed,
+		ConfirmedRevision: u.ConfirmedRevision, ConfirmedAgeNs: int64(u.ConfirmedAge),
+	}
+	for _, a := range u.Changes {
+		change, err := configcodec.EncodeChange(a.Change)
+		if err != nil {
+			return nil, err
+		}
+		m.Changes = append(m.Changes, &Accepted{Revision: a.Revision, AtUnixNs: a.At.UnixNano(), Change: change})
+	}
+	if u.State != nil {
+		state, err := configcodec.EncodeState(*u.State)
+		if err != nil {
+			return nil, err
+		}
+		m.State = state
+	}
+	return m, nil
+}
+
+// DecodeUpdate converts a message to an update.
+func DecodeUpdate(m *Update) (follow.Update, error) {
+	u := follow.Update{
+		From: m.GetFrom(), Seq: m.GetSeq(), Term: m.GetTerm(), Confirmed: m.GetConfirmed(),
+		ConfirmedRevision: m.GetConfirmedRevision(), ConfirmedAge: max(0, time.Duration(m.GetConfirmedAgeNs())),
+	}
+	for _, a := range m.GetChanges() {
+		change, err := configcodec.DecodeChange(a.GetChange())
+		if err != nil {
+			return follow.Update{}, err
+		}
+		u.Changes = append(u.Changes, follow.Accepted{Revision: a.GetRevision(), At: time.Unix(0, a.GetAtUnixNs()), Change: change})
+	}
+	if len(m.GetState()) > 0 {
+		state, err := configcodec.DecodeState(m.GetState())
+		if err != nil {
+			return follow.Update{}, err
+		}
+		u.State = &state
+	}
+	return u, nil
+}
--- /dev/null
+++ b/internal/lifecycle/lifecycle.go
@@ -0,0 +1,247 @@
+// Package lifecycle takes a host from its start to a graceful stop: when it is
+// ready, when it refuses new work, and when it may exit.
+package lifecycle
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+)
+
+// Phase is the stage of a host's life.
+type Phase uint8
+
+// Phases in their order. A host that is drained stays in Drained and can be
+// resumed; a host that stops goes on.
+const (
+	Starting Phase = iota // no confirmed configuration yet
+	Serving               // ready and taking work
+	LameDuck              // not ready, still taking work until the load balancer has noticed
+	Refusing              // new work is refused, work in progress ends
+	Drained               // no work is left; the host stays up
+	Handover              // leadership, leases and connections are given up
+	Syncing               // the journal is synced
+	Exited                // the process may exit
+)
+
+// phaseNames are indexed by Phase.
+var phaseNames = [...]string{"starting", "serving", "lame-duck", "refusing", "drained", "handover", "syncing", "exited"}
+
+// String returns the phase as logs and state dumps show it.
+func (p Phase) String() string { return phaseNames[p] }
+
+// MarshalText encodes the phase for state dumps.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// Options are the periods of a graceful stop.
+type Options struct {
+	// BalancerLag is how long the load balancer may send work after readiness
+	// turned false.
+	BalancerLag time.Duration
+	// ShutdownTimeout bounds the wait for work in progress. It must not be
+	// shorter than the longest deadline, or requests are interrupted.
+	ShutdownTimeout time.Duration
+	// HandoverTimeout bounds the wait for another leader.
+	HandoverTimeout time.Duration
+}
+
+// Event is an input of the state.
+type Event interface{ isLifecycleEvent() }
+
+// Tick lets time pass. InFlight is the number of requests in progress.
+type Tick struct{ InFlight int }
+
+// ConfigConfirmed says that the first configuration was confirmed by a quorum.
+type ConfigConfirmed struct{}
+
+// StopRequested asks for a graceful stop, and for an immediate one when it
+// comes again.
+type StopRequested struct{ InFlight int }
+
+// DrainRequested asks the host to stop taking work and to stay up.
+type DrainRequested struct{}
+
+// ResumeRequested ends a drain.
+type ResumeRequested struct{}
+
+// HandedOver says that leadership, leases and connections were given up.
+type HandedOver struct{}
+
+// Synced says that the journal is closed.
+type Synced struct{}
+
+func (Tick) isLifecycleEvent()            {}
+func (ConfigConfirmed) isLifecycleEvent() {}
+func (StopRequested) isLifecycleEvent()   {}
+func (DrainRequested) isLifecycleEvent()  {}
+func (ResumeRequested) isLifecycleEvent() {}
+func (HandedOver) isLifecycleEvent()      {}
+func (Synced) isLifecycleEvent()          {}
+
+// Effect is an output of the state.
+type Effect interface{ isLifecycleEffect() }
+
+// BeginHandover asks for leadership, leases and connections to be given up.
+type BeginHandover struct{}
+
+// SyncJournal asks for the journal to be synced and closed.
+type SyncJournal struct{}
+
+// Exit ends the process. Interrupted is the number of requests that it cuts
+// off.
+type Exit struct{ Interrupted int }
+
+// Log writes a numbered event.
+type Log struct {
+	Event    eventlog.Event
+	Phase    Phase
+	InFlight int
+}
+
+func (BeginHandover) isLifecycleEffect() {}
+func (SyncJournal) isLifecycleEffect()   {}
+func (Exit) isLifecycleEffect()          {}
+func (Log) isLifecycleEffect()           {}
+
+// Events of this package, numbers 1000 to 1099.
+var (
+	EventPhase = eventlog.Define(1000, zerolog.InfoLevel, "host changed phase",
+		"The host became ready, was told to drain or stop, or went on with that.",
+		"None. A stop ends with the phase exited.")
+	EventInterrupted = eventlog.Define(1001, zerolog.WarnLevel, "stop interrupted requests in progress",
+		"A second signal came, or the shutdown timeout passed before all requests had ended.",
+		"Raise -shutdown-timeout above -max-timeout, and send one signal only.")
+)
+
+// State is the lifecycle of one host. The control goroutine owns it.
+//
+// Invariant: new work is accepted only in Serving and LameDuck, and a graceful
+// stop reaches Handover only when nothing is in flight or the shutdown timeout
+// has passed.
+type State struct {
+	opts        Options
+	phase       Phase
+	since       time.Time
+	stopping    bool
+	confirmed   bool
+	interrupted int
+}
+
+// New returns the state of a host that starts now.
+func New(opts Options, now time.Time) *State { return &State{opts: opts, since: now} }
+
+// Phase returns the present phase.
+func (s *State) Phase() Phase { return s.phase }
+
+// Ready reports whether the load balancer should send work.
+func (s *State) Ready() bool { return s.phase == Serving }
+
+// Accepting reports whether new work is taken.
+func (s *State) Accepting() bool { return s.phase == Serving || s.phase == LameDuck }
+
+// Step advances the state by one event.
+func (s *State) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Tick:
+		return s.tick(now, ev.InFlight)
+	case ConfigConfirmed:
+		s.confirmed = true
+		if s.phase == Starting {
+			return s.enter(now, Serving, 0)
+		}
+	case StopRequested:
+		return s.stop(now, ev.InFlight)
+	case DrainRequested:
+		return s.drain(now)
+	case ResumeRequested:
+		return s.resume(now)
+	case HandedOver:
+		if s.phase == Handover {
+			return append(s.enter(now, Syncing, 0), SyncJournal{})
+		}
+	case Synced:
+		if s.phase == Syncing {
+			return append(s.enter(now, Exited, 0), Exit{Interrupted: s.interrupted})
+		}
+	}
+	return nil
+}
+
+func (s *State) enter(now time.Time, p Phase, inFlight int) []Effect {
+	s.phase = p
+	s.since = now
+	return []Effect{Log{Event: EventPhase, Phase: p, InFlight: inFlight}}
+}
+
+func (s *State) tick(now time.Time, inFlight int) []Effect {
+	elapsed := now.Sub(s.since)
+	switch s.phase {
+	case LameDuck:
+		if elapsed >= s.opts.BalancerLag {
+			return s.enter(now, Refusing, inFlight)
+		}
+	case Refusing:
+		return s.endRefusing(now, elapsed, inFlight)
+	case Handover:
+		if elapsed >= s.opts.HandoverTimeout {
+			return append(s.enter(now, Syncing, inFlight), SyncJournal{})
+		}
+	}
+	return nil
+}
+
+func (s *State) endRefusing(now time.Time, elapsed time.Duration, inFlight int) []Effect {
+	if inFlight > 0 && (!s.stopping || elapsed < s.opts.ShutdownTimeout) {
+		return nil
+	}
+	if !s.stopping {
+		return s.enter(now, Drained, 0)
+	}
+	var out []Effect
+	if inFlight > 0 {
+		s.interrupted = inFlight
+		out = append(out, Log{Event: EventInterrupted, Phase: s.phase, InFlight: inFlight})
+	}
+	return append(append(out, s.enter(now, Handover, inFlight)...), BeginHandover{})
+}
+
+// stop begins a graceful stop, or ends the process at once if one has begun.
+func (s *State) stop(now time.Time, inFlight int) []Effect {
+	if s.stopping {
+		if s.phase == Exited {
+			return nil
+		}
+		s.phase = Exited
+		return []Effect{Log{Event: EventInterrupted, Phase: Exited, InFlight: inFlight}, Exit{Interrupted: inFlight}}
+	}
+	s.stopping = true
+	switch s.phase {
+	case Serving:
+		return s.enter(now, LameDuck, inFlight)
+	case Starting, Drained:
+		return s.enter(now, Refusing, inFlight)
+	}
+	return nil
+}
+
+func (s *State) drain(now time.Time) []Effect {
+	switch s.phase {
+	case Serving:
+		return s.enter(now, LameDuck, 0)
+	case Starting:
+		return s.enter(now, Refusing, 0)
+	}
+	return nil
+}
+
+func (s *State) resume(now time.Time) []Effect {
+	if s.stopping || s.phase == Starting || s.phase == Serving {
+		return nil
+	}
+	if !s.confirmed {
+		return s.enter(now, Starting, 0)
+	}
+	return s.enter(now, Serving, 0)
+}
--- /dev/null
+++ b/internal/peerlink/links.go
@@ -0,0 +1,157 @@
+// Package peerlink carries messages from this host to others. Each peer has a
+// bounded queue and its own workers, so a slow or dead peer delays nobody
+// else. A message that finds the queue full is dropped: the protocols of the
+// control slices send again what was not acknowledged.
+package peerlink
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of one peer's link.
+const (
+	queueLength    = 512
+	workersPerPeer = 4
+	callTimeout    = 2 * time.Second
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	// linkIdle is how long a link to a peer that gets no messages is kept.
+	linkIdle = time.Minute
+)
+
+// Call sends one message to a peer. baseURL is the peer's address.
+type Call func(ctx context.Context, client *http.Client, baseURL string)
+
+// Links holds the links to all peers. It is safe for concurrent use.
+type Links struct {
+	client  *http.Client
+	ctx     context.Context
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+	dropped atomic.Int64
+	sent    atomic.Int64
+
+	mu    sync.Mutex
+	links map[netip.AddrPort]*link
+}
+
+type link struct {
+	queue chan Call
+}
+
+// New returns links without peers.
+func New() *Links {
+	ctx, stop := context.WithCancel(context.Background())
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: workersPerPeer,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &Links{client: &http.Client{Transport: transport}, ctx: ctx, stop: stop, links: make(map[netip.AddrPort]*link)}
+}
+
+// Client returns the HTTP client that all links share, for calls whose caller
+// waits for the reply.
+func (l *Links) Client() *http.Client { return l.client }
+
+// BaseURL returns the URL prefix of a peer's services.
+func BaseURL(address netip.AddrPort) string { return "http://" + address.String() }
+
+// Send queues a call to the peer at address. It reports false if the message
+// was dropped.
+func (l *Links) Send(address netip.AddrPort, call Call) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return false
+	}
+	k := l.links[address]
+	if k == nil {
+		k = &link{queue: make(chan Call, queueLength)}
+		l.links[address] = k
+		for range workersPerPeer {
+			l.workers.Add(1)
+			go l.work(address, k)
+		}
+	}
+	select {
+	case k.queue <- call:
+		l.sent.Add(1)
+		return true
+	default:
+		l.dropped.Add(1)
+		return false
+	}
+}
+
+// work runs the calls of one link until the link has been idle or the links
+// are closed.
+func (l *Links) work(address netip.AddrPort, k *link) {
+	defer l.workers.Done()
+	idle := time.NewTimer(linkIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case call := <-k.queue:
+			l.run(address, call)
+			idle.Reset(linkIdle)
+		case <-idle.C:
+			if l.retire(address, k) {
+				return
+			}
+			idle.Reset(linkIdle)
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Links) run(address netip.AddrPort, call Call) {
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+	call(ctx, l.client, BaseURL(address))
+}
+
+// retire removes an idle link. Once it is out of the map nothing is queued on
+// it, so its workers can end.
+func (l *Links) retire(address netip.AddrPort, k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(k.queue) > 0 {
+		return false
+	}
+	if l.links[address] == k {
+		delete(l.links, address)
+	}
+	return true
+}
+
+// Stats are totals since the start.
+type Stats struct {
+	Sent    int64
+	Dropped int64
+	Peers   int
+}
+
+// Stats returns the totals.
+func (l *Links) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Stats{Sent: l.sent.Load(), Dropped: l.dropped.Load(), Peers: len(l.links)}
+}
+
+// Close cancels the calls in progress and waits for the workers.
+func (l *Links) Close() {
+	l.mu.Lock()
+	l.stop()
+	l.mu.Unlock()
+	l.workers.Wait()
+	l.client.CloseIdleConnections()
+}
