Add replica choice, ejection and adaptive concurrency per searcher

Cause: targets' health and load reports lag or mislead, some searchers are slow or fail, and hosts share each searcher's few slots without talking to each other.

Change: balance.State picks by the power of two choices over what this host observed, ejects failing searchers and targets for growing times, starts cold ones slowly and bounds each searcher's work by an adaptive limit (package concurrency). balancerun adds the lock and a queue of waiting sub-requests in order of their deadlines.

--- /dev/null
+++ b/internal/balance/balancerun/balancer.go
@@ -0,0 +1,295 @@
+// Package balancerun makes the decisions of package balance usable by many
+// goroutines, and lets sub-requests wait for a searcher's slot.
+package balancerun
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/balance"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Codes of the errors of this package. All carry the verdict not_run.
+const (
+	CodeNoReplica verdict.Code = "no_replica"      // no candidate is left
+	CodeBusy      verdict.Code = "searchers_busy"  // too many sub-requests wait for the candidates
+	CodeTooLate   verdict.Code = "no_slot_in_time" // the wait for a slot used up the deadline
+)
+
+// DefaultMaxWaiting bounds how many sub-requests wait for one searcher.
+const DefaultMaxWaiting = 256
+
+// Balancer is a balance.State with a lock and queues. It is safe for
+// concurrent use.
+type Balancer struct {
+	log        *eventlog.Logger
+	maxWaiting int
+
+	mu     sync.Mutex
+	state  *balance.State
+	rng    *rand.Rand
+	queues map[balance.Key]*balance.Waiters[*pending]
+}
+
+// pending is a sub-request that waits in the queues of all its candidates.
+// replica and err are set before ready is closed.
+type pending struct {
+	candidates []balance.Replica
+	places     []place
+	ready      chan struct{}
+	replica    balance.Replica
+	err        error
+}
+
+type place struct {
+	key   balance.Key
+	entry *balance.Entry[*pending]
+}
+
+// New returns a balancer without records.
+func New(cfg balance.Config, rng *rand.Rand, log *eventlog.Logger) *Balancer {
+	return &Balancer{
+		log: log, maxWaiting: DefaultMaxWaiting, state: balance.New(cfg), rng: rng,
+		queues: map[balance.Key]*balance.Waiters[*pending]{},
+	}
+}
+
+// TryAcquire picks a replica and counts the sub-request as begun, unless the
+// result is other than balance.Picked.
+func (b *Balancer) TryAcquire(candidates []balance.Replica, opts balance.PickOptions) (balance.Replica, balance.PickResult) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tryLocked(time.Now(), candidates, opts)
+}
+
+func (b *Balancer) tryLocked(now time.Time, candidates []balance.Replica, opts balance.PickOptions) (balance.Replica, balance.PickResult) {
+	r, result := b.state.Pick(now, candidates, opts, b.rng)
+	if result == balance.Picked {
+		b.state.Begin(now, r)
+	}
+	return r, result
+}
+
+// Acquire picks a replica and counts the sub-request as begun. While all
+// candidates are at their limits it waits, earliest deadline first, and gives
+// up when the rest of ctx's time is shorter than a searcher's usual latency.
+// The caller must call Release unless Acquire returns an error.
+func (b *Balancer) Acquire(ctx context.Context, candidates []balance.Replica, opts balance.PickOptions) (balance.Replica, error) {
+	now := time.Now()
+	b.mu.Lock()
+	r, result := b.tryLocked(now, candidates, opts)
+	switch result {
+	case balance.Picked:
+		b.mu.Unlock()
+		return r, nil
+	case balance.NoCandidate:
+		b.mu.Unlock()
+		return balance.Replica{}, verdict.New(verdict.NotRun, CodeNoReplica, "no replica is left for the sub-request")
+	}
+	deadline, ok := ctx.Deadline()
+	if ok && now.Add(b.state.Latency(r.Key)).After(deadline) {
+		b.mu.Unlock()
+		return balance.Replica{}, tooLate()
+	}
+	if !ok {
+		deadline = now.Add(time.Hour) // behind every waiter that has one
+	}
+	p := b.enqueueLocked(candidates, opts.Avoid, deadline)
+	b.mu.Unlock()
+	if p == nil {
+		return balance.Replica{}, verdict.New(verdict.NotRun, CodeBusy, "too many sub-requests wait for the replicas")
+	}
+	return b.await(ctx, p)
+}
+
+// enqueueLocked returns nil if all queues of the candidates are full.
+func (b *Balancer) enqueueLocked(candidates, avoid []balance.Replica, deadline time.Time) *pending {
+	p := &pending{ready: make(chan struct{})}
+	for _, r := range candidates {
+		if listed(avoid, r.Key) {
+			continue
+		}
+		q := b.queues[r.Key]
+		if q == nil {
+			q = &balance.Waiters[*pending]{}
+			b.queues[r.Key] = q
+		}
+		if q.Len() >= b.maxWaiting {
+			continue
+		}
+		p.candidates = append(p.candidates, r)
+		p.places = append(p.places, place{key: r.Key, entry: q.Push(p, deadline)})
+	}
+	if len(p.places) == 0 {
+		return nil
+	}
+	return p
+}
+
+func listed(rs []balance.Replica, k balance.Key) bool {
+	for i := range rs {
+		if rs[i].Key == k {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) await(ctx context.Context, p *pending) (balance.Replica, error) {
+	select {
+	case <-p.ready:
+		return p.replica, p.err
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-p.ready:
+		// Granted in the same moment. The caller sees its context end when it
+		// sends, and releases.
+		return p.replica, p.err
+	default:
+	}
+	b.leaveLocked(p)
+	return balance.Replica{}, verdict.Wrap(ctx.Err(), verdict.NotRun, CodeTooLate, "wait for a searcher's slot")
+}
+
+// Release counts the outcome and passes the free slot on.
+func (b *Balancer) Release(r balance.Replica, out balance.Outcome) {
+	now := time.Now()
+	b.mu.Lock()
+	result := b.state.End(now, r.Key, out)
+	b.passOnLocked(now, r.Key)
+	b.mu.Unlock()
+
+	switch result.Ejected {
+	case balance.SearcherEjected:
+		b.log.Log(eventSearcherEjected).Str("target", r.Target).Str("searcher", r.Searcher).
+			Time("until", result.Until).Int("ejection", result.Ejection).Send()
+	case balance.TargetEjected:
+		b.log.Log(eventTargetEjected).Str("target", r.Target).
+			Time("until", result.Until).Int("ejection", result.Ejection).Send()
+	}
+}
+
+// passOnLocked gives a searcher's free slots to the waiting sub-requests with
+// the earliest deadlines.
+func (b *Balancer) passOnLocked(now time.Time, k balance.Key) {
+	q := b.queues[k]
+	if q == nil {
+		return
+	}
+	need := b.state.Latency(k)
+	for b.state.Free(k) > 0 {
+		p, ok := q.Next(now, need, b.dropLocked)
+		if !ok {
+			break
+		}
+		b.leaveLocked(p)
+		b.grantLocked(now, p, k)
+	}
+	if q.Len() == 0 {
+		delete(b.queues, k)
+	}
+}
+
+func (b *Balancer) grantLocked(now time.Time, p *pending, k balance.Key) {
+	for _, r := range p.candidates {
+		if r.Key == k {
+			p.replica = r
+		}
+	}
+	b.state.Begin(now, p.replica)
+	close(p.ready)
+}
+
+// dropLocked refuses a sub-request that can't finish at the searcher whose
+// queue it headed. Another candidate could be faster by little at best.
+func (b *Balancer) dropLocked(p *pending) {
+	b.leaveLocked(p)
+	p.err = tooLate()
+	close(p.ready)
+}
+
+func (b *Balancer) leaveLocked(p *pending) {
+	for _, pl := range p.places {
+		q := b.queues[pl.key]
+		if q == nil {
+			continue
+		}
+		q.Remove(pl.entry)
+		if q.Len() == 0 {
+			delete(b.queues, pl.key)
+		}
+	}
+}
+
+func tooLate() error {
+	return verdict.New(verdict.NotRun, CodeTooLate, "no slot becomes free early enough to finish in time")
+}
+
+// SetHosts changes how many hosts share each searcher's slots.
+func (b *Balancer) SetHosts(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetHosts(n)
+}
+
+// Retain removes what is known of searchers that keep doesn't want, for
+// example because their target vanished or drains, and of those unused for
+// long. A sub-request that waits only for such searchers is refused.
+func (b *Balancer) Retain(keep func(balance.Key) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Retain(keep)
+	b.state.Sweep(time.Now())
+	for k, q := range b.queues {
+		if keep(k) {
+			continue
+		}
+		delete(b.queues, k)
+		for p, _, ok := q.Pop(); ok; p, _, ok = q.Pop() {
+			b.giveUpLocked(p, k)
+		}
+	}
+}
+
+// giveUpLocked takes a candidate away from a waiting sub-request.
+func (b *Balancer) giveUpLocked(p *pending, k balance.Key) {
+	p.places = slices.DeleteFunc(p.places, func(pl place) bool { return pl.key == k })
+	if len(p.places) > 0 {
+		return
+	}
+	p.err = verdict.New(verdict.NotRun, CodeNoReplica, "the last replica that the sub-request waited for is gone")
+	close(p.ready)
+}
+
+// Forget removes what is known of a target that restarted.
+func (b *Balancer) Forget(target string) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Forget(target)
+	for k := range b.queues {
+		if k.Target == target {
+			b.passOnLocked(now, k)
+		}
+	}
+}
+
+// Snapshot returns what is known of every searcher and the number of
+// sub-requests that wait for each.
+func (b *Balancer) Snapshot() ([]balance.Stats, map[balance.Key]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	waiting := make(map[balance.Key]int, len(b.queues))
+	for k, q := range b.queues {
+		waiting[k] = q.Len()
+	}
+	return b.state.Snapshot(time.Now()), waiting
+}
