--- /dev/null
+++ b/internal/query/querybench/bench.go
@@ -0,0 +1,250 @@
+package querybench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// bench is one case in progress.
+type bench struct {
+	clock
+	c         Case
+	rng       *rand.Rand // arrivals and network times
+	instances []*instance
+	searchers []*searcher
+	catalog   *query.Catalog
+	hosts     []*host
+	current   *active // query whose chooser is asked
+	result    *Result
+	rate      float64 // queries a second
+	arrivals  int
+	termDist  *termSource // nil unless the case models caching targets
+}
+
+// host is one entry host.
+type host struct {
+	group    *query.Group
+	balancer Balancer
+	gate     Gate
+	catalog  *query.Catalog
+	active   []*active
+}
+
+// active is one query in progress.
+type active struct {
+	id             int
+	host           *host
+	run            *query.Run
+	arrived        time.Duration
+	started        time.Duration // when the gate let it start
+	jobs           []*job        // by attempt number - 1
+	wakeAt         time.Time
+	reallyAnswered []bool // shards that a searcher really answered
+	over           bool
+}
+
+// Run runs one case.
+func Run(c Case) Result {
+	if c.Hosts == 0 {
+		c.Hosts = defaultHosts
+	}
+	b := &bench{c: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), result: &Result{Case: c}}
+	b.build()
+	b.after(0, nextArrival{})
+	for {
+		what, ok := b.next()
+		if !ok {
+			break
+		}
+		what.happen(b)
+	}
+	b.result.complete(b)
+	return *b.result
+}
+
+// build lays out instances, searchers, the catalog and the hosts.
+func (b *bench) build() {
+	s := b.c.Shape
+	snapshot := query.Snapshot{Name: "s1", Generation: 1}
+	for i := range s.Shards() {
+		snapshot.Layout = append(snapshot.Layout, fmt.Sprintf("shard-%03d", i))
+	}
+	snapshot.Replicas = make([][]query.Replica, s.Shards())
+	for i := range s.Instances {
+		in := &instance{name: fmt.Sprintf("t%03d", i), zone: fmt.Sprintf("zone-%d", s.zone(i)), slow: 1}
+		b.instances = append(b.instances, in)
+		for range s.Searchers {
+			b.addSearcher(in, &snapshot)
+		}
+	}
+	b.catalog = &query.Catalog{Group: "g", Snapshots: []query.Snapshot{snapshot}}
+	slots := float64(s.Instances * s.Searchers * s.Slots)
+	b.rate = b.c.Load * slots / (meanService(b.c.Stragglers) / float64(time.Second)) / float64(s.Shards())
+	b.setFaults()
+	for i := range b.c.Hosts {
+		b.hosts = append(b.hosts, b.newHost(uint64(i)))
+	}
+}
+
+// addSearcher gives a searcher the next shard.
+func (b *bench) addSearcher(in *instance, snapshot *query.Snapshot) {
+	k := len(b.searchers)
+	s := &searcher{instance: in, index: k, shard: k % b.c.Shape.Shards(), slots: b.c.Shape.Slots}
+	if b.c.Policy.Caching {
+		s.cache = newCache()
+	}
+	b.searchers = append(b.searchers, s)
+	snapshot.Replicas[s.shard] = append(snapshot.Replicas[s.shard], replicaOf(s))
+}
+
+func (b *bench) newHost(n uint64) *host {
+	h := &host{catalog: b.catalog, gate: newFixedGate(b.c.Shape, b.c.Hosts)}
+	p := &b.c.Policy
+	h.balancer = p.balancer(b, rand.New(rand.NewPCG(b.c.Seed, 100+n)))
+	h.group = query.NewGroup(p.base(), p.Limits)
+	return h
+}
+
+// network draws the one-way time between a host and a target.
+func (b *bench) network() time.Duration {
+	return networkMin + time.Duration(b.rng.Int64N(int64(networkMax-networkMin)))
+}
+
+// nextArrival is a query reaching one of the hosts.
+type nextArrival struct{}
+
+func (nextArrival) happen(b *bench) {
+	a := &active{id: b.arrivals, host: b.hosts[b.rng.IntN(len(b.hosts))], arrived: b.now}
+	b.arrivals++
+	if b.arrivals < b.c.Queries {
+		gap := -math.Log(1-b.rng.Float64()) / b.rate
+		b.after(time.Duration(gap*float64(time.Second)), nextArrival{})
+	}
+	switch a.host.gate.Arrive(b.now, a) {
+	case Start:
+		b.start(a)
+	case Refuse:
+		b.result.refused++
+	}
+}
+
+func (b *bench) start(a *active) {
+	h := a.host
+	h.group.SetSaturated(!b.c.Policy.HedgeSaturated && h.gate.Saturated(b.now))
+	a.started = b.now
+	a.reallyAnswered = make([]bool, b.c.Shape.Shards())
+	q := query.Query{RequestID: "q", Group: "g", K: hitsWanted, Deadline: epoch.Add(a.arrived + deadline)}
+	policy := h.group.Policy(b.time())
+	b.c.Policy.adjust(&policy)
+	b.current = a
+	a.run = query.NewRun(policy, q, h.catalog, b.c.Policy.chooser(b, a), h.group, b.time())
+	h.active = append(h.active, a)
+	b.apply(a, a.run.Start(b.time()))
+}
+
+// step gives a query an event.
+func (b *bench) step(a *active, ev query.Event) {
+	b.current = a
+	b.apply(a, a.run.Step(b.time(), ev))
+}
+
+func (b *bench) apply(a *active, effects []query.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case query.Send:
+			b.send(a, e.Request)
+		case query.Cancel:
+			b.cancel(a.jobs[e.Attempt-1])
+		case query.WakeAt:
+			a.wakeAt = e.At
+			b.after(e.At.Sub(b.time()), tick{a, e.At})
+		case query.DrainSeen:
+			b.after(drainNews, catalogNews{a.host, e.Target})
+		case query.Finish:
+			b.finish(a, e)
+		}
+	}
+}
+
+// drainNews is the time from a reply of a draining target until the host's
+// catalog leaves the target out.
+const drainNews = 5 * time.Millisecond
+
+func (b *bench) send(a *active, req query.SubRequest) {
+	j := &job{active: a, request: req, at: b.searchers[searcherIndex(&req.Replica)], sentAt: b.now}
+	a.jobs = append(a.jobs, j)
+	j.at.inbound = append(j.at.inbound, j)
+	a.host.balancer.Sent(b.time(), req.Replica)
+	b.after(b.network(), arrive{j})
+}
+
+func (b *bench) cancel(j *job) {
+	j.active.host.balancer.Done(b.time(), j.request.Replica, b.now-j.sentAt, nil)
+	b.after(b.network(), cancelled{j})
+	j.abandoned = true
+}
+
+// replied is a reply reaching the host.
+type replied struct {
+	job   *job
+	reply query.Reply
+}
+
+func (e replied) happen(b *bench) {
+	a := e.job.active
+	if !e.job.abandoned {
+		a.host.balancer.Done(b.time(), e.job.request.Replica, b.now-e.job.sentAt, e.reply.Err)
+	}
+	b.step(a, query.ReplyArrived{Reply: e.reply})
+}
+
+// tick is the timer of a query.
+type tick struct {
+	active *active
+	at     time.Time
+}
+
+func (e tick) happen(b *bench) {
+	if !e.active.over && e.active.wakeAt.Equal(e.at) {
+		b.step(e.active, query.Tick{})
+	}
+}
+
+func (b *bench) finish(a *active, f query.Finish) {
+	a.over = true
+	h := a.host
+	for i := range h.active {
+		if h.active[i] == a {
+			h.active = append(h.active[:i], h.active[i+1:]...)
+			break
+		}
+	}
+	b.result.add(b, a, f)
+	start, refuse := h.gate.Leave(b.now, a)
+	for _, next := range refuse {
+		next.over = true
+		b.result.refused++
+	}
+	for _, next := range start {
+		b.start(next)
+	}
+}
+
+// hash is a reproducible random number for a query and one more number.
+func (b *bench) hash(queryID, n, salt int) uint64 {
+	x := b.c.Seed*0x9e3779b97f4a7c15 + uint64(queryID)<<24 + uint64(n)<<4 + uint64(salt)
+	// Finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// unit maps a hash to [0, 1).
+func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
+
+func notRun(err error) bool { return verdict.Of(err) == verdict.NotRun }
--- /dev/null
+++ b/internal/query/querybench/faults.go
@@ -0,0 +1,88 @@
+package querybench
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/query"
+)
+
+// faultStart is the time at which the fault of a case begins.
+const faultStart = time.Second
+
+// setFaults makes instances faulty and schedules what hosts learn of it.
+func (b *bench) setFaults() {
+	first := b.instances[0]
+	switch b.c.Fault {
+	case FaultRefusing, FaultSilent, FaultDraining:
+		first.faulty, first.faultFrom = b.c.Fault, faultStart
+	case FaultMisleading:
+		first.slow = slowFactor
+	case FaultCold:
+		for _, in := range b.instances[:max(1, len(b.instances)/4)] {
+			in.faulty, in.faultFrom = FaultCold, 0
+		}
+	}
+	if b.c.Fault == FaultRefusing || b.c.Fault == FaultSilent {
+		b.after(faultStart+leaseTime, leaseExpired{first.name})
+	}
+}
+
+// reports are the loads that the searchers report: they lag so far behind
+// that they tell nothing, except that the slow instance claims to be idle
+// and a good one claims to be overloaded.
+func (b *bench) reports() []float64 {
+	out := make([]float64, len(b.searchers))
+	for i, s := range b.searchers {
+		out[i] = 0.5 + 0.1*unit(b.hash(0, i, 9))
+		if b.c.Fault == FaultMisleading && s.instance == b.instances[0] {
+			out[i] = 0
+		}
+		if b.c.Fault == FaultMisleading && s.instance == b.instances[1] {
+			out[i] = 1
+		}
+	}
+	return out
+}
+
+// healthy reports whether an instance takes and answers new work.
+func (b *bench) healthy(in *instance) bool {
+	switch in.faulty {
+	case FaultRefusing, FaultSilent, FaultDraining:
+		return b.now < in.faultFrom
+	default:
+		return true
+	}
+}
+
+// leaseExpired removes a target from the catalogs of all hosts.
+type leaseExpired struct{ target string }
+
+func (e leaseExpired) happen(b *bench) {
+	for _, h := range b.hosts {
+		catalogNews{h, e.target}.happen(b)
+	}
+}
+
+// catalogNews removes a target from the catalog of one host.
+type catalogNews struct {
+	host   *host
+	target string
+}
+
+func (e catalogNews) happen(b *bench) {
+	old := e.host.catalog.Snapshots[0]
+	next := query.Snapshot{Name: old.Name, Generation: old.Generation, Layout: old.Layout}
+	for _, reps := range old.Replicas {
+		var kept []query.Replica
+		for _, r := range reps {
+			if r.Target != e.target {
+				kept = append(kept, r)
+			}
+		}
+		next.Replicas = append(next.Replicas, kept)
+	}
+	e.host.catalog = &query.Catalog{Group: e.host.catalog.Group, Snapshots: []query.Snapshot{next}}
+	for _, a := range append([]*active(nil), e.host.active...) {
+		b.step(a, query.CatalogChanged{Catalog: e.host.catalog})
+	}
+}
--- /dev/null
+++ b/internal/query/querybench/policy.go
@@ -0,0 +1,92 @@
+package querybench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/query"
+)
+
+// chooserKind selects a replica choice.
+type chooserKind uint8
+
+const (
+	chooseRandom chooserKind = iota
+	chooseTwo
+	chooseOmniscient
+	chooseReported
+	chooseAffinity
+)
+
+// Policy is a way to run queries that a case measures.
+type Policy struct {
+	Name           string
+	Limits         query.BudgetLimits
+	FixedDelay     time.Duration // zero: adaptive
+	NoHedge        bool
+	HedgeSaturated bool // hedge although queries wait for capacity
+	Caching        bool // targets cache
+	Overflow       int  // in flight at which affinity overflows
+	choice         chooserKind
+}
+
+// noLimit is a budget that never refuses.
+const noLimit = 1_000_000
+
+var unlimited = query.BudgetLimits{
+	HedgePermille: noLimit, HedgeBurst: noLimit,
+	RetryPermille: query.DefaultRetryPermille, RetryBurst: query.DefaultRetryBurst,
+}
+
+// fixedDelay is the delay of the baseline with a fixed one. It is right for
+// about half load.
+const fixedDelay = 15 * time.Millisecond
+
+// The policies that every case compares.
+var (
+	Random     = Policy{Name: "a random", NoHedge: true, Limits: query.DefaultBudgetLimits(), choice: chooseRandom}
+	Fixed      = Policy{Name: "b fixed delay", FixedDelay: fixedDelay, Limits: unlimited, choice: chooseTwo}
+	Omniscient = Policy{Name: "c omniscient", NoHedge: true, Limits: query.DefaultBudgetLimits(), choice: chooseOmniscient}
+	Ours       = Policy{Name: "ours", Limits: query.DefaultBudgetLimits(), choice: chooseTwo}
+	Reported   = Policy{Name: "reported load", Limits: query.DefaultBudgetLimits(), choice: chooseReported}
+)
+
+// base is the policy of the group before it has observed latencies.
+func (p *Policy) base() query.Policy {
+	base := query.DefaultPolicy()
+	if p.NoHedge {
+		base.HedgeDelay = 0
+	}
+	return base
+}
+
+// adjust changes the policy that the group gives to a query.
+func (p *Policy) adjust(policy *query.Policy) {
+	if p.FixedDelay > 0 {
+		policy.HedgeDelay = p.FixedDelay
+		policy.HedgePermille = p.Limits.HedgePermille
+	}
+}
+
+func (p *Policy) balancer(b *bench, rng *rand.Rand) Balancer {
+	switch p.choice {
+	case chooseRandom:
+		return randomBalancer{query.NewRandomChooser(rng)}
+	case chooseOmniscient:
+		return omniscient{b}
+	case chooseReported:
+		c := newTwoChoices(rng, len(b.searchers))
+		c.reports = b.reports()
+		return c
+	default:
+		return newTwoChoices(rng, len(b.searchers))
+	}
+}
+
+// chooser returns the chooser of one query.
+func (p *Policy) chooser(b *bench, a *active) query.Chooser {
+	if p.choice == chooseAffinity {
+		return &affinity{b: b, terms: b.terms(a.id), inner: a.host.balancer.(*twoChoices), bound: p.Overflow}
+	}
+	return a.host.balancer
+}
--- /dev/null
+++ b/internal/query/querybench/report.go
@@ -0,0 +1,111 @@
+package querybench
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Scale sets how many queries the cases run.
+type Scale struct {
+	Queries int // per case
+	Wide    int // per case of the shape Wide
+	Workers int // cases that run at once; the output does not depend on it
+}
+
+// Full and Quick are the scales of the two make targets.
+var (
+	Full  = Scale{Queries: 20_000, Wide: 2_000}
+	Quick = Scale{Queries: 1_000, Wide: 50}
+)
+
+// seed is that of all cases of a table, so that its rows meet the same
+// queries and stragglers.
+const seed = 20260101
+
+// section is one table of the report.
+type section struct {
+	title string
+	cases []Case
+}
+
+// Report runs all sections and writes their tables.
+func Report(w io.Writer, scale Scale) error {
+	for _, s := range sections(scale) {
+		results := runAll(s.cases, scale.Workers)
+		if err := writeTable(w, s.title, results); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runAll runs cases on several goroutines. Each case has its own seed and
+// shares nothing, so that the results do not depend on their order.
+func runAll(cases []Case, workers int) []Result {
+	results := make([]Result, len(cases))
+	next := make(chan int)
+	var wg sync.WaitGroup
+	for range max(1, workers) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range next {
+				results[i] = Run(cases[i])
+			}
+		}()
+	}
+	for i := range cases {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+	return results
+}
+
+func writeTable(w io.Writer, title string, results []Result) error {
+	_, err := fmt.Fprintf(w, "## %s\n\n%s\n%s\n", title,
+		"| shape | hosts | load | stragglers | fault | policy | p50 ms | p99 ms | p99.9 ms | p99 / c | coverage | in time | goodput | extra load | refused | overstated | late | after drain |",
+		"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	if err != nil {
+		return err
+	}
+	for i := range results {
+		if err := writeRow(w, &results[i], bound(results, i)); err != nil {
+			return err
+		}
+	}
+	_, err = fmt.Fprintln(w)
+	return err
+}
+
+// bound returns the p99 of the omniscient policy in the same conditions, or
+// zero if the table has none.
+func bound(results []Result, i int) time.Duration {
+	want := results[i].Case
+	want.Policy = Omniscient
+	for k := range results {
+		if results[k].Case == want {
+			return results[k].P99
+		}
+	}
+	return 0
+}
+
+func writeRow(w io.Writer, r *Result, bound time.Duration) error {
+	ratio := "-"
+	if bound > 0 {
+		ratio = fmt.Sprintf("%.2f", float64(r.P99)/float64(bound))
+	}
+	c := &r.Case
+	_, err := fmt.Fprintf(w, "| %s | %d | %.0f %% | %.0f %% | %s | %s | %s | %s | %s | %s | %.4f | %.4f | %.3f | %.2f %% | %.2f %% | %d | %d | %d |\n",
+		c.Shape.Name, c.Hosts, 100*c.Load, 100*c.Stragglers, c.Fault, c.Policy.Name,
+		millis(r.P50), millis(r.P99), millis(r.P999), ratio, r.Coverage, r.InTime, r.Goodput,
+		100*r.Extra, 100*r.Refused, r.Overstated, r.Past, r.AfterDrain)
+	return err
+}
+
+func millis(d time.Duration) string {
+	return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond))
+}
