Choose replicas by what the host has seen, and admit queries

Cause: the thin path picked replicas at random and let every query in. Change: a balancer per group behind the query's chooser and transport, the admission gate before it, and a count of requests in progress.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -88,6 +88,7 @@
 	return query.Replica{
 		Target: r.Target.Target, Searcher: s.Name, Address: r.Target.Address,
 		FailureDomain: r.Target.FailureDomain, Slots: s.Slots, Incarnation: r.Target.Incarnation,
+		Cold: r.Target.Phase == targets.Cold, Unhealthy: !r.Target.Reported.Healthy, Load: r.Target.Reported.Load,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hawthornlock/hawthornlock/internal/admission"
+	"github.com/hawthornlock/hawthornlock/internal/admission/admissionrun"
 	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
@@ -45,6 +47,9 @@
 	directory *directory
 	pools     *poolrun.Pools
 	driver    *queryrun.Driver
+	groups    *entryrun.Groups
+	admission *admissionrun.Gate
+	inFlight  entryrun.InFlight
 	queries   *entryrun.Queries
 	requests  atomic.Uint64
 	servers   []*server
@@ -114,10 +119,12 @@
 	d.loop = controlrun.New(core, d.log)
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
+	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
+	d.admission = admissionrun.New(admission.Config{Concurrency: d.settings.MaxQueries, QueueLength: d.settings.QueueLength}, d.log)
 	d.driver = queryrun.New(queryrun.Config{
-		Transport: entryrun.NewTransport(client), Catalogs: d.loop, Log: d.log, OnDrain: d.drainSeen, Seed: d.settings.Seed,
+		Transport: entryrun.NewTransport(client, d.groups), Catalogs: d.loop, Log: d.log, OnDrain: d.drainSeen, Seed: d.settings.Seed,
 	})
-	d.queries = entryrun.NewQueries(d.loop, d.driver, d.budgetLimits(), d.settings.Seed)
+	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight)
 	for _, s := range d.servers {
 		s.http = &http.Server{Handler: d.router(s.name), ReadHeaderTimeout: readHeaderTimeout}
 	}
@@ -181,7 +188,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.close()
 	d.start(func() { d.loop.Run(d.ctx, d) })
-	d.start(d.applyShares)
+	d.start(d.applySnapshots)
 	for _, s := range d.servers {
 		d.start(func() { d.serve(s) })
 	}
@@ -233,35 +240,3 @@
 		_ = s.listener.Close()
 	}
 }
-
-// applyShares keeps the pools' shares equal to what the control snapshot
-// says.
-func (d *Daemon) applyShares() {
-	shares := make(map[netip.AddrPort]int)
-	for {
-		snapshot, replaced := d.loop.Watch()
-		d.setShares(shares, snapshot)
-		select {
-		case <-replaced:
-		case <-d.ctx.Done():
-			return
-		}
-	}
-}
-
-func (d *Daemon) setShares(shares map[netip.AddrPort]int, s *control.Snapshot) {
-	seen := make(map[netip.AddrPort]bool, s.Targets.Len())
-	for r := range s.Targets.Targets() {
-		seen[r.Address] = true
-		if shares[r.Address] != r.ConnectionLimit {
-			shares[r.Address] = r.ConnectionLimit
-			d.pools.SetShare(r.Address, r.ConnectionLimit)
-		}
-	}
-	for address := range shares {
-		if !seen[address] {
-			delete(shares, address)
-			d.pools.SetShare(address, 0)
-		}
-	}
-}
--- /dev/null
+++ b/internal/entry/entryrun/groups.go
@@ -0,0 +1,140 @@
+package entryrun
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/hawthornlock/hawthornlock/internal/balance"
+	"github.com/hawthornlock/hawthornlock/internal/balance/balancerun"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+)
+
+// group is what the requests of one group share on this host.
+type group struct {
+	limits    routing.Limits
+	latencies *query.Group
+	balancer  *balancerun.Balancer
+}
+
+// Groups holds the traffic state of all groups. It is safe for concurrent
+// use.
+type Groups struct {
+	log    *eventlog.Logger
+	limits query.BudgetLimits
+	seed   uint64
+
+	mu     sync.RWMutex
+	hosts  int
+	groups map[string]*group
+}
+
+// NewGroups returns an empty set. The limits apply to groups that set none.
+func NewGroups(limits query.BudgetLimits, seed uint64, log *eventlog.Logger) *Groups {
+	return &Groups{log: log, limits: limits, seed: seed, hosts: 1, groups: make(map[string]*group)}
+}
+
+// get returns the state of a group. A group whose limits changed starts with
+// new budgets and keeps what was learned of its searchers.
+func (g *Groups) get(want routing.Group) *group {
+	g.mu.RLock()
+	known := g.groups[want.Name]
+	g.mu.RUnlock()
+	if known != nil && known.limits == want.Limits {
+		return known
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known = g.groups[want.Name]
+	if known != nil && known.limits == want.Limits {
+		return known
+	}
+	fresh := &group{limits: want.Limits, latencies: g.newLatencies(want.Limits)}
+	if known != nil {
+		fresh.balancer = known.balancer
+	} else {
+		rng := rand.New(rand.NewPCG(g.seed, uint64(len(g.groups))))
+		fresh.balancer = balancerun.New(balance.Config{Hosts: g.hosts}, rng, g.log)
+	}
+	g.groups[want.Name] = fresh
+	return fresh
+}
+
+func (g *Groups) newLatencies(l routing.Limits) *query.Group {
+	limits := g.limits
+	if l.HedgePermille > 0 {
+		limits.HedgePermille = l.HedgePermille
+	}
+	policy := query.DefaultPolicy()
+	policy.HedgePermille = limits.HedgePermille
+	return query.NewGroup(policy, limits)
+}
+
+// SetHosts changes how many hosts share each searcher's slots.
+func (g *Groups) SetHosts(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hosts = max(1, n)
+	for _, known := range g.groups {
+		known.balancer.SetHosts(g.hosts)
+	}
+}
+
+// Retain removes the groups that are not in table, and what is known of
+// searchers that are not in their group's catalog.
+func (g *Groups) Retain(catalogs map[string]*query.Catalog) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, known := range g.groups {
+		c := catalogs[name]
+		if c == nil {
+			delete(g.groups, name)
+			continue
+		}
+		present := searchersOf(c)
+		known.balancer.Retain(func(k balance.Key) bool { return present[k] })
+	}
+}
+
+func searchersOf(c *query.Catalog) map[balance.Key]bool {
+	out := make(map[balance.Key]bool)
+	for _, s := range c.Snapshots {
+		for _, replicas := range s.Replicas {
+			for _, r := range replicas {
+				out[balance.Key{Target: r.Target, Searcher: r.Searcher}] = true
+			}
+		}
+	}
+	return out
+}
+
+// GroupStats is the traffic state of one group for state dumps.
+type GroupStats struct {
+	Group     string
+	Searchers []balance.Stats
+	Waiting   int // sub-requests that wait for a slot
+}
+
+// Stats returns the state of all groups.
+func (g *Groups) Stats() []GroupStats {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	out := make([]GroupStats, 0, len(g.groups))
+	for name, known := range g.groups {
+		stats, waiting := known.balancer.Snapshot()
+		s := GroupStats{Group: name, Searchers: stats}
+		for _, n := range waiting {
+			s.Waiting += n
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func balanceReplica(r query.Replica) balance.Replica {
+	return balance.Replica{
+		Key: balance.Key{Target: r.Target, Searcher: r.Searcher}, FailureDomain: r.FailureDomain, Slots: r.Slots,
+		Cold: r.Cold, Hint: balance.Hint{Unhealthy: r.Unhealthy, Load: r.Load},
+	}
+}
--- a/internal/entry/entryrun/queries.go
+++ b/internal/entry/entryrun/queries.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/admission"
+	"github.com/hawthornlock/hawthornlock/internal/admission/admissionrun"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
 // Snapshots gives the latest control snapshot.
@@ -23,51 +23,60 @@
 type Queries struct {
 	snapshots Snapshots
 	driver    *queryrun.Driver
-	limits    query.BudgetLimits
-	seed      uint64
-	count     atomic.Uint64
-
-	mu     sync.Mutex
-	groups map[string]*query.Group
+	groups    *Groups
+	admission *admissionrun.Gate
+	inFlight  *InFlight
 }
 
 // NewQueries returns the service that runs queries with driver.
-func NewQueries(s Snapshots, driver *queryrun.Driver, limits query.BudgetLimits, seed uint64) *Queries {
-	return &Queries{snapshots: s, driver: driver, limits: limits, seed: seed, groups: make(map[string]*query.Group)}
+func NewQueries(s Snapshots, driver *queryrun.Driver, groups *Groups, gate *admissionrun.Gate, inFlight *InFlight) *Queries {
+	return &Queries{snapshots: s, driver: driver, groups: groups, admission: gate, inFlight: inFlight}
 }
 
 // Query runs one query.
 func (s *Queries) Query(ctx context.Context, q entry.QueryRequest) (*query.Answer, error) {
+	// Counting before the gate is checked lets a shutdown that closed the gate
+	// see every request that passed it.
+	defer s.inFlight.Begin()()
 	now := time.Now()
 	snapshot := s.snapshots.Snapshot()
 	if err := snapshot.Gate.Check(now); err != nil {
 		return nil, err
 	}
-	group, _, err := snapshot.Table.Route(routing.Request{Team: q.Team, Labels: q.Labels, Group: q.Group})
+	target, _, err := snapshot.Table.Route(routing.Request{Team: q.Team, Labels: q.Labels, Group: q.Group})
 	if err != nil {
 		return nil, err
 	}
-	run := query.Query{
-		RequestID: q.RequestID, Group: group.Name, Terms: q.Terms, K: q.K,
-		Deadline: now.Add(q.Timeout), MinCoverage: q.MinCoverage,
+	deadline := now.Add(q.Timeout)
+	waitCtx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	leave, err := s.admission.Enter(waitCtx, admissionrun.Query{Group: target.Name, Team: q.Team, Caller: q.Caller})
+	if err != nil {
+		return nil, err
 	}
-	chooser := query.NewRandomChooser(rand.New(rand.NewPCG(s.seed, s.count.Add(1))))
-	return s.driver.Do(ctx, run, s.group(group), chooser)
+	g := s.groups.get(target)
+	answer, err := s.driver.Do(withGroup(ctx, g), query.Query{
+		RequestID: q.RequestID, Group: target.Name, Terms: q.Terms, K: q.K, Deadline: deadline, MinCoverage: q.MinCoverage,
+	}, g.latencies, &chooser{group: g})
+	leave(loadOf(ctx, answer, err))
+	return answer, err
 }
 
-func (s *Queries) group(g routing.Group) *query.Group {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if known := s.groups[g.Name]; known != nil {
-		return known
+// loadOf says what the end of a query tells about the load of its group.
+func loadOf(ctx context.Context, a *query.Answer, err error) admission.Result {
+	if ctx.Err() != nil {
+		return admission.Abandoned
+	}
+	if err != nil {
+		if verdict.CodeOf(err) == verdict.CodeDeadlineExceeded {
+			return admission.Overloaded
+		}
+		return admission.Completed
 	}
-	limits := s.limits
-	if g.Limits.HedgePermille > 0 {
-		limits.HedgePermille = g.Limits.HedgePermille
+	for _, m := range a.Coverage.Missing {
+		if m.Reason == query.ReasonShed || m.Reason == query.ReasonTimeout {
+			return admission.Overloaded
+		}
 	}
-	policy := query.DefaultPolicy()
-	policy.HedgePermille = limits.HedgePermille
-	known := query.NewGroup(policy, limits)
-	s.groups[g.Name] = known
-	return known
+	return admission.Completed
 }
--- a/internal/entry/entryrun/transport.go
+++ b/internal/entry/entryrun/transport.go
@@ -4,40 +4,70 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/balance"
+	"github.com/hawthornlock/hawthornlock/internal/balance/balancerun"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/targets/targethttp"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
-// queryCodes translates the codes of a target's refusals to those that the
-// query's decisions know.
+// queryCodes translates the codes of refusals to those that the query's
+// decisions know.
 var queryCodes = map[verdict.Code]verdict.Code{
 	targethttp.CodeTargetShed:         query.CodeShed,
 	targethttp.CodeTargetDraining:     query.CodeDraining,
 	targethttp.CodeTargetSnapshotGone: query.CodeSnapshotGone,
+	balancerun.CodeBusy:               query.CodeShed,
+	balancerun.CodeTooLate:            verdict.CodeDeadlineExceeded,
 }
 
-// Transport sends sub-requests to targets over HTTP. It implements
-// queryrun.Transport. Another transport can send them through a host that
-// holds the connection.
+// Transport sends sub-requests to targets over HTTP, each when its searcher
+// has a slot for this host. It implements queryrun.Transport. Another
+// transport can send them through a host that holds the connection.
 type Transport struct {
 	client *targethttp.Client
+	groups *Groups
 }
 
 // NewTransport returns a transport over client.
-func NewTransport(client *targethttp.Client) *Transport { return &Transport{client: client} }
+func NewTransport(client *targethttp.Client, groups *Groups) *Transport {
+	return &Transport{client: client, groups: groups}
+}
+
+// groupKey carries the group of a query to the transport.
+type groupKey struct{}
 
-// Search sends one sub-request and returns its reply.
+func withGroup(ctx context.Context, g *group) context.Context {
+	return context.WithValue(ctx, groupKey{}, g)
+}
+
+// Search waits for a slot, sends one sub-request and returns its reply.
 func (t *Transport) Search(ctx context.Context, req query.SubRequest) query.Reply {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	g := ctx.Value(groupKey{}).(*group)
+	replica, err := g.balancer.Acquire(ctx, []balance.Replica{balanceReplica(req.Replica)}, balance.PickOptions{})
+	if err != nil {
+		return query.Reply{Attempt: req.Attempt, Err: translate(err)}
+	}
+	start := time.Now()
+	reply, err := t.search(ctx, req)
+	g.balancer.Release(replica, balance.Outcome{Kind: outcomeOf(ctx, err), Latency: time.Since(start)})
+	if err != nil {
+		return query.Reply{Attempt: req.Attempt, Draining: verdict.CodeOf(err) == targethttp.CodeTargetDraining, Err: translate(err)}
+	}
+	return reply
+}
+
+func (t *Transport) search(ctx context.Context, req query.SubRequest) (query.Reply, error) {
 	reply, err := t.client.Search(ctx, req.Replica.Address, targethttp.SearchRequest{
 		RequestID: req.RequestID, Attempt: int(req.Attempt), Searcher: req.Replica.Searcher,
 		IndexSnapshot: req.IndexSnapshot, Shard: req.ShardName, Terms: req.Terms, K: req.K,
 	})
 	if err != nil {
-		return query.Reply{Attempt: req.Attempt, Draining: verdict.CodeOf(err) == targethttp.CodeTargetDraining, Err: translate(err)}
+		return query.Reply{}, err
 	}
 	out := query.Reply{
 		Attempt: uint32(reply.Attempt), IndexSnapshot: reply.IndexSnapshot, Shard: reply.Shard,
@@ -46,7 +76,7 @@
 	for i, h := range reply.Hits {
 		out.Hits[i] = query.Hit(h)
 	}
-	return out
+	return out, nil
 }
 
 func translate(err error) error {
@@ -56,3 +86,23 @@
 	}
 	return verdict.Wrap(err, verdict.Of(err), code, "target")
 }
+
+// outcomeOf says what the end of a sub-request tells about its searcher. A
+// target that leaves or no longer holds the snapshot has not failed.
+func outcomeOf(ctx context.Context, err error) balance.Kind {
+	if err == nil {
+		return balance.OK
+	}
+	switch verdict.CodeOf(err) {
+	case targethttp.CodeTargetShed:
+		return balance.Shed
+	case targethttp.CodeTargetDraining, targethttp.CodeTargetSnapshotGone, targethttp.CodeCanceled:
+		return balance.Canceled
+	case verdict.CodeDeadlineExceeded:
+		return balance.Timeout
+	}
+	if context.Cause(ctx) != nil {
+		return balance.Canceled
+	}
+	return balance.Failed
+}
--- a/internal/query/types.go
+++ b/internal/query/types.go
@@ -43,6 +43,9 @@
 	FailureDomain string
 	Slots         int
 	Incarnation   uint64
+	Cold          bool // the target announced that it has just started
+	Unhealthy     bool // the target's own view, which may mislead
+	Load          float64
 }
 
 // Snapshot is one index snapshot as a group's targets hold it.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -103,6 +103,15 @@
 	return g, ok
 }
 
+// Groups returns all groups by name.
+func (t *Table) Groups() []Group {
+	out := make([]Group, 0, len(t.groups))
+	for _, name := range t.GroupNames() {
+		out = append(out, t.groups[name])
+	}
+	return out
+}
+
 // GroupNames returns the names of all groups, sorted.
 func (t *Table) GroupNames() []string { return slices.Sorted(maps.Keys(t.groups)) }
 
