Add the ledger of orders and the claimant's step machine

Cause: a non-idempotent request must run at most once, whatever crashes, and a refusal that says not_run must be true.

--- /dev/null
+++ b/internal/orders/execution.go
@@ -0,0 +1,407 @@
+package orders
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// The time between attempts to get a command committed doubles from the
+// first to the second of these.
+const (
+	retryInterval    = 100 * time.Millisecond
+	maxRetryInterval = 5 * time.Second
+)
+
+// fullRetryAfter is the retry hint of a full ledger.
+const fullRetryAfter = time.Second
+
+// Request is one submission of an order.
+type Request struct {
+	ID       string
+	Content  Hash
+	Deadline time.Time // the answer leaves by this time
+	// First states that the caller has never submitted this ID before and
+	// will not again before it has this answer or has given it up. Without
+	// it, a submission that learns nothing from the ledger is answered
+	// may_have_run, because another one under the same ID may have run.
+	First bool
+}
+
+// Event is something that happens to an execution.
+type Event interface{ executionEvent() }
+
+// Start is the first event.
+type Start struct{}
+
+// ClaimAnswered carries the ledger's reply to a claim that was committed.
+type ClaimAnswered struct {
+	Token Token
+	Reply Reply
+}
+
+// ClaimFailed reports that a claim was not committed as far as is known. Sent
+// is false only if it certainly never reached the log.
+type ClaimFailed struct {
+	Token Token
+	Sent  bool
+}
+
+// RequestChanged carries the result of a lookup after a Watch.
+type RequestChanged struct{ Reply Reply }
+
+// TargetReplied ends a dispatch. Every Dispatch leads to exactly one, even
+// after the deadline. Result is meant only with verdict Ran.
+type TargetReplied struct {
+	Verdict verdict.Verdict
+	Reason  string
+	Result  Result
+}
+
+// SettleAnswered carries the ledger's reply to a Record, Release or
+// MarkMayHaveRun.
+type SettleAnswered struct{ Reply Reply }
+
+// SettleFailed reports that such a command may not have been committed.
+type SettleFailed struct{}
+
+// Tick reports that the time asked for by WakeAt has come.
+type Tick struct{}
+
+// CallerGone reports that the caller no longer waits.
+type CallerGone struct{}
+
+func (Start) executionEvent()          {}
+func (ClaimAnswered) executionEvent()  {}
+func (ClaimFailed) executionEvent()    {}
+func (RequestChanged) executionEvent() {}
+func (TargetReplied) executionEvent()  {}
+func (SettleAnswered) executionEvent() {}
+func (SettleFailed) executionEvent()   {}
+func (Tick) executionEvent()           {}
+func (CallerGone) executionEvent()     {}
+
+// Effect is something that the driver of an execution must do.
+type Effect interface{ executionEffect() }
+
+// ProposeClaim asks for a claim to be committed.
+type ProposeClaim struct{ Claim Claim }
+
+// Dispatch asks for the request to be sent to a target, once and with no
+// retry.
+type Dispatch struct{}
+
+// ProposeSettle asks for a Record, Release or MarkMayHaveRun to be committed.
+type ProposeSettle struct{ Command Command }
+
+// Watch asks for a RequestChanged now, unless the lookup says InProgress or
+// Unknown, and again whenever the request changes in this host's ledger.
+type Watch struct{ RequestID string }
+
+// WakeAt asks for a Tick at a time, in place of an earlier request.
+type WakeAt struct{ At time.Time }
+
+// Answer is for the caller. With a Result the request ran; otherwise Err
+// carries the verdict.
+type Answer struct {
+	Result *Result
+	Err    error
+}
+
+// Close ends the execution. It takes no further events. If a late copy of its
+// claim is granted afterwards, the driver proposes a Release with that token:
+// an execution closes only once nothing can run under it.
+type Close struct{}
+
+func (ProposeClaim) executionEffect()  {}
+func (Dispatch) executionEffect()      {}
+func (ProposeSettle) executionEffect() {}
+func (Watch) executionEffect()         {}
+func (WakeAt) executionEffect()        {}
+func (Answer) executionEffect()        {}
+func (Close) executionEffect()         {}
+
+// phase is how far an execution has come.
+type phase uint8
+
+const (
+	phaseNew phase = iota
+	phaseClaiming
+	phaseWaiting    // another claim is open
+	phaseDispatched // the target has been asked
+	phaseSettling   // a final command is to be committed
+	phaseClosed
+)
+
+// Execution is the claimant's side of one submission.
+type Execution struct {
+	req      Request
+	token    Token
+	phase    phase
+	answered bool // or nobody waits for an answer
+	settle   Command
+	result   *Result   // known but perhaps not yet recorded
+	sent     bool      // a claim of this token may reach the log
+	retries  int       // since the last change of phase
+	retryAt  time.Time // when to propose again, zero for not at all
+	effects  []Effect
+}
+
+// NewExecution returns an execution that has not started. Fence must be
+// unique among the claimant's executions, with the low 16 bits zero: the
+// execution counts its own claims in them.
+func NewExecution(req Request, claimant Claimant, fence uint64) *Execution {
+	return &Execution{req: req, token: Token{Claimant: claimant, Fence: fence}}
+}
+
+// Closed reports whether the execution has ended.
+func (x *Execution) Closed() bool { return x.phase == phaseClosed }
+
+// Step takes in an event and returns what the driver must do, in order.
+func (x *Execution) Step(now time.Time, ev Event) []Effect {
+	x.effects = nil
+	if x.phase == phaseClosed {
+		return nil
+	}
+	x.handle(now, ev)
+	if !x.answered && x.phase != phaseNew && !now.Before(x.req.Deadline) {
+		x.onDeadline()
+	}
+	x.scheduleWake()
+	return x.effects
+}
+
+func (x *Execution) handle(now time.Time, ev Event) {
+	switch ev := ev.(type) {
+	case Start:
+		if x.phase == phaseNew {
+			x.claim(now)
+		}
+	case ClaimAnswered:
+		if x.phase == phaseClaiming && ev.Token == x.token {
+			x.onClaim(now, ev.Reply)
+		}
+	case ClaimFailed:
+		if x.phase == phaseClaiming && ev.Token == x.token {
+			x.onClaimFailed(now, ev.Sent)
+		}
+	case RequestChanged:
+		if x.phase == phaseWaiting {
+			x.onChange(now, ev.Reply)
+		}
+	case TargetReplied:
+		if x.phase == phaseDispatched {
+			x.onTarget(now, ev)
+		}
+	case SettleAnswered:
+		if x.phase == phaseSettling {
+			x.finish()
+		}
+	case SettleFailed:
+		if x.phase == phaseSettling {
+			x.retryLater(now)
+		}
+	case Tick:
+		x.onTick(now)
+	case CallerGone:
+		x.onCallerGone()
+	}
+}
+
+func (x *Execution) emit(e Effect) { x.effects = append(x.effects, e) }
+
+func (x *Execution) claim(now time.Time) {
+	x.phase = phaseClaiming
+	x.retryAt = time.Time{}
+	x.emit(ProposeClaim{Claim{RequestID: x.req.ID, Content: x.req.Content, Token: x.token, At: now}})
+}
+
+// onClaim dispatches if the claim was granted while the caller still waits.
+// Later it must not: the caller may have been told not_run.
+func (x *Execution) onClaim(now time.Time, r Reply) {
+	switch r.Outcome {
+	case Granted:
+		if x.answered || !now.Before(x.req.Deadline) {
+			x.answerErr(verdict.NotRun, verdict.CodeDeadlineExceeded, "the deadline passed before the order could be sent")
+			x.startSettling(x.release())
+			return
+		}
+		x.phase = phaseDispatched
+		x.emit(Dispatch{})
+	case InProgress:
+		x.phase = phaseWaiting
+		x.emit(Watch{RequestID: x.req.ID})
+	default:
+		x.conclude(r)
+	}
+}
+
+// onClaimFailed tries again with the same token, which the ledger grants only
+// once, unless the control hosts can't be reached at all.
+func (x *Execution) onClaimFailed(now time.Time, sent bool) {
+	if sent {
+		x.sent = true
+		x.retryLater(now)
+		return
+	}
+	x.answerUnclaimed(verdict.CodeUnavailable, "no claim can be made because the control hosts can't be reached")
+	if x.sent {
+		x.startSettling(x.release())
+		return
+	}
+	x.close()
+}
+
+func (x *Execution) retryLater(now time.Time) {
+	x.retryAt = now.Add(min(maxRetryInterval, retryInterval<<min(x.retries, 10)))
+	x.retries++
+}
+
+func (x *Execution) onChange(now time.Time, r Reply) {
+	switch r.Outcome {
+	case InProgress, Unknown:
+	case Open:
+		x.token.Fence++
+		x.sent, x.retries = false, 0
+		x.claim(now)
+	default:
+		x.conclude(r)
+	}
+}
+
+// conclude answers from what the ledger knows and ends the execution.
+func (x *Execution) conclude(r Reply) {
+	switch r.Outcome {
+	case Recorded:
+		x.answer(Answer{Result: r.Result})
+	case Mismatch:
+		x.answerErr(verdict.NotRun, CodeContentMismatch, "request ID %q was used for another order; send this one under a new ID", x.req.ID)
+	case Expired:
+		x.answerErr(verdict.MayHaveRun, CodeExpired, "request ID %q is older than the record of orders; it was not run now and may have run before", x.req.ID)
+	case BadIssueTime:
+		x.answerErr(verdict.NotRun, CodeInvalidRequestID, "request ID %q was issued too long ago or in the future", x.req.ID)
+	case Full:
+		err := verdict.New(verdict.NotRun, CodeLedgerFull, "the record of orders is full")
+		x.answer(Answer{Err: err.WithRetryAfter(fullRetryAfter)})
+	case ClaimEnded:
+		err := verdict.New(verdict.NotRun, CodeClaimRefused, "this host's claim was refused; send the order again")
+		x.answer(Answer{Err: err.WithRetryAfter(retryInterval)})
+	default:
+		x.answerErr(verdict.MayHaveRun, CodeOutcomeUnknown, "an earlier submission of request ID %q may have run", x.req.ID)
+	}
+	x.close()
+}
+
+func (x *Execution) onTarget(now time.Time, ev TargetReplied) {
+	switch ev.Verdict {
+	case verdict.Ran:
+		x.result = &ev.Result
+		x.startSettling(Record{RequestID: x.req.ID, Token: x.token, Result: ev.Result, At: now})
+	case verdict.NotRun:
+		x.answerErr(verdict.NotRun, CodeTargetRefused, "the target did not run the order: %s", ev.Reason)
+		x.startSettling(x.release())
+	default:
+		x.answerErr(verdict.MayHaveRun, CodeOutcomeUnknown, "the order was sent and its outcome is unknown: %s", ev.Reason)
+		x.startSettling(MarkMayHaveRun{RequestID: x.req.ID, Token: x.token})
+	}
+}
+
+// onDeadline answers with what is known. The execution goes on until its
+// claim is settled.
+func (x *Execution) onDeadline() {
+	switch x.phase {
+	case phaseClaiming:
+		x.answerUnclaimed(verdict.CodeDeadlineExceeded, "no claim was granted before the deadline")
+		x.startSettling(x.release())
+	case phaseWaiting:
+		x.answerErr(verdict.MayHaveRun, CodeInProgress, "request ID %q is in progress at another host", x.req.ID)
+		x.close()
+	case phaseDispatched:
+		x.answerErr(verdict.MayHaveRun, CodeOutcomeUnknown, "the target had not answered by the deadline")
+	case phaseSettling:
+		x.answer(Answer{Result: x.result})
+	}
+}
+
+// onCallerGone abandons what has not been dispatched. A dispatched order
+// goes on, so that a resend finds its result.
+func (x *Execution) onCallerGone() {
+	x.answered = true
+	switch x.phase {
+	case phaseNew, phaseWaiting:
+		x.close()
+	case phaseClaiming:
+		x.startSettling(x.release())
+	}
+}
+
+func (x *Execution) onTick(now time.Time) {
+	if x.retryAt.IsZero() || now.Before(x.retryAt) {
+		return
+	}
+	x.retryAt = time.Time{}
+	switch x.phase {
+	case phaseClaiming:
+		x.claim(now)
+	case phaseSettling:
+		x.emit(ProposeSettle{Command: x.settle})
+	}
+}
+
+func (x *Execution) release() Command {
+	return Release{RequestID: x.req.ID, Token: x.token}
+}
+
+func (x *Execution) startSettling(c Command) {
+	x.phase, x.settle, x.retryAt, x.retries = phaseSettling, c, time.Time{}, 0
+	x.emit(ProposeSettle{Command: c})
+}
+
+// finish answers with the recorded result and ends the execution.
+func (x *Execution) finish() {
+	if x.result != nil {
+		x.answer(Answer{Result: x.result})
+	}
+	x.close()
+}
+
+func (x *Execution) close() {
+	x.phase = phaseClosed
+	x.emit(Close{})
+}
+
+// answerUnclaimed answers a submission that learned nothing from the ledger.
+// It did not run itself, but another one under the same ID may have.
+func (x *Execution) answerUnclaimed(code verdict.Code, reason string) {
+	if x.req.First {
+		x.answerErr(verdict.NotRun, code, "%s", reason)
+		return
+	}
+	x.answerErr(verdict.MayHaveRun, code, "%s; this submission was not run, but another one under the same ID may have run", reason)
+}
+
+func (x *Execution) answerErr(v verdict.Verdict, code verdict.Code, format string, args ...any) {
+	x.answer(Answer{Err: verdict.New(v, code, format, args...)})
+}
+
+func (x *Execution) answer(a Answer) {
+	if x.answered {
+		return
+	}
+	x.answered = true
+	x.emit(a)
+}
+
+// scheduleWake asks for a Tick at the deadline or the next retry.
+func (x *Execution) scheduleWake() {
+	if x.phase == phaseClosed {
+		return
+	}
+	wake := x.retryAt
+	if !x.answered && (wake.IsZero() || x.req.Deadline.Before(wake)) {
+		wake = x.req.Deadline
+	}
+	if !wake.IsZero() {
+		x.emit(WakeAt{At: wake})
+	}
+}
--- /dev/null
+++ b/internal/orders/snapshot.go
@@ -0,0 +1,55 @@
+package orders
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// State is the whole content of a Ledger, for snapshots.
+type State struct {
+	Index      uint64
+	Limits     Limits
+	Partitions []PartitionState
+}
+
+// PartitionState is the content of one partition.
+type PartitionState struct {
+	Entries []Entry // in no order
+	Dead    map[string]uint64
+	Clocks  [2]HostClock
+	Now     time.Time
+}
+
+// State returns a copy that later commands leave alone. Result bodies are
+// shared and must not be changed.
+func (l *Ledger) State() State {
+	st := State{Index: l.index, Limits: l.limits}
+	for _, p := range l.partitions {
+		ps := PartitionState{Dead: maps.Clone(p.dead), Clocks: p.clocks, Now: p.now}
+		for _, e := range p.entries {
+			kept := *e
+			kept.Ended = slices.Clone(e.Ended)
+			ps.Entries = append(ps.Entries, kept)
+		}
+		st.Partitions = append(st.Partitions, ps)
+	}
+	return st
+}
+
+// Restore returns a ledger with the content of a snapshot.
+func Restore(st State) *Ledger {
+	st.Limits.Partitions = len(st.Partitions)
+	l := NewLedger(st.Limits)
+	l.index = st.Index
+	for i, ps := range st.Partitions {
+		p := l.partitions[i]
+		maps.Copy(p.dead, ps.Dead)
+		p.clocks, p.now = ps.Clocks, ps.Now
+		for _, e := range ps.Entries {
+			e.Ended = slices.Clone(e.Ended)
+			p.add(&e)
+		}
+	}
+	return l
+}
