Add the replicated log as a pure step function

Cause: configuration changes and order claims need a log that a majority of voters holds durably, with one leader at a time. The property test found these faults, now fixed: an initial voter that was still empty could not help to elect a leader after the founder's disk was lost (Seed); a promotion cut off by the loss of the leader left no electable majority (learners vote for candidates that hold their promotion); a leader that removed itself and lost leadership blocked elections (refused now).

--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,107 @@
+package consensus
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against every fault the invariants name, under random loss, delay,
+// duplication, reordering, partitions, crashes, full and lost disks, voter
+// replacement and clock drift.
+func TestClusterKeepsInvariantsUnderFaults(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		t.Run(fmt.Sprint(voters), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkCluster(t, voters) })
+		})
+	}
+}
+
+func checkCluster(t *rapid.T, voters int) {
+	s := newSim(t.Fatalf, rapid.Uint64().Draw(t, "seed"), voters)
+	s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
+	pick := func() *simHost { return s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")] }
+	advance := func() {
+		s.run(time.Duration(rapid.SampledFrom([]int{10, 50, 300, 2000}).Draw(t, "ms")) * time.Millisecond)
+	}
+	advance()
+	t.Repeat(map[string]func(*rapid.T){
+		"advance":  func(*rapid.T) { advance() },
+		"advance2": func(*rapid.T) { advance() },
+		"propose": func(*rapid.T) {
+			for range rapid.IntRange(1, 20).Draw(t, "count") {
+				s.propose(pick())
+			}
+		},
+		"read": func(*rapid.T) {
+			lease := rapid.Bool().Draw(t, "lease")
+			for _, h := range s.hosts {
+				s.read(h, lease)
+			}
+		},
+		"crash": func(*rapid.T) { s.crash(pick()) },
+		"restart": func(*rapid.T) {
+			for _, h := range s.hosts {
+				s.start(h)
+			}
+		},
+		"lose disk": func(*rapid.T) {
+			if h := pick(); s.mayLoseDisk(h) {
+				s.loseDisk(h)
+			}
+		},
+		"replace lost voter": func(*rapid.T) { s.replaceLostVoter() },
+		"change voters": func(*rapid.T) {
+			if l := s.leader(); l != nil {
+				op := VoterOp(rapid.IntRange(0, 2).Draw(t, "op"))
+				if h := pick(); op != Remove || s.mayRemove(l, h.self.Identity) {
+					s.step(l, ChangeVoters{ID: "change", Op: op, Member: h.self})
+				}
+			}
+		},
+		"partition": func(*rapid.T) { s.partition() },
+		"heal":      func(*rapid.T) { clear(s.blocked) },
+		"compact":   func(*rapid.T) { s.compact(pick()) },
+		"transfer": func(*rapid.T) {
+			if l := s.leader(); l != nil {
+				s.step(l, TransferLeadership{ID: "transfer", To: pick().self.Identity})
+			}
+		},
+		"fill disk": func(*rapid.T) { pick().disk.full = true },
+		"free disk": func(*rapid.T) {
+			for _, h := range s.hosts {
+				h.disk.full = false
+			}
+		},
+	})
+	s.recover()
+	before := s.lastCommit
+	s.propose(s.leader())
+	s.run(5 * time.Second)
+	require.Greater(t, s.lastCommit, before, "no progress after all faults ended")
+}
+
+// recover ends all faults and waits for a leader, as every voter set in use
+// has a majority of intact disks.
+func (s *sim) recover() {
+	s.loss = 0
+	clear(s.blocked)
+	for _, h := range s.hosts {
+		h.disk.full = false
+		s.start(h)
+	}
+	for range 60 {
+		s.run(time.Second)
+		if l := s.leader(); l != nil && l.node.hard.Commit >= l.node.leading.termStart && l.node.leading.transfer == nil {
+			return
+		}
+	}
+	states := ""
+	for _, h := range s.hosts {
+		states += fmt.Sprintf("\n%+v", h.node.Status())
+	}
+	s.fatalf("no leader 60 s after all faults ended:%s", states)
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,161 @@
+package consensus
+
+import "time"
+
+// election is the state of followers and candidates.
+type election struct {
+	lastContact      time.Time // last message of a current leader, or the start
+	electionDeadline time.Time
+	votes            map[Identity]bool // granted votes or pre-votes
+}
+
+func (n *Node) resetElectionTimer() {
+	jitter := time.Duration(n.opts.Rand.Int64N(int64(n.opts.ElectionTimeout)))
+	n.electionDeadline = n.now.Add(n.opts.ElectionTimeout + jitter)
+}
+
+// promised reports whether the node must not help another leader yet. Leases
+// rest on it.
+func (n *Node) promised() bool {
+	return n.role == Leader || n.now.Before(n.lastContact.Add(n.opts.ElectionTimeout))
+}
+
+// mayCampaign reports whether this node may ask for votes.
+func (n *Node) mayCampaign() bool {
+	return n.voters().IsVoter(n.self()) && !n.storage.full
+}
+
+// mayVote reports whether this node answers requests for votes. They are
+// addressed by identity to the voters of the candidate's set, so a learner
+// votes for a candidate that holds the learner's promotion before the learner
+// does. Otherwise the loss of a leader during a promotion could leave no set
+// with a majority.
+func (n *Node) mayVote() bool { return !n.storage.full }
+
+func (n *Node) tickElection() {
+	if n.now.Before(n.electionDeadline) {
+		return
+	}
+	n.resetElectionTimer()
+	if !n.mayCampaign() {
+		return
+	}
+	n.leader = Member{}
+	n.setRole(PreCandidate, ReasonTimeout)
+	n.votes = map[Identity]bool{n.self(): true}
+	if n.hasVotes() {
+		n.campaign(false)
+		return
+	}
+	request := PreVote{LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm()}
+	for _, m := range n.otherVoters() {
+		n.emit(n.messageInTerm(m, n.hard.Term+1, request))
+	}
+}
+
+// campaign starts an election. The requests leave after the new term and the
+// vote for itself are durable.
+func (n *Node) campaign(transfer bool) {
+	n.hard.Term++
+	n.hard.Vote = n.self()
+	n.leader = Member{}
+	n.votes = map[Identity]bool{}
+	reason := ReasonTimeout
+	if transfer {
+		reason = ReasonTransfer
+	}
+	n.setRole(Candidate, reason)
+	n.resetElectionTimer()
+	n.holdSelfVote()
+	request := Vote{LastIndex: n.log.lastIndex(), LastTerm: n.log.lastTerm(), Transfer: transfer}
+	for _, m := range n.otherVoters() {
+		n.hold(n.message(m, request))
+	}
+}
+
+func (n *Node) hasVotes() bool {
+	granted := 0
+	for _, m := range n.voters().Voters {
+		if n.votes[m.Identity] {
+			granted++
+		}
+	}
+	return granted >= n.voters().Quorum()
+}
+
+func (n *Node) onPreVote(m Message, v PreVote) {
+	if !n.mayVote() {
+		return
+	}
+	if n.promised() || m.Term <= n.hard.Term || !n.log.upToDate(v.LastIndex, v.LastTerm) {
+		n.send(m.From, PreVoteReply{})
+		return
+	}
+	n.emit(n.messageInTerm(m.From, m.Term, PreVoteReply{Granted: true}))
+}
+
+func (n *Node) onPreVoteReply(m Message, r PreVoteReply) {
+	if !r.Granted {
+		n.observeTerm(m.Term)
+		return
+	}
+	if n.role != PreCandidate || m.Term != n.hard.Term+1 {
+		return
+	}
+	n.votes[m.From.Identity] = true
+	if n.hasVotes() {
+		n.campaign(false)
+	}
+}
+
+func (n *Node) onVote(m Message, v Vote) {
+	if !n.mayVote() || n.promised() && !v.Transfer {
+		return
+	}
+	if !n.observeTerm(m.Term) {
+		n.hold(n.message(m.From, VoteReply{}))
+		return
+	}
+	free := n.hard.Vote == "" || n.hard.Vote == m.From.Identity
+	granted := free && n.role != Leader && n.log.upToDate(v.LastIndex, v.LastTerm)
+	if granted {
+		n.hard.Vote = m.From.Identity
+		n.resetElectionTimer()
+	}
+	n.hold(n.message(m.From, VoteReply{Granted: granted}))
+}
+
+func (n *Node) onVoteReply(m Message, r VoteReply) {
+	if r.Granted && n.role == Candidate {
+		n.countVote(m.From.Identity)
+	}
+}
+
+func (n *Node) countVote(from Identity) {
+	n.votes[from] = true
+	if n.votes[n.self()] && n.hasVotes() {
+		n.becomeLeader()
+	}
+}
+
+// setRole changes the role and reports it.
+func (n *Node) setRole(role Role, reason Reason) {
+	n.role = role
+	n.emit(RoleChanged{Role: role, Term: n.hard.Term, Leader: n.leader, Reason: reason})
+}
+
+// becomeFollower enters the given term, which is at least the present one.
+func (n *Node) becomeFollower(term uint64, leader Member, reason Reason) {
+	if n.role == Leader {
+		n.stopLeading()
+	}
+	if term > n.hard.Term {
+		n.hard.Term = term
+		n.hard.Vote = ""
+		n.incoming = nil
+	}
+	n.leader = leader
+	n.votes = nil
+	n.resetElectionTimer()
+	n.setRole(Follower, reason)
+}
--- /dev/null
+++ b/internal/consensus/events.go
@@ -0,0 +1,62 @@
+package consensus
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+)
+
+// Events of this package, numbers 4000 to 4099.
+var (
+	EventRoleChanged = eventlog.Define(4000, zerolog.InfoLevel, "consensus role changed",
+		"An election, a new leader, a leadership transfer or the end of a lease.",
+		"None. Frequent changes point to a slow network or disk between voters.")
+	EventLeaseExpired = eventlog.Define(4001, zerolog.WarnLevel, "leader stepped down because its lease expired",
+		"The leader did not hear from a majority of the voters within its lease, or the process was paused.",
+		"Check the network between the voters and the load of this host.")
+	EventVotersChanged = eventlog.Define(4002, zerolog.InfoLevel, "voter set in force changed",
+		"A voter or learner was added, promoted or removed, or an uncommitted change was taken back.",
+		"None if the change was intended.")
+	EventSnapshotRestored = eventlog.Define(4003, zerolog.InfoLevel, "state restored from a snapshot",
+		"The node started, or lagged so far that the leader sent it a snapshot.",
+		"None.")
+	EventStorageFull = eventlog.Define(4004, zerolog.ErrorLevel, "consensus stopped writing: data directory full",
+		"The journal refused a write for lack of space.",
+		"Free space in the data directory. Writing resumes by itself.")
+	EventStorageRecovered = eventlog.Define(4005, zerolog.InfoLevel, "consensus resumed writing",
+		"The data directory has space again.",
+		"None.")
+)
+
+// LogEffect writes the log event that belongs to an effect, if it has one.
+func LogEffect(log *eventlog.Logger, e Effect) {
+	switch e := e.(type) {
+	case RoleChanged:
+		event := EventRoleChanged
+		if e.Reason == ReasonLeaseExpired {
+			event = EventLeaseExpired
+		}
+		log.Log(event).Stringer("role", e.Role).Uint64("term", e.Term).
+			Str("leader", e.Leader.Name).Str("reason", string(e.Reason)).Send()
+	case VotersChanged:
+		log.Log(EventVotersChanged).Uint64("index", e.Index).
+			Strs("voters", memberNames(e.Voters.Voters)).Strs("learners", memberNames(e.Voters.Learners)).Send()
+	case RestoreSnapshot:
+		log.Log(EventSnapshotRestored).Uint64("index", e.Snapshot.Index).
+			Int("bytes", len(e.Snapshot.Data)).Send()
+	case StorageFull:
+		event := EventStorageRecovered
+		if e.Full {
+			event = EventStorageFull
+		}
+		log.Log(event).Send()
+	}
+}
+
+func memberNames(members []Member) []string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Name+"/"+string(m.Identity))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/consensus/invariants_test.go
@@ -0,0 +1,119 @@
+package consensus
+
+import "fmt"
+
+// checkLeader guards against two leaders in one term, and against a leader
+// that lacks a committed entry.
+func (s *sim) checkLeader(h *simHost, term uint64) {
+	if other, ok := s.leaders[term]; ok && other != h.self.Identity {
+		s.fatalf("term %d has two leaders: %s and %s", term, other, h.self.Identity)
+	}
+	s.leaders[term] = h.self.Identity
+	for index, id := range s.committed {
+		if index > h.node.log.base && !h.node.log.matches(index, id.term) {
+			s.fatalf("leader %s of term %d lacks committed entry %d of term %d", h.self.Identity, term, index, id.term)
+		}
+	}
+}
+
+// checkLog guards against two logs that hold the same entry after different
+// ones.
+func (s *sim) checkLog(h *simHost) {
+	l := &h.node.log
+	last := entryID{l.lastIndex(), l.lastTerm()}
+	if h.checked == last {
+		return
+	}
+	h.checked = last
+	prevTerm := l.baseTerm
+	for _, e := range l.entries {
+		id := entryID{e.Index, e.Term}
+		content := fmt.Sprintf("%d %s %v after term %d", e.Kind, e.Data, e.Voters, prevTerm)
+		if e.Voters != nil {
+			content = fmt.Sprintf("%d %v after term %d", e.Kind, *e.Voters, prevTerm)
+		}
+		if old, ok := s.seen[id]; ok && old != content {
+			s.fatalf("entry %v differs: %q and %q at %s", id, old, content, h.self.Identity)
+		}
+		s.seen[id] = content
+		prevTerm = e.Term
+	}
+}
+
+// checkSend guards against a node that campaigns although its identity is no
+// voter, or votes although neither its own voter set nor the candidate's has
+// its identity. The second set counts because a promotion may reach the
+// candidate before it reaches the learner.
+func (s *sim) checkSend(h *simHost, e Send) {
+	elects := false
+	switch b := e.Message.Body.(type) {
+	case PreVote, Vote:
+		elects = true
+	case VoteReply:
+		candidate := s.host(e.To.Name).node
+		named := candidate != nil && candidate.self() == e.To.Identity && candidate.voters().IsVoter(h.self.Identity)
+		elects = b.Granted && !named && candidate != nil
+	}
+	if elects && e.Message.Term == h.node.hard.Term && !h.node.voters().IsVoter(h.self.Identity) {
+		s.fatalf("%s is no voter and sends %T", h.self.Identity, e.Message.Body)
+	}
+}
+
+// checkApply guards against lost or changed committed entries, gaps, and
+// entries applied before a majority has synced them.
+func (s *sim) checkApply(h *simHost, a Apply) {
+	for _, e := range a.Entries {
+		if e.Index != h.applied+1 {
+			s.fatalf("%s applies entry %d after %d", h.self.Identity, e.Index, h.applied)
+		}
+		h.applied = e.Index
+		id := entryID{e.Index, e.Term}
+		if old, ok := s.committed[e.Index]; ok {
+			if old != id {
+				s.fatalf("%s applies %v where %v was committed", h.self.Identity, id, old)
+			}
+			continue
+		}
+		s.committed[e.Index] = id
+		s.values[string(e.Data)] = true
+		s.lastCommit = max(s.lastCommit, e.Index)
+		s.checkMajority(h, id)
+	}
+}
+
+// checkMajority counts over the set in force at the leader, which is the
+// first to apply an entry. A later set than the entry's own is as good, since
+// majorities of sets that differ by one voter intersect.
+func (s *sim) checkMajority(h *simHost, id entryID) {
+	set := h.node.voters()
+	count := 0
+	for _, m := range set.Voters {
+		if s.disks[m.Identity].holds(id.index, id.term) {
+			count++
+		}
+	}
+	if count < set.Quorum() {
+		s.fatalf("entry %v was committed while synced at %d of %d voters", id, count, len(set.Voters))
+	}
+}
+
+func (s *sim) checkRestore(h *simHost, snapshot Snapshot) {
+	h.applied = snapshot.Index
+	if id, ok := s.committed[snapshot.Index]; ok && id.term != snapshot.Term {
+		s.fatalf("%s restores snapshot %d of term %d, committed is %v", h.self.Identity, snapshot.Index, snapshot.Term, id)
+	}
+	want := fmt.Sprintf("state at index %d", snapshot.Index)
+	if snapshot.Index != bootstrapIndex && string(snapshot.Data) != want {
+		s.fatalf("%s restores %q, expected %q", h.self.Identity, snapshot.Data, want)
+	}
+}
+
+// checkRead guards against a read that misses an entry committed before the
+// read was asked for.
+func (s *sim) checkRead(h *simHost, r ReadReady) {
+	if r.Index < s.readFloor[r.ID] || h.applied < r.Index {
+		s.fatalf("read at %s returns index %d (applied %d), committed before it: %d, lease %t",
+			h.self.Identity, r.Index, h.applied, s.readFloor[r.ID], r.Lease)
+	}
+	s.reads[r.Lease]++
+}
--- /dev/null
+++ b/internal/consensus/leader.go
@@ -0,0 +1,125 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// leaderState exists while the node leads.
+type leaderState struct {
+	since       time.Time
+	termStart   uint64 // index of the no-op of this term
+	progress    map[Identity]*progress
+	heartbeatAt time.Time
+
+	round     uint64
+	rounds    []heartbeatRound
+	readRound bool // a round for reads is in flight
+	reads     []pendingRead
+
+	leaseGiven bool // TimeoutNow was sent in this term
+	transfer   *transfer
+
+	announced uint64 // commit index last sent to the followers
+}
+
+func (n *Node) becomeLeader() {
+	n.leader = n.opts.Self
+	n.votes = nil
+	n.leading = leaderState{since: n.now, progress: map[Identity]*progress{}, announced: n.hard.Commit}
+	n.setRole(Leader, ReasonElected)
+	n.syncProgress()
+	n.leading.termStart = n.appendEntry(Entry{Kind: EntryNoOp})
+	n.broadcastHeartbeat()
+}
+
+func (n *Node) stopLeading() {
+	n.role = Follower
+	n.leader = Member{}
+	n.refuseAllReads()
+	n.endTransfer(verdict.New(verdict.MayHaveRun, CodeNotLeader, "leadership ended during the transfer"))
+	n.leading = leaderState{}
+}
+
+func (n *Node) tickLeader() {
+	if n.now.Sub(n.leading.heartbeatAt) >= n.opts.HeartbeatInterval {
+		n.broadcastHeartbeat()
+	}
+	n.advanceTransfer()
+}
+
+// propose appends a proposal and sends it to the followers.
+func (n *Node) propose(p Propose) {
+	if err := n.proposalError(len(p.Data)); err != nil {
+		n.refuse(p.ID, err)
+		return
+	}
+	index := n.appendEntry(Entry{Kind: EntryNormal, Data: p.Data})
+	n.appended(p.ID, index)
+}
+
+// appended reports an entry to its proposer. Changes that the node makes by
+// itself have no ID.
+func (n *Node) appended(id string, index uint64) {
+	if id != "" {
+		n.emit(ProposalAppended{ID: id, Index: index, Term: n.hard.Term})
+	}
+}
+
+// proposalError returns why no entry may be appended now, or nil.
+func (n *Node) proposalError(size int) *verdict.Error {
+	inFlight := n.log.lastIndex() - n.hard.Commit
+	switch {
+	case n.role != Leader:
+		return n.notLeader()
+	case n.leading.transfer != nil:
+		return verdict.New(verdict.NotRun, CodeTransferring, "a leadership transfer is in progress")
+	case n.storage.full:
+		return verdict.New(verdict.NotRun, CodeStorageFull, "the data directory of %s is full", n.opts.Self.Name)
+	case size > n.opts.MaxProposalBytes:
+		return verdict.New(verdict.NotRun, CodeProposalTooLarge,
+			"proposal of %d bytes is larger than %d", size, n.opts.MaxProposalBytes)
+	case inFlight >= uint64(n.opts.MaxProposalsInFlight):
+		return verdict.New(verdict.NotRun, CodeTooManyProposals,
+			"%d proposals are in flight", inFlight).WithRetryAfter(n.opts.HeartbeatInterval)
+	}
+	return nil
+}
+
+func (n *Node) refuse(id string, err *verdict.Error) {
+	if id != "" {
+		n.emit(ProposalRefused{ID: id, Err: err, Leader: n.leader})
+	}
+}
+
+// appendEntry adds an entry of the leader's term and returns its index.
+func (n *Node) appendEntry(e Entry) uint64 {
+	e.Index = n.log.lastIndex() + 1
+	e.Term = n.hard.Term
+	n.log.append(e)
+	n.noteVoters(e)
+	if e.Kind == EntryVoters {
+		n.syncProgress()
+	}
+	for _, p := range n.followers() {
+		n.sendAppends(p)
+	}
+	return e.Index
+}
+
+// advanceLeader commits what a majority holds and tells the followers.
+func (n *Node) advanceLeader() {
+	if n.role != Leader {
+		return
+	}
+	n.advanceCommit()
+	n.advanceTransfer()
+	if n.hard.Commit == n.leading.announced {
+		return
+	}
+	n.leading.announced = n.hard.Commit
+	for _, p := range n.followers() {
+		n.sendCommit(p)
+	}
+}
--- /dev/null
+++ b/internal/consensus/lease.go
@@ -0,0 +1,88 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// heartbeatRound remembers when a heartbeat round was sent.
+type heartbeatRound struct {
+	round  uint64
+	sentAt time.Time
+}
+
+// broadcastHeartbeat starts a new round to all members.
+func (n *Node) broadcastHeartbeat() {
+	l := &n.leading
+	l.round++
+	l.heartbeatAt = n.now
+	l.rounds = slices.DeleteFunc(l.rounds, func(r heartbeatRound) bool {
+		return n.now.Sub(r.sentAt) > n.opts.ElectionTimeout
+	})
+	l.rounds = append(l.rounds, heartbeatRound{l.round, n.now})
+	for _, p := range n.followers() {
+		n.send(p.member, Heartbeat{Round: l.round, Commit: min(n.hard.Commit, p.match)})
+	}
+}
+
+func (n *Node) onHeartbeat(from Member, h Heartbeat) {
+	n.commitTo(h.Commit)
+	n.send(from, HeartbeatReply{Round: h.Round})
+}
+
+func (n *Node) onHeartbeatReply(p *progress, r HeartbeatReply) {
+	i := slices.IndexFunc(n.leading.rounds, func(h heartbeatRound) bool { return h.round == r.Round })
+	if i >= 0 && n.leading.rounds[i].sentAt.After(p.leaseFrom) {
+		p.leaseFrom = n.leading.rounds[i].sentAt
+	}
+	p.round = max(p.round, min(r.Round, n.leading.round))
+	n.resend(p)
+}
+
+// quorumValue returns the greatest value that a majority of the voters has
+// reached, where own is the value of this node.
+func quorumValue[T any](n *Node, own T, value func(*progress) T, compare func(a, b T) int) T {
+	voters := n.voters()
+	values := make([]T, 0, len(voters.Voters))
+	for _, m := range voters.Voters {
+		if m.Identity == n.self() {
+			values = append(values, own)
+		} else {
+			values = append(values, value(n.leading.progress[m.Identity]))
+		}
+	}
+	slices.SortFunc(values, func(a, b T) int { return compare(b, a) })
+	return values[voters.Quorum()-1]
+}
+
+// leaseExpiry returns the end of the lease. Until the first confirmed round
+// it counts from the election, which serves the step-down only: leaseHeld
+// demands a confirmed round.
+func (n *Node) leaseExpiry() time.Time {
+	from := n.leaseFrom()
+	if from.Before(n.leading.since) {
+		from = n.leading.since
+	}
+	return from.Add(n.opts.ElectionTimeout - n.opts.MaxClockDrift)
+}
+
+func (n *Node) leaseFrom() time.Time {
+	return quorumValue(n, n.now, func(p *progress) time.Time { return p.leaseFrom }, time.Time.Compare)
+}
+
+// leaseHeld reports whether no other node can be leader now.
+func (n *Node) leaseHeld() bool {
+	if n.role != Leader || n.leading.leaseGiven {
+		return false
+	}
+	from := n.leaseFrom()
+	return !from.IsZero() && n.now.Before(from.Add(n.opts.ElectionTimeout-n.opts.MaxClockDrift))
+}
+
+// checkLease runs before every event, so that a leader that was paused steps
+// down before it acts.
+func (n *Node) checkLease() {
+	if n.role == Leader && !n.now.Before(n.leaseExpiry()) {
+		n.becomeFollower(n.hard.Term, Member{}, ReasonLeaseExpired)
+	}
+}
--- /dev/null
+++ b/internal/consensus/reads.go
@@ -0,0 +1,95 @@
+package consensus
+
+import (
+	"cmp"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// pendingRead waits for a heartbeat round started after it arrived, and for
+// the first commit of the leader's term.
+type pendingRead struct {
+	id    string
+	index uint64
+	round uint64
+	lease bool
+}
+
+func (n *Node) readIndex(r ReadIndex) {
+	if n.role != Leader {
+		n.refuseRead(r.ID, n.notLeader())
+		return
+	}
+	l := &n.leading
+	if len(l.reads) >= n.opts.MaxReadsInFlight {
+		n.refuseRead(r.ID, verdict.New(verdict.NotRun, CodeTooManyReads, "%d reads are waiting", len(l.reads)))
+		return
+	}
+	read := pendingRead{id: r.ID, index: max(n.hard.Commit, l.termStart)}
+	if r.AllowLease && n.leaseHeld() {
+		read.lease = true
+		l.reads = append(l.reads, read)
+		return
+	}
+	read.round = l.round + 1
+	l.reads = append(l.reads, read)
+	if !l.readRound {
+		n.startReadRound()
+	}
+}
+
+// startReadRound sends a round for the reads that wait for the next one. One
+// such round is in flight at a time, so reads share rounds under load.
+func (n *Node) startReadRound() {
+	n.leading.readRound = true
+	n.broadcastHeartbeat()
+}
+
+func (n *Node) refuseRead(id string, err *verdict.Error) {
+	n.emit(ReadRefused{ID: id, Err: err, Leader: n.leader})
+}
+
+// confirmReads answers the reads whose round and index are reached.
+func (n *Node) confirmReads() {
+	l := &n.leading
+	if n.role != Leader || len(l.reads) == 0 {
+		return
+	}
+	confirmed := quorumValue(n, l.round, func(p *progress) uint64 { return p.round }, cmp.Compare[uint64])
+	waiting := l.reads[:0]
+	next := false
+	for _, r := range l.reads {
+		if r.round <= confirmed && r.index <= n.applied {
+			n.emit(ReadReady{ID: r.id, Index: r.index, Lease: r.lease})
+			continue
+		}
+		next = next || r.round > l.round
+		waiting = append(waiting, r)
+	}
+	l.reads = waiting
+	if confirmed >= l.round {
+		l.readRound = false
+	}
+	if next && !l.readRound {
+		n.startReadRound()
+		n.confirmReadsAlone()
+	}
+}
+
+// confirmReadsAlone answers reads at once where this node is the only voter.
+func (n *Node) confirmReadsAlone() {
+	if n.voters().Quorum() == 1 && n.voters().IsVoter(n.self()) {
+		n.confirmReads()
+	}
+}
+
+func (n *Node) refuseAllReads() {
+	for _, r := range n.leading.reads {
+		n.refuseRead(r.id, n.notLeader())
+	}
+	n.leading.reads = nil
+}
+
+func (n *Node) notLeader() *verdict.Error {
+	return verdict.New(verdict.NotRun, CodeNotLeader, "host %s is not the leader", n.opts.Self.Name)
+}
--- /dev/null
+++ b/internal/consensus/replication.go
@@ -0,0 +1,204 @@
+package consensus
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// progressState says how a leader sends entries to a follower.
+type progressState uint8
+
+const (
+	probing     progressState = iota // one append at a time until the logs match
+	replicating                      // several appends in flight
+	snapshotting
+)
+
+// progress is what a leader knows of one follower.
+type progress struct {
+	member Member
+	state  progressState
+	match  uint64
+	next   uint64
+	// inFlight counts appends sent since the last acknowledgement that
+	// covered everything sent.
+	inFlight int
+	sentAt   time.Time // last append or chunk that expects a reply
+
+	active    time.Time // last message received
+	round     uint64    // last heartbeat round acknowledged
+	leaseFrom time.Time // sending time of that round
+
+	snapshot *Snapshot // being sent
+	offset   uint64
+}
+
+// sendAppends sends what the follower's state permits.
+func (n *Node) sendAppends(p *progress) {
+	for n.maySend(p) {
+		prev := p.next - 1
+		prevTerm, ok := n.log.term(prev)
+		if !ok {
+			n.startSnapshot(p)
+			return
+		}
+		entries := n.log.from(p.next, n.opts.MaxAppendEntries, n.opts.MaxAppendBytes)
+		p.inFlight++
+		p.sentAt = n.now
+		n.send(p.member, Append{PrevIndex: prev, PrevTerm: prevTerm, Commit: n.hard.Commit, Entries: entries})
+		if p.state == replicating {
+			p.next += uint64(len(entries))
+		}
+	}
+}
+
+func (n *Node) maySend(p *progress) bool {
+	switch p.state {
+	case probing:
+		return p.inFlight == 0
+	case replicating:
+		return p.next <= n.log.lastIndex() && p.inFlight < n.opts.MaxAppendsInFlight
+	default:
+		return false
+	}
+}
+
+// sendCommit tells a follower of a new commit index, unless an append that
+// carries it has just been sent.
+func (n *Node) sendCommit(p *progress) {
+	if p.state != replicating {
+		return
+	}
+	prev := p.next - 1
+	prevTerm, ok := n.log.term(prev)
+	if ok {
+		n.send(p.member, Append{PrevIndex: prev, PrevTerm: prevTerm, Commit: n.hard.Commit})
+	}
+}
+
+// resend starts over after appends or chunks were lost.
+func (n *Node) resend(p *progress) {
+	behind := p.match < n.log.lastIndex()
+	if !behind || n.now.Sub(p.sentAt) < 2*n.opts.HeartbeatInterval {
+		return
+	}
+	if p.state == snapshotting {
+		n.sendChunk(p)
+		return
+	}
+	p.state = probing
+	p.next = p.match + 1
+	p.inFlight = 0
+	n.sendAppends(p)
+}
+
+// onAppend appends the entries that follow an entry of this log.
+func (n *Node) onAppend(from Member, a Append) {
+	if a.PrevIndex < n.hard.Commit {
+		n.appendAfterCommit(from, a)
+		return
+	}
+	if !n.log.matches(a.PrevIndex, a.PrevTerm) {
+		index, term := n.log.lastAtOrBelow(a.PrevIndex, a.PrevTerm)
+		n.hold(n.message(from, AppendReply{
+			Rejected: true, PrevIndex: a.PrevIndex, HintIndex: index, HintTerm: term,
+		}))
+		return
+	}
+	n.appendMatching(from, a)
+}
+
+// appendAfterCommit skips the part of an append that is committed and so
+// known to match.
+func (n *Node) appendAfterCommit(from Member, a Append) {
+	skip := n.hard.Commit - a.PrevIndex
+	if skip >= uint64(len(a.Entries)) {
+		n.hold(n.message(from, AppendReply{PrevIndex: a.PrevIndex, Match: n.hard.Commit}))
+		return
+	}
+	a.PrevIndex = n.hard.Commit
+	a.Entries = a.Entries[skip:]
+	n.appendMatching(from, a)
+}
+
+func (n *Node) appendMatching(from Member, a Append) {
+	for _, e := range a.Entries {
+		if n.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= n.log.lastIndex() {
+			n.truncateFrom(e.Index)
+		}
+		n.log.append(e)
+		n.noteVoters(e)
+	}
+	match := a.PrevIndex + uint64(len(a.Entries))
+	n.commitTo(min(a.Commit, match))
+	n.hold(n.message(from, AppendReply{PrevIndex: a.PrevIndex, Match: match}))
+}
+
+func (n *Node) truncateFrom(i uint64) {
+	if i <= n.hard.Commit {
+		panic(errors.AssertionFailedf("entry %d conflicts with the log, which is committed up to %d", i, n.hard.Commit))
+	}
+	n.log.truncateFrom(i)
+	n.forgetVotersFrom(i)
+}
+
+// commitTo follows the leader's commit index as far as this log is known to
+// match the leader's.
+func (n *Node) commitTo(commit uint64) {
+	n.hard.Commit = max(n.hard.Commit, min(commit, n.log.lastIndex()))
+}
+
+func (n *Node) onAppendReply(p *progress, r AppendReply) {
+	if r.Rejected {
+		n.onAppendRejected(p, r)
+		return
+	}
+	if r.Match > n.log.lastIndex() {
+		return
+	}
+	if r.Match < p.match || p.state == snapshotting {
+		return
+	}
+	if r.Match > p.match {
+		p.inFlight = max(p.inFlight-1, 0)
+	}
+	p.match = r.Match
+	p.next = max(p.next, p.match+1)
+	if p.state == probing || p.match+1 == p.next {
+		p.inFlight = 0
+	}
+	p.state = replicating
+	n.sendAppends(p)
+}
+
+func (n *Node) onAppendRejected(p *progress, r AppendReply) {
+	if p.state == snapshotting || r.PrevIndex <= p.match {
+		return
+	}
+	if p.state == probing && r.PrevIndex != p.next-1 {
+		return
+	}
+	index, _ := n.log.lastAtOrBelow(r.HintIndex, r.HintTerm)
+	if r.HintIndex < n.log.base {
+		index = r.HintIndex
+	}
+	p.state = probing
+	p.next = max(p.match, min(index, r.PrevIndex-1)) + 1
+	p.inFlight = 0
+	n.sendAppends(p)
+}
+
+// advanceCommit commits the greatest index of the leader's own term that a
+// majority holds durably.
+func (n *Node) advanceCommit() {
+	index := quorumValue(n, n.log.stable, func(p *progress) uint64 { return p.match }, cmp.Compare[uint64])
+	if index <= n.hard.Commit || index < n.leading.termStart {
+		return
+	}
+	n.hard.Commit = index
+}
