Run orders at most once over the whole path

Cause: a non-idempotent request had no way through the system. Change: ledger commands and look-ups over the replicated log, a driver for the claimant's executions, and the service that offers an order to further targets only while each proves that nothing ran.

--- a/internal/control/controlcodec/codec.go
+++ b/internal/control/controlcodec/codec.go
@@ -11,6 +11,8 @@
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/config/configcodec"
 	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
+	"github.com/hawthornlock/hawthornlock/internal/orders/orderscodec"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 )
 
@@ -38,6 +40,15 @@
 	return encodeCommand(proposals.KindChange, at, data), nil
 }
 
+// EncodeOrder returns the log entry of a command for the ledger of orders.
+func EncodeOrder(at time.Time, c orders.Command) ([]byte, error) {
+	data, err := orderscodec.EncodeCommand(c)
+	if err != nil {
+		return nil, err
+	}
+	return encodeCommand(proposals.KindOrder, at, data), nil
+}
+
 func encodeCommand(kind proposals.Kind, at time.Time, data []byte) []byte {
 	out := make([]byte, 0, commandHeader+len(data))
 	out = append(out, Version, byte(kind))
@@ -62,6 +73,12 @@
 			return control.Command{}, err
 		}
 		cmd.Change = &c
+	case proposals.KindOrder:
+		c, err := orderscodec.DecodeCommand(data)
+		if err != nil {
+			return control.Command{}, err
+		}
+		cmd.Order = c
 	default:
 		return control.Command{}, errors.Wrapf(ErrMalformed, "kind %d", b[1])
 	}
@@ -75,7 +92,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return appendPart([]byte{Version}, data), nil
+	ledger, err := orderscodec.EncodeState(s.Orders)
+	if err != nil {
+		return nil, err
+	}
+	return appendPart(appendPart([]byte{Version}, data), ledger), nil
 }
 
 func appendPart(out, data []byte) []byte {
@@ -99,13 +120,21 @@
 	if b[0] > Version {
 		return control.ReplicatedState{}, ErrNewerVersion
 	}
-	part, rest, err := cutPart(b[1:])
+	cfgPart, rest, err := cutPart(b[1:])
+	if err != nil {
+		return control.ReplicatedState{}, err
+	}
+	ledgerPart, rest, err := cutPart(rest)
 	if err != nil {
 		return control.ReplicatedState{}, err
 	}
 	if len(rest) != 0 {
 		return control.ReplicatedState{}, ErrMalformed
 	}
-	cfg, err := configcodec.DecodeState(part)
-	return control.ReplicatedState{Config: cfg}, err
+	cfg, err := configcodec.DecodeState(cfgPart)
+	if err != nil {
+		return control.ReplicatedState{}, err
+	}
+	ledger, err := orderscodec.DecodeState(ledgerPart)
+	return control.ReplicatedState{Config: cfg, Orders: ledger}, err
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -9,6 +9,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -35,11 +36,13 @@
 	Kind   proposals.Kind
 	At     time.Time
 	Change *config.Change // with proposals.KindChange
+	Order  orders.Command // with proposals.KindOrder
 }
 
 // ReplicatedState is the state of all replicated state machines.
 type ReplicatedState struct {
 	Config config.State
+	Orders orders.State
 }
 
 // compactAfter is the number of log entries after which the log is replaced by
@@ -52,6 +55,8 @@
 	registry  *targets.Registry
 	store     *config.Store
 	node      *consensus.Node
+	ledger    *orders.Ledger // used only on a host with a log
+	lookUps   map[string]LookUpOrder
 	tracker   *proposals.Tracker
 	follower  *follow.Follower
 	feed      *follow.Feed
@@ -70,6 +75,8 @@
 		registry: targets.NewRegistry(opts.Self),
 		store:    config.NewStore(),
 		node:     opts.Node,
+		ledger:   orders.NewLedger(orders.DefaultLimits()),
+		lookUps:  make(map[string]LookUpOrder),
 		tracker:  proposals.NewTracker(),
 		follower: follow.NewFollower(opts.Self, opts.Node != nil),
 		feed:     follow.NewFeed(opts.Self),
@@ -103,6 +110,8 @@
 		return []Effect{Resolve{Token: ev.Token, Result: c.answerPoll(now, ev.Poll)}}
 	case Submit:
 		return c.submit(now, ev)
+	case LookUpOrder:
+		return c.lookUp(now, ev)
 	case SnapshotEncoded:
 		c.encoding = false
 		return c.consensus(now, consensus.Compact{Index: ev.Index, Data: ev.Data})
@@ -216,7 +225,7 @@
 
 func (c *Core) submit(now time.Time, ev Submit) []Effect {
 	if c.node == nil {
-		return []Effect{Resolve{Token: ev.Token, Err: verdict.New(verdict.NotRun, consensus.CodeNotLeader, "this host holds no replicated log")}}
+		return []Effect{Resolve{Token: ev.Token, Err: notVoter()}}
 	}
 	c.tracker.Add(ev.Token, ev.Deadline)
 	return c.consensus(now, consensus.Propose{ID: strconv.FormatUint(ev.Token, 10), Data: ev.Data})
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -61,6 +61,14 @@
 	Data  []byte
 }
 
+// LookUpOrder asks what the ledger knows of a request, confirmed by a quorum.
+type LookUpOrder struct {
+	Token     uint64
+	RequestID string
+}
+
+func (LookUpOrder) isControlEvent() {}
+
 // Inspect asks for a copy of the control state.
 type Inspect struct{ Token uint64 }
 
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -7,6 +7,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -36,6 +37,10 @@
 		return nil
 	case consensus.ProposalRefused:
 		return c.proposalRefused(e)
+	case consensus.ReadReady:
+		return c.lookUpReady(e)
+	case consensus.ReadRefused:
+		return c.lookUpRefused(e)
 	case consensus.Apply:
 		return c.apply(now, e.Entries)
 	case consensus.RestoreSnapshot:
@@ -91,16 +96,52 @@
 		// Skipping the entry would let this host's state differ from the others'.
 		return nil, nil, verdict.Wrap(err, verdict.Ran, verdict.CodeInternal, "decode a committed log entry")
 	}
-	if cmd.Kind == proposals.KindChange {
+	switch cmd.Kind {
+	case proposals.KindChange:
 		result := c.store.Apply(e.Index, cmd.At, *cmd.Change)
 		if result.Outcome != config.Accepted || result.Resend {
 			return result, nil, nil
 		}
 		return result, c.publishChange(now, cmd, result), nil
+	case proposals.KindOrder:
+		return c.ledger.Apply(e.Index, cmd.Order), nil, nil
 	}
 	return nil, nil, verdict.New(verdict.Ran, verdict.CodeInternal, "log entry %d has the unknown kind %d", e.Index, cmd.Kind)
 }
 
+// lookUp answers from the ledger once a quorum has confirmed that this host
+// still leads, so that a leader that was cut off can't deny a newer claim.
+func (c *Core) lookUp(now time.Time, ev LookUpOrder) []Effect {
+	if c.node == nil {
+		return []Effect{Resolve{Token: ev.Token, Err: notVoter()}}
+	}
+	id := strconv.FormatUint(ev.Token, 10)
+	c.lookUps[id] = ev
+	return c.consensus(now, consensus.ReadIndex{ID: id, AllowLease: true})
+}
+
+func (c *Core) lookUpReady(e consensus.ReadReady) []Effect {
+	ev, ok := c.lookUps[e.ID]
+	if !ok {
+		return nil
+	}
+	delete(c.lookUps, e.ID)
+	return []Effect{Resolve{Token: ev.Token, Result: c.ledger.Lookup(ev.RequestID)}}
+}
+
+func (c *Core) lookUpRefused(e consensus.ReadRefused) []Effect {
+	ev, ok := c.lookUps[e.ID]
+	if !ok {
+		return nil
+	}
+	delete(c.lookUps, e.ID)
+	return []Effect{Resolve{Token: ev.Token, Err: e.Err}}
+}
+
+func notVoter() error {
+	return verdict.New(verdict.NotRun, consensus.CodeNotLeader, "this host holds no replicated log")
+}
+
 func (c *Core) publishChange(now time.Time, cmd Command, r config.Result) []Effect {
 	out := []Effect{Log{Event: EventChangeInForce, Fields: []Field{
 		{"change", cmd.Change.ID}, {"author", cmd.Change.Author}, {"revision", r.Revision},
@@ -115,6 +156,7 @@
 			return []Effect{Fail{Err: verdict.Wrap(err, verdict.Ran, verdict.CodeInternal, "decode the snapshot of the replicated state")}}
 		}
 		c.store = config.Restore(state.Config)
+		c.ledger = orders.Restore(state.Orders)
 		c.feed.Reset()
 	}
 	out := resolveAll(c.tracker.Restored(s.Index))
@@ -129,5 +171,5 @@
 		return nil
 	}
 	c.encoding = true
-	return []Effect{EncodeState{Index: s.Applied, State: ReplicatedState{Config: c.store.State()}}}
+	return []Effect{EncodeState{Index: s.Applied, State: ReplicatedState{Config: c.store.State(), Orders: c.ledger.State()}}}
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
@@ -16,7 +18,8 @@
 type Snapshot struct {
 	Gate     entry.Gate
 	Table    *routing.Table
-	Catalogs map[string]*query.Catalog // by group
+	Catalogs map[string]*query.Catalog  // by group
+	Members  map[string][]query.Replica // one searcher of each target, by group
 	Targets  *targets.View
 	Leader   consensus.Member // zero if unknown
 }
@@ -37,10 +40,11 @@
 	}
 	s := &Snapshot{Gate: gate, Targets: view, Leader: c.leader}
 	if old != nil && !c.shared.tableStale && old.Targets == view {
-		s.Table, s.Catalogs = old.Table, old.Catalogs
+		s.Table, s.Catalogs, s.Members = old.Table, old.Catalogs, old.Members
 	} else {
 		s.Table = c.store.Table()
 		s.Catalogs = buildCatalogs(s.Table, view)
+		s.Members = buildMembers(s.Table, view)
 	}
 	c.shared = shared{}
 	c.snapshot = s
@@ -57,6 +61,24 @@
 	return out
 }
 
+// buildMembers lists the targets of each group that take new work, in order
+// of their names.
+func buildMembers(table *routing.Table, view *targets.View) map[string][]query.Replica {
+	out := make(map[string][]query.Replica)
+	for r := range view.Targets() {
+		if r.Status != targets.StatusAlive {
+			continue
+		}
+		for _, group := range table.GroupsOf(r.Labels) {
+			out[group] = append(out[group], replicaOf(targets.Replica{Target: r}))
+		}
+	}
+	for _, members := range out {
+		slices.SortFunc(members, func(a, b query.Replica) int { return strings.Compare(a.Target, b.Target) })
+	}
+	return out
+}
+
 // buildCatalog lists the index snapshots of which the group's targets hold at
 // least one shard.
 func buildCatalog(g routing.Group, snapshots []*targets.Snapshot) *query.Catalog {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/entry/entryrun"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrun"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
@@ -51,6 +52,8 @@
 	admission *admissionrun.Gate
 	inFlight  entryrun.InFlight
 	queries   *entryrun.Queries
+	orderRuns *ordersrun.Driver
+	orders    *entryrun.Orders
 	requests  atomic.Uint64
 	servers   []*server
 	workers   sync.WaitGroup
@@ -125,6 +128,8 @@
 		Transport: entryrun.NewTransport(client, d.groups), Catalogs: d.loop, Log: d.log, OnDrain: d.drainSeen, Seed: d.settings.Seed,
 	})
 	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight)
+	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, uint64(time.Now().UnixNano()))
+	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight)
 	for _, s := range d.servers {
 		s.http = &http.Server{Handler: d.router(s.name), ReadHeaderTimeout: readHeaderTimeout}
 	}
@@ -152,6 +157,7 @@
 	case "caller":
 		return entryhttp.NewRouter(entryhttp.Config{
 			Queries:  d.queries,
+			Orders:   d.orders,
 			Timeouts: entry.Timeouts{Default: d.settings.DefaultTimeout, Max: d.settings.MaxTimeout},
 			NewID:    d.newRequestID,
 		})
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
-	"github.com/hawthornlock/hawthornlock/internal/consensus/consensusrpc"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
@@ -24,8 +22,6 @@
 	switch e := e.(type) {
 	case control.Persist:
 		d.persist(e)
-	case control.SendConsensus:
-		d.sendConsensus(e.Send)
 	case control.SendPoll:
 		d.sendPoll(e)
 	case control.SendUpdate:
@@ -51,19 +47,6 @@
 	line.Send()
 }
 
-func (d *Daemon) sendConsensus(s consensus.Send) {
-	address, err := netip.ParseAddrPort(s.To.Address)
-	if err != nil {
-		return
-	}
-	m := s.Message
-	d.links.Send(address, func(ctx context.Context, client *http.Client, baseURL string) {
-		c := consensusrpc.NewConsensusProtobufClient(baseURL, client)
-		// A lost message is sent again by the protocol.
-		_, _ = c.Deliver(ctx, consensusrpc.Encode(m))
-	})
-}
-
 func (d *Daemon) sendPoll(e control.SendPoll) {
 	address, ok := d.directory.lookup(e.To)
 	if !ok {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -7,11 +7,11 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/hawthornlock/hawthornlock/internal/consensus"
-	"github.com/hawthornlock/hawthornlock/internal/consensus/consensusrpc"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/follow/followrpc"
+	"github.com/hawthornlock/hawthornlock/internal/orders/orderscodec"
+	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrpc"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
 )
@@ -23,28 +23,15 @@
 		http.Handler
 		PathPrefix() string
 	}{
-		consensusrpc.NewConsensusServer(&consensusService{d}),
 		followrpc.NewFollowServer(&followService{d}),
 		proposalsrpc.NewProposalsServer(&proposalsService{d}),
+		ordersrpc.NewOrdersServer(&ordersService{d}),
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
 	return r
 }
 
-type consensusService struct{ d *Daemon }
-
-// Deliver hands a message to the replicated log. A full control queue drops
-// it, and the protocol sends it again.
-func (s *consensusService) Deliver(_ context.Context, m *consensusrpc.Message) (*consensusrpc.DeliverReply, error) {
-	msg, err := consensusrpc.Decode(m)
-	if err != nil {
-		return nil, err
-	}
-	s.d.loop.TryPost(control.ConsensusEvent{Event: consensus.MessageReceived{Message: msg}})
-	return &consensusrpc.DeliverReply{}, nil
-}
-
 type followService struct{ d *Daemon }
 
 // GetUpdate answers a poll of a follower.
@@ -76,3 +63,20 @@
 	}
 	return &proposalsrpc.SubmitReply{Result: result}, nil
 }
+
+type ordersService struct{ d *Daemon }
+
+// LookUp answers from the ledger if this host leads the log.
+func (s *ordersService) LookUp(ctx context.Context, m *ordersrpc.LookUpRequest) (*ordersrpc.LookUpReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(max(0, m.GetTimeoutMs()))*time.Millisecond)
+	defer cancel()
+	reply, err := s.d.lookUpHere(ctx, m.GetRequestId())
+	if err != nil {
+		return &ordersrpc.LookUpReply{Failure: proposalsrpc.EncodeFailure(err, s.d.loop.Snapshot().Leader.Name)}, nil
+	}
+	data, err := orderscodec.EncodeReply(reply)
+	if err != nil {
+		return nil, err
+	}
+	return &ordersrpc.LookUpReply{Reply: data}, nil
+}
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -12,6 +12,8 @@
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
+	"github.com/hawthornlock/hawthornlock/internal/orders/orderscodec"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
@@ -132,6 +134,8 @@
 	switch r := result.(type) {
 	case config.Result:
 		return configcodec.EncodeResult(r)
+	case orders.Reply:
+		return orderscodec.EncodeReply(r)
 	default:
 		return nil, verdict.New(verdict.Ran, verdict.CodeInternal, "the log returned a %T", result)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,7 +38,7 @@
 	require.NoError(t, good.Validate(testTimeouts))
 	require.Equal(t, time.Second, good.Timeout)
 
-	order := OrderRequest{Origin: Origin{Team: "warehouse"}, Body: "roll 7"}
+	order := OrderRequest{Origin: Origin{Team: "warehouse"}, Body: []byte(`"roll 7"`)}
 	err := order.Validate(testTimeouts)
 	require.Equal(t, CodeMissingRequestID, verdict.CodeOf(err))
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
--- a/internal/entry/entryhttp/http.go
+++ b/internal/entry/entryhttp/http.go
@@ -13,7 +13,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
+	"github.com/hawthornlock/hawthornlock/internal/admission"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
+	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrun"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -32,7 +35,7 @@
 // OrderResult is the outcome of an order that ran.
 type OrderResult struct {
 	RequestID string
-	Result    string
+	Result    []byte // JSON
 }
 
 // Queries answers checked queries.
@@ -83,9 +86,9 @@
 
 type orderMessage struct {
 	originMessage
-	Body       string `json:"body"`
-	IssuedAtMS int64  `json:"issued_at_ms"`
-	TimeoutMS  int64  `json:"timeout_ms"`
+	Body         json.RawMessage `json:"body"`
+	FirstAttempt bool            `json:"first_attempt"`
+	TimeoutMS    int64           `json:"timeout_ms"`
 }
 
 type answerMessage struct {
@@ -117,7 +120,7 @@
 type orderReplyMessage struct {
 	RequestID string          `json:"request_id"`
 	Verdict   verdict.Verdict `json:"verdict"`
-	Result    string          `json:"result"`
+	Result    json.RawMessage `json:"result"`
 }
 
 type errorMessage struct {
@@ -164,10 +167,7 @@
 		writeError(w, "", err)
 		return
 	}
-	o := entry.OrderRequest{Origin: h.origin(r, m.originMessage), Body: m.Body, Timeout: milliseconds(m.TimeoutMS)}
-	if m.IssuedAtMS != 0 {
-		o.IssuedAt = time.UnixMilli(m.IssuedAtMS)
-	}
+	o := entry.OrderRequest{Origin: h.origin(r, m.originMessage), Body: m.Body, First: m.FirstAttempt, Timeout: milliseconds(m.TimeoutMS)}
 	if err := o.Validate(h.Timeouts); err != nil {
 		writeError(w, o.RequestID, err)
 		return
@@ -260,10 +260,12 @@
 	verdict.CodeDeadlineExceeded:   http.StatusGatewayTimeout,
 	verdict.CodeInternal:           http.StatusInternalServerError,
 	query.CodeCoverageBelowMinimum: http.StatusServiceUnavailable,
-	"order_not_found":              http.StatusNotFound,
-	"order_content_mismatch":       http.StatusConflict,
-	"order_past_retention":         http.StatusGone,
-	"too_many_requests":            http.StatusTooManyRequests,
+	ordersrun.CodeNotFound:         http.StatusNotFound,
+	orders.CodeInvalidRequestID:    http.StatusBadRequest,
+	orders.CodeContentMismatch:     http.StatusConflict,
+	orders.CodeExpired:             http.StatusGone,
+	admission.CodeQueueFull:        http.StatusTooManyRequests,
+	admission.CodeOverloaded:       http.StatusTooManyRequests,
 }
 
 // StatusOf returns the HTTP status of an error.
--- /dev/null
+++ b/internal/entry/entryrun/orders.go
@@ -0,0 +1,124 @@
+package entryrun
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/balance"
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/entry/entryhttp"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
+	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrun"
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/routing"
+	"github.com/hawthornlock/hawthornlock/internal/targets/targethttp"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// maxOrderTargets is how many targets an order is offered to. It goes to the
+// next one only after the one before proved that nothing ran.
+const maxOrderTargets = 3
+
+// Orders runs orders. It is safe for concurrent use.
+type Orders struct {
+	snapshots Snapshots
+	driver    *ordersrun.Driver
+	client    *targethttp.Client
+	groups    *Groups
+	inFlight  *InFlight
+}
+
+// NewOrders returns the service that runs orders with driver.
+func NewOrders(s Snapshots, driver *ordersrun.Driver, client *targethttp.Client, groups *Groups, inFlight *InFlight) *Orders {
+	return &Orders{snapshots: s, driver: driver, client: client, groups: groups, inFlight: inFlight}
+}
+
+// Order runs one order at most once.
+func (s *Orders) Order(ctx context.Context, o entry.OrderRequest) (*entryhttp.OrderResult, error) {
+	defer s.inFlight.Begin()()
+	now := time.Now()
+	snapshot := s.snapshots.Snapshot()
+	if err := snapshot.Gate.Check(now); err != nil {
+		return nil, err
+	}
+	group, _, err := snapshot.Table.Route(routing.Request{Team: o.Team, Labels: o.Labels, Group: o.Group})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := orders.IssuedAt(o.RequestID); err != nil {
+		return nil, err
+	}
+	req := orders.Request{
+		ID: o.RequestID, Content: orders.HashContent(o.Team, o.Labels, o.Group, o.Body),
+		Deadline: now.Add(o.Timeout), First: o.First,
+	}
+	result, err := s.driver.Run(ctx, req, func(ctx context.Context) orders.TargetReplied {
+		return s.dispatch(ctx, group, o)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &entryhttp.OrderResult{RequestID: o.RequestID, Result: result.Body}, nil
+}
+
+// LookUpOrder returns the recorded result of an order.
+func (s *Orders) LookUpOrder(ctx context.Context, requestID string) (*entryhttp.OrderResult, error) {
+	result, err := s.driver.LookUp(ctx, requestID)
+	if err != nil {
+		return nil, err
+	}
+	return &entryhttp.OrderResult{RequestID: requestID, Result: result.Body}, nil
+}
+
+// dispatch offers the order to one target after the other, as long as each
+// proves that nothing ran.
+func (s *Orders) dispatch(ctx context.Context, group routing.Group, o entry.OrderRequest) orders.TargetReplied {
+	tried := make(map[string]bool)
+	reply := orders.TargetReplied{Verdict: verdict.NotRun, Reason: "the group has no target that takes new work"}
+	for range maxOrderTargets {
+		candidates := candidatesFor(s.snapshots.Snapshot(), group, tried)
+		if len(candidates) == 0 || ctx.Err() != nil {
+			return reply
+		}
+		var target string
+		target, reply = s.send(ctx, group, candidates, o)
+		if reply.Verdict != verdict.NotRun {
+			return reply
+		}
+		tried[target] = true
+	}
+	return reply
+}
+
+func candidatesFor(snapshot *control.Snapshot, group routing.Group, tried map[string]bool) []query.Replica {
+	var out []query.Replica
+	for _, r := range snapshot.Members[group.Name] {
+		if !tried[r.Target] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (s *Orders) send(ctx context.Context, group routing.Group, candidates []query.Replica, o entry.OrderRequest) (string, orders.TargetReplied) {
+	b := s.groups.get(group).balancer
+	choices := make([]balance.Replica, len(candidates))
+	addresses := make(map[balance.Key]query.Replica, len(candidates))
+	for i, r := range candidates {
+		choices[i] = balanceReplica(r)
+		addresses[choices[i].Key] = r
+	}
+	replica, err := b.Acquire(ctx, choices, balance.PickOptions{})
+	if err != nil {
+		return "", orders.TargetReplied{Verdict: verdict.NotRun, Reason: err.Error()}
+	}
+	start := time.Now()
+	reply, err := s.client.Order(ctx, addresses[replica.Key].Address, targethttp.OrderRequest{RequestID: o.RequestID, Body: o.Body})
+	b.Release(replica, balance.Outcome{Kind: outcomeOf(ctx, err), Latency: time.Since(start)})
+	if err != nil {
+		return replica.Target, orders.TargetReplied{Verdict: verdict.Of(err), Reason: err.Error()}
+	}
+	return replica.Target, orders.TargetReplied{Verdict: verdict.Ran, Result: orders.Result{Status: http.StatusOK, Body: reply.Result}}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -49,9 +49,9 @@
 // OrderRequest is a caller's non-idempotent request before it is routed.
 type OrderRequest struct {
 	Origin
-	Body     string
-	IssuedAt time.Time // when the caller made the request ID
-	Timeout  time.Duration
+	Body    []byte // JSON
+	First   bool   // the caller has never sent this request ID before
+	Timeout time.Duration
 }
 
 // Timeouts bound what a caller may ask for.
--- /dev/null
+++ b/internal/orders/ordersrun/driver.go
@@ -0,0 +1,257 @@
+// Package ordersrun drives orders: it carries out the effects of an
+// orders.Execution on a goroutine of its own, which goes on after the caller
+// has its answer until the claim is settled.
+package ordersrun
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/orders"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Bounds of the calls to the ledger.
+const (
+	commandTimeout = 3 * time.Second
+	// watchInterval is the time between two look-ups of a request that another
+	// host has claimed.
+	watchInterval = 100 * time.Millisecond
+	// fenceStep leaves the low bits of a fence to the execution.
+	fenceStep = 1 << 16
+)
+
+// Ledger reaches the replicated ledger.
+type Ledger interface {
+	// Commit appends a command. The error's verdict is NotRun only if the
+	// command certainly never reached the log.
+	Commit(ctx context.Context, c orders.Command) (orders.Reply, error)
+	LookUp(ctx context.Context, requestID string) (orders.Reply, error)
+}
+
+// Dispatch sends the order to a target. It must not send it again after it
+// may have run. Its context ends at the order's deadline.
+type Dispatch func(ctx context.Context) orders.TargetReplied
+
+// Driver runs executions. It is safe for concurrent use.
+type Driver struct {
+	ledger      Ledger
+	host        string
+	incarnation atomic.Uint64
+	fence       atomic.Uint64
+	ctx         context.Context
+	stop        context.CancelFunc
+	running     sync.WaitGroup
+	open        atomic.Int64
+}
+
+// New returns a driver that claims for a host. The incarnation must be higher
+// than that of every earlier life of the host.
+func New(ledger Ledger, host string, incarnation uint64) *Driver {
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Driver{ledger: ledger, host: host, ctx: ctx, stop: stop}
+	d.incarnation.Store(incarnation)
+	d.fence.Store(rand.Uint64N(1<<16) * fenceStep)
+	return d
+}
+
+// Open returns the number of executions that have not ended.
+func (d *Driver) Open() int { return int(d.open.Load()) }
+
+// Claimant returns the identity under which this host claims.
+func (d *Driver) Claimant() orders.Claimant {
+	return orders.Claimant{Host: d.host, Incarnation: d.incarnation.Load()}
+}
+
+// renew takes a higher incarnation after the ledger declared the present one
+// dead, which happens to a host that was cut off for long.
+func (d *Driver) renew(now time.Time, old orders.Claimant) {
+	d.incarnation.CompareAndSwap(old.Incarnation, max(old.Incarnation+1, uint64(now.UnixNano())))
+}
+
+// Run executes one order and returns its answer. The execution goes on after
+// ctx ended if the order has been dispatched.
+func (d *Driver) Run(ctx context.Context, req orders.Request, dispatch Dispatch) (*orders.Result, error) {
+	d.running.Add(1)
+	d.open.Add(1)
+	e := &execution{
+		driver: d, dispatch: dispatch, deadline: req.Deadline, claimant: d.Claimant(),
+		events: make(chan orders.Event, 16), answer: make(chan orders.Answer, 1), caller: ctx.Done(),
+	}
+	e.run = orders.NewExecution(req, e.claimant, d.fence.Add(fenceStep))
+	go e.loop()
+	a := <-e.answer
+	return a.Result, a.Err
+}
+
+// Close waits for the executions until ctx ends and then abandons them. What
+// they leave in the ledger stays "may have run".
+func (d *Driver) Close(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		d.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	d.stop()
+	<-done
+}
+
+type execution struct {
+	driver   *Driver
+	run      *orders.Execution
+	claimant orders.Claimant
+	dispatch Dispatch
+	deadline time.Time
+	events   chan orders.Event
+	answer   chan orders.Answer
+	caller   <-chan struct{}
+	answered bool
+	timer    *time.Timer
+	calls    sync.WaitGroup
+}
+
+func (e *execution) loop() {
+	defer e.driver.running.Done()
+	defer e.driver.open.Add(-1)
+	e.timer = time.NewTimer(time.Hour)
+	defer e.timer.Stop()
+	ctx, cancel := context.WithCancel(e.driver.ctx)
+	defer e.calls.Wait()
+	defer cancel()
+	e.step(ctx, orders.Start{})
+	for !e.run.Closed() {
+		select {
+		case ev := <-e.events:
+			e.step(ctx, ev)
+		case <-e.timer.C:
+			e.step(ctx, orders.Tick{})
+		case <-e.caller:
+			e.caller = nil
+			e.step(ctx, orders.CallerGone{})
+			e.reply(orders.Answer{Err: verdict.New(verdict.MayHaveRun, orders.CodeCallerGone, "the caller left before the order was answered")})
+		case <-ctx.Done():
+			e.reply(orders.Answer{Err: verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "this host stopped before the order was settled")})
+			return
+		}
+	}
+}
+
+func (e *execution) reply(a orders.Answer) {
+	if !e.answered {
+		e.answered = true
+		e.answer <- a
+	}
+}
+
+func (e *execution) step(ctx context.Context, ev orders.Event) {
+	for _, effect := range e.run.Step(time.Now(), ev) {
+		switch effect := effect.(type) {
+		case orders.ProposeClaim:
+			e.call(ctx, func(ctx context.Context) orders.Event { return e.claim(ctx, effect.Claim) })
+		case orders.Dispatch:
+			e.call(ctx, e.dispatchOnce)
+		case orders.ProposeSettle:
+			e.call(ctx, func(ctx context.Context) orders.Event { return e.settle(ctx, effect.Command) })
+		case orders.Watch:
+			e.call(ctx, func(ctx context.Context) orders.Event { return e.watch(ctx, effect.RequestID) })
+		case orders.WakeAt:
+			e.timer.Reset(time.Until(effect.At))
+		case orders.Answer:
+			e.reply(effect)
+		}
+	}
+}
+
+// call runs f on a goroutine and feeds its event back.
+func (e *execution) call(ctx context.Context, f func(context.Context) orders.Event) {
+	e.calls.Add(1)
+	go func() {
+		defer e.calls.Done()
+		ev := f(ctx)
+		if ev == nil {
+			return
+		}
+		select {
+		case e.events <- ev:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (e *execution) claim(ctx context.Context, c orders.Claim) orders.Event {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	reply, err := e.driver.ledger.Commit(ctx, c)
+	if err != nil {
+		return orders.ClaimFailed{Token: c.Token, Sent: verdict.Of(err) != verdict.NotRun}
+	}
+	if reply.Outcome == orders.ClaimEnded {
+		e.driver.renew(time.Now(), e.claimant)
+	}
+	return orders.ClaimAnswered{Token: c.Token, Reply: reply}
+}
+
+func (e *execution) settle(ctx context.Context, c orders.Command) orders.Event {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	reply, err := e.driver.ledger.Commit(ctx, c)
+	if err != nil {
+		return orders.SettleFailed{}
+	}
+	return orders.SettleAnswered{Reply: reply}
+}
+
+func (e *execution) dispatchOnce(ctx context.Context) orders.Event {
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
+	defer cancel()
+	return e.dispatch(ctx)
+}
+
+// watch looks a request up until another host's claim on it has ended.
+func (e *execution) watch(ctx context.Context, requestID string) orders.Event {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		reply, err := e.driver.ledger.LookUp(ctx, requestID)
+		if err == nil && reply.Outcome != orders.InProgress && reply.Outcome != orders.Unknown {
+			return orders.RequestChanged{Reply: reply}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// LookUp returns the result of an order, or an error with its verdict.
+func (d *Driver) LookUp(ctx context.Context, requestID string) (*orders.Result, error) {
+	reply, err := d.ledger.LookUp(ctx, requestID)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "look up the order")
+	}
+	switch reply.Outcome {
+	case orders.Recorded:
+		return reply.Result, nil
+	case orders.Unknown, orders.Open:
+		return nil, errors.WithStack(verdict.New(verdict.NotRun, CodeNotFound, "no order ran under request ID %q", requestID))
+	case orders.InProgress:
+		return nil, verdict.New(verdict.MayHaveRun, orders.CodeInProgress, "request ID %q is in progress", requestID)
+	case orders.Expired:
+		return nil, verdict.New(verdict.MayHaveRun, orders.CodeExpired, "request ID %q is older than the record of orders", requestID)
+	default:
+		return nil, verdict.New(verdict.MayHaveRun, orders.CodeOutcomeUnknown, "request ID %q may have run", requestID)
+	}
+}
+
+// CodeNotFound is the code of a look-up of an order that did not run.
+const CodeNotFound verdict.Code = "order_not_found"
--- a/internal/standin/messages.go
+++ b/internal/standin/messages.go
@@ -1,5 +1,7 @@
 package standin
 
+import "encoding/json"
+
 // The JSON messages of the target protocol, as a target sees them. They are
 // written apart from the daemon's own encoding, so that tests notice when the
 // two sides no longer agree.
@@ -67,9 +69,9 @@
 }
 
 type orderMessage struct {
-	RequestID  string `json:"request_id"`
-	Body       string `json:"body"`
-	DeadlineMS int64  `json:"deadline_ms"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+	DeadlineMS int64           `json:"deadline_ms"`
 }
 
 type orderReply struct {
