--- /dev/null
+++ b/internal/config/confighttp/events.go
@@ -0,0 +1,28 @@
+package confighttp
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+)
+
+var (
+	eventAccepted = eventlog.Define(7000, zerolog.InfoLevel, "change accepted",
+		"an operator pushed a change and it is in the log of a majority",
+		"none; hawthornlock change wait shows when every host has it in force")
+	eventRefused = eventlog.Define(7001, zerolog.InfoLevel, "change refused",
+		"an operator pushed a change that breaks a rule or conflicts with another one",
+		"see the code and message; the change did not run")
+	eventUnknown = eventlog.Define(7002, zerolog.WarnLevel, "change outcome unknown",
+		"a majority of the control hosts did not confirm a change in time",
+		"ask with hawthornlock change status, or push the same change again")
+	eventUnauthorized = eventlog.Define(7003, zerolog.WarnLevel, "administration request not authorized",
+		"a request had no token, a wrong one, or one of another team",
+		"check the token of the operator; many of these from one address may be an attempt to guess one")
+	eventDrain = eventlog.Define(7004, zerolog.InfoLevel, "host drain requested",
+		"an operator asked for the graceful shutdown of a host",
+		"none; hawthornlock host members shows when the host is gone")
+	eventMalformed = eventlog.Define(7005, zerolog.InfoLevel, "administration request malformed",
+		"a request could not be read, had an unknown field or was too large",
+		"correct the request; it did not run")
+)
