--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -409,6 +409,9 @@
 		}
 	}
 	for _, m := range set.Learners {
-		s.step(l, ChangeVoters{ID: "promote", Op: Promote, Member: m})
+		// A learner that lost its disk a moment ago would be a lost voter.
+		if present[m.Identity] {
+			s.step(l, ChangeVoters{ID: "promote", Op: Promote, Member: m})
+		}
 	}
 }
--- /dev/null
+++ b/internal/journal/doc.go
@@ -0,0 +1,25 @@
+// Package journal keeps the durable state of a consensus node in one data
+// directory: an append-only log in segments, snapshots, and the identity of
+// the directory.
+//
+// A segment starts with a header (magic, format version, number, salt) and
+// holds records. A record carries one batch of changes that was written and
+// synced as a whole; it has a length, a CRC-32C over salt, length and payload,
+// and a batch number that rises by one. The first record of a segment repeats
+// the hard state and the position of the snapshot, so older segments can be
+// removed once the snapshot covers their entries.
+//
+// A batch is written only after the batch before it was synced. A damaged
+// record is therefore a torn write only if no intact record follows it, and
+// is then cut off. Any other damage is corruption, and Open refuses to start.
+// Damage to the very last record cannot be told from a torn write.
+//
+// A snapshot is written to a temporary file, synced, renamed, and the
+// directory is synced. It counts from the moment a record that names it is
+// durable. Old snapshots and segments are removed after that.
+//
+// After a failed sync the operating system may have dropped the data, so the
+// journal refuses everything and the process must end. A write that fails for
+// lack of space is cut back, and the journal works again as soon as the
+// refused change succeeds.
+package journal
--- /dev/null
+++ b/internal/journal/errors.go
@@ -0,0 +1,41 @@
+package journal
+
+import (
+	"fmt"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Codes of the errors of this package.
+const (
+	CodeStorageFull verdict.Code = "storage_full"
+	CodeQueueFull   verdict.Code = "journal_queue_full"
+	CodeFailed      verdict.Code = "journal_failed"
+)
+
+// CorruptError says where the durable state is damaged. Open returns it.
+type CorruptError struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("journal: %s is corrupt at offset %d: %s", e.File, e.Offset, e.Reason)
+}
+
+// FatalError says that the journal can no longer be trusted. The process must
+// end; a new start reads what the disk really holds.
+type FatalError struct {
+	Op    string
+	cause error
+}
+
+// Error implements error.
+func (e *FatalError) Error() string {
+	return fmt.Sprintf("journal: %s failed, the process must end: %v", e.Op, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *FatalError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/internal/journal/open.go
@@ -0,0 +1,268 @@
+package journal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+)
+
+// Options are the settings of a journal. Zero fields take the defaults.
+type Options struct {
+	Dir string
+	FS  FS // OS by default
+	Log *eventlog.Logger
+
+	// Completed is called by the journal goroutine for every request, in
+	// order. It may wait, which delays further writes.
+	Completed func(Completion)
+
+	SegmentBytes  int // size at which a new segment starts
+	QueueLength   int // requests that may wait
+	MaxBatchBytes int // size of a batch after which no request is added
+}
+
+// Defaults of Options.
+const (
+	DefaultSegmentBytes  = 16 << 20
+	DefaultQueueLength   = 256
+	DefaultMaxBatchBytes = 4 << 20
+)
+
+func (o Options) withDefaults() Options {
+	if o.FS == nil {
+		o.FS = OS{}
+	}
+	if o.Log == nil {
+		o.Log = eventlog.Nop()
+	}
+	if o.Completed == nil {
+		o.Completed = func(Completion) {}
+	}
+	if o.SegmentBytes == 0 {
+		o.SegmentBytes = DefaultSegmentBytes
+	}
+	if o.QueueLength == 0 {
+		o.QueueLength = DefaultQueueLength
+	}
+	if o.MaxBatchBytes == 0 {
+		o.MaxBatchBytes = DefaultMaxBatchBytes
+	}
+	return o
+}
+
+// Recovered is what Open found.
+type Recovered struct {
+	Identity consensus.Identity
+	New      bool // the data directory was empty
+	State    consensus.DurableState
+
+	Bytes          int64 // read from segments and the snapshot
+	Entries        int   // read, also those replaced or covered by a snapshot
+	TruncatedBytes int64 // cut off as a torn write
+}
+
+// segment is one file of the log.
+type segment struct {
+	number   uint64
+	maxIndex uint64 // greatest index of an entry ever written to it
+}
+
+// Open locks a data directory, recovers its state and starts the journal. It
+// returns a *CorruptError if the state is damaged before the tail, and
+// ErrLocked if another process uses the directory.
+func Open(opts Options) (*Journal, Recovered, error) {
+	opts = opts.withDefaults()
+	dir := directory{fs: opts.FS, path: opts.Dir}
+	if err := dir.fs.MkdirAll(dir.path); err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "journal: create the data directory")
+	}
+	lock, err := dir.fs.Lock(dir.join(lockName))
+	if err != nil {
+		return nil, Recovered{}, errors.Wrapf(err, "journal: lock %s", dir.path)
+	}
+	j, recovered, err := openLocked(opts, dir, lock)
+	if err != nil {
+		var corrupt *CorruptError
+		if errors.As(err, &corrupt) {
+			opts.Log.Log(EventCorrupt).Str("file", corrupt.File).Int64("offset", corrupt.Offset).
+				Str("reason", corrupt.Reason).Send()
+		}
+		return nil, Recovered{}, errors.CombineErrors(err, lock.Close())
+	}
+	opts.Log.Log(EventOpened).Str("identity", string(recovered.Identity)).Int64("bytes", recovered.Bytes).
+		Int("entries", recovered.Entries).Int("segments", len(j.segments)).Send()
+	go j.run()
+	return j, recovered, nil
+}
+
+func openLocked(opts Options, dir directory, lock io.Closer) (*Journal, Recovered, error) {
+	l, err := dir.list()
+	if err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "journal: list the data directory")
+	}
+	j := newJournal(opts, dir, lock)
+	if !l.identity {
+		return j.createNew(l)
+	}
+	recovered := Recovered{}
+	if recovered.Identity, err = dir.readIdentity(); err != nil {
+		return nil, recovered, err
+	}
+	if len(l.segments) == 0 {
+		return nil, recovered, dir.corrupt(segmentName(1), 0, "the log is missing")
+	}
+	if err := j.recover(l, &recovered); err != nil {
+		return nil, recovered, err
+	}
+	// On a full disk the first write tries again, so that the state can be
+	// read meanwhile.
+	if err := j.roll(); err != nil && !noSpace(err) {
+		return nil, recovered, errors.Wrap(err, "journal: start a segment")
+	}
+	return j, recovered, j.removeObsolete()
+}
+
+// createNew starts the log of an empty data directory. The identity comes
+// last, so a directory with an identity always has a log, and a lost log is
+// noticed.
+func (j *Journal) createNew(l listing) (*Journal, Recovered, error) {
+	recovered := Recovered{New: true}
+	if len(l.snapshots) > 0 || len(l.segments) > 1 {
+		return nil, recovered, j.dir.corrupt(identityName, 0, "the identity is missing in a directory with data")
+	}
+	for _, number := range l.segments {
+		if err := j.removeUnused(number); err != nil {
+			return nil, recovered, err
+		}
+	}
+	j.removeFiles(l.temporary)
+	if err := j.roll(); err != nil {
+		return nil, recovered, errors.Wrap(err, "journal: start a segment")
+	}
+	var err error
+	if recovered.Identity, err = j.dir.createIdentity(); err != nil {
+		return nil, recovered, errors.Wrap(err, "journal: create the identity")
+	}
+	j.opts.Log.Log(EventIdentityCreated).Str("identity", string(recovered.Identity)).Send()
+	return j, recovered, nil
+}
+
+// removeUnused removes the first segment of a start that ended before the
+// identity was written. A segment with changes is refused.
+func (j *Journal) removeUnused(number uint64) error {
+	b, err := j.dir.fs.ReadFile(j.dir.join(segmentName(number)))
+	if err != nil {
+		return err
+	}
+	unused := true
+	_, _, err = readSegment(b, number, func(_ int, r record) error {
+		unused = unused && r.batch == 1 && len(r.changes) == 1 && r.changes[0].hard == consensus.HardState{}
+		return nil
+	})
+	if err != nil || !unused {
+		return errors.CombineErrors(j.dir.corrupt(identityName, 0, "the identity is missing in a directory with data"), err)
+	}
+	return j.dir.fs.Remove(j.dir.join(segmentName(number)))
+}
+
+// recover reads all segments and the snapshot they name.
+func (j *Journal) recover(l listing, recovered *Recovered) error {
+	var r replay
+	for i, number := range l.segments {
+		if i > 0 && number != l.segments[i-1]+1 {
+			return j.dir.corrupt(segmentName(number-1), 0, "the segment is missing")
+		}
+		last := i == len(l.segments)-1
+		if err := j.recoverSegment(&r, number, last, recovered); err != nil {
+			return err
+		}
+	}
+	if problem := r.finish(); problem != "" {
+		return j.dir.corrupt(segmentName(l.segments[0]), 0, problem)
+	}
+	recovered.Entries = r.count
+	recovered.State = consensus.DurableState{HardState: r.hard, Entries: r.entries}
+	if r.hasSnapshot {
+		s, err := j.dir.readSnapshot(r.snapshotIndex, r.snapshotTerm)
+		if err != nil {
+			return err
+		}
+		recovered.State.Snapshot = s
+		recovered.Bytes += int64(len(s.Data))
+	}
+	return nil
+}
+
+func (j *Journal) recoverSegment(r *replay, number uint64, last bool, recovered *Recovered) error {
+	name := segmentName(number)
+	b, err := j.dir.fs.ReadFile(j.dir.join(name))
+	if err != nil {
+		return errors.Wrapf(err, "journal: read %s", name)
+	}
+	recovered.Bytes += int64(len(b))
+	s := segment{number: number}
+	end, problem, err := readSegment(b, number, func(offset int, rec record) error {
+		if j.batch != 0 && rec.batch != j.batch+1 {
+			return j.dir.corrupt(name, offset, "a record is missing")
+		}
+		j.batch = rec.batch
+		for _, c := range rec.changes {
+			if problem := r.change(c); problem != "" {
+				return j.dir.corrupt(name, offset, problem)
+			}
+			s.maxIndex = max(s.maxIndex, c.maxIndex())
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	j.state = r.position()
+	if problem == "" {
+		j.segments = append(j.segments, s)
+		return nil
+	}
+	if !last {
+		return j.dir.corrupt(name, end, problem)
+	}
+	recovered.TruncatedBytes = int64(len(b) - end)
+	j.opts.Log.Log(EventTornTail).Str("file", j.dir.join(name)).Int("offset", end).Int("bytes", len(b)-end).Send()
+	if end <= segmentHeaderSize {
+		return j.removeTornStart(b, name, number, problem)
+	}
+	j.segments = append(j.segments, s)
+	return j.cutTail(b, name, number, end, problem)
+}
+
+// cutTail removes a torn write at the end of the last segment.
+func (j *Journal) cutTail(b []byte, name string, number uint64, end int, problem string) error {
+	salt, _ := readSegmentHeader(b, number)
+	if intactAfter(b[end:], salt) >= 0 {
+		return j.dir.corrupt(name, end, problem+", and an intact record follows")
+	}
+	return j.dir.fs.Truncate(j.dir.join(name), int64(end))
+}
+
+// removeTornStart removes a segment whose first write did not complete. That
+// write holds the header and the first record only, and was synced before any
+// other, so a longer file is corrupt.
+func (j *Journal) removeTornStart(b []byte, name string, number uint64, problem string) error {
+	if len(j.segments) == 0 || len(b) > len(j.segmentStart(number, 0)) {
+		return j.dir.corrupt(name, 0, problem)
+	}
+	if err := j.dir.fs.Remove(j.dir.join(name)); err != nil {
+		return err
+	}
+	return j.dir.fs.SyncDir(j.dir.path)
+}
+
+func newSalt() (uint32, error) {
+	var b [4]byte
+	_, err := rand.Read(b[:])
+	return binary.LittleEndian.Uint32(b[:]), err
+}
