--- /dev/null
+++ b/internal/consensus/consensusrpc/doc.go
@@ -0,0 +1,3 @@
+// Package consensusrpc carries the messages of package consensus over twirp,
+// and forwards proposals and reads to the leader.
+package consensusrpc
