--- a/cmd/hawthornlockd/main.go
+++ b/cmd/hawthornlockd/main.go
@@ -37,10 +37,20 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := d.Run(ctx); err != nil {
+	go stopOnSignals(d)
+	if err := d.Run(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return 0
 }
+
+// stopOnSignals begins a graceful stop at the first signal and ends the host
+// at the second.
+func stopOnSignals(d *daemon.Daemon) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	for range signals {
+		d.Stop()
+	}
+}
--- a/internal/control/controlrun/loop.go
+++ b/internal/control/controlrun/loop.go
@@ -36,6 +36,8 @@
 
 	current atomic.Pointer[published]
 	token   atomic.Uint64
+	// inFlight counts callers' requests; it may be called at any time.
+	inFlight func() int
 
 	mu      sync.Mutex
 	waiting map[uint64]chan outcome
@@ -55,12 +57,13 @@
 
 // New returns a loop that has not started. Effects go to the executor that
 // Run is given.
-func New(core *control.Core, log *eventlog.Logger) *Loop {
+func New(core *control.Core, inFlight func() int, log *eventlog.Logger) *Loop {
 	l := &Loop{
-		core:    core,
-		log:     log,
-		events:  make(chan control.Event, eventQueueLength),
-		waiting: make(map[uint64]chan outcome),
+		core:     core,
+		log:      log,
+		inFlight: inFlight,
+		events:   make(chan control.Event, eventQueueLength),
+		waiting:  make(map[uint64]chan outcome),
 	}
 	l.current.Store(&published{snapshot: core.Snapshot(time.Now()), replaced: make(chan struct{})})
 	return l
@@ -86,7 +89,7 @@
 				l.log.Log(control.EventControlSlow).Dur("gap", gap).Send()
 			}
 			last = now
-			l.step(control.Tick{})
+			l.step(control.Tick{InFlight: l.inFlight()})
 		}
 		l.publish()
 	}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -9,6 +9,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -22,6 +23,7 @@
 	Voters    []follow.FeedHost
 	Node      *consensus.Node // nil on a host without a log
 	Codec     Codec
+	Lifecycle lifecycle.Options
 }
 
 // Codec decodes what the replicated log holds. The core needs the values and
@@ -56,10 +58,12 @@
 	store     *config.Store
 	node      *consensus.Node
 	ledger    *orders.Ledger // used only on a host with a log
-	lookUps   map[string]LookUpOrder
+	reads     map[string]Read
 	tracker   *proposals.Tracker
 	follower  *follow.Follower
 	feed      *follow.Feed
+	life      *lifecycle.State
+	quiet     bool // no order is open and no connection to a target is left
 	confirmed follow.Confirmation
 	leader    consensus.Member
 	encoding  bool // a snapshot is being encoded
@@ -69,17 +73,18 @@
 }
 
 // NewCore returns the core of a host that has just started.
-func NewCore(opts Options) *Core {
+func NewCore(opts Options, now time.Time) *Core {
 	c := &Core{
 		opts:     opts,
 		registry: targets.NewRegistry(opts.Self),
 		store:    config.NewStore(),
 		node:     opts.Node,
 		ledger:   orders.NewLedger(orders.DefaultLimits()),
-		lookUps:  make(map[string]LookUpOrder),
+		reads:    make(map[string]Read),
 		tracker:  proposals.NewTracker(),
 		follower: follow.NewFollower(opts.Self, opts.Node != nil),
 		feed:     follow.NewFeed(opts.Self),
+		life:     lifecycle.New(opts.Lifecycle, now),
 	}
 	c.shared.tableStale = true
 	return c
@@ -95,7 +100,7 @@
 func (c *Core) Step(now time.Time, ev Event) []Effect {
 	switch ev := ev.(type) {
 	case Tick:
-		return c.tick(now)
+		return c.tick(now, ev.InFlight)
 	case Announced:
 		effects, err := c.registry.Announce(now, ev.Announcement)
 		out := c.targetEffects(now, effects)
@@ -110,8 +115,15 @@
 		return []Effect{Resolve{Token: ev.Token, Result: c.answerPoll(now, ev.Poll)}}
 	case Submit:
 		return c.submit(now, ev)
-	case LookUpOrder:
-		return c.lookUp(now, ev)
+	case Read:
+		return c.read(now, ev)
+	case PlanChange:
+		return []Effect{Resolve{Token: ev.Token, Result: c.store.Plan(ev.Change)}}
+	case LifecycleEvent:
+		return c.lifecycle(now, ev.Event)
+	case TrafficClosed:
+		c.quiet = true
+		return c.endHandover(now)
 	case SnapshotEncoded:
 		c.encoding = false
 		return c.consensus(now, consensus.Compact{Index: ev.Index, Data: ev.Data})
@@ -121,32 +133,36 @@
 	return nil
 }
 
-func (c *Core) tick(now time.Time) []Effect {
+func (c *Core) tick(now time.Time, inFlight int) []Effect {
 	out := c.targetEffects(now, c.registry.Step(now, targets.Tick{}))
 	if c.node != nil {
 		out = append(out, c.consensus(now, consensus.Tick{})...)
-		out = append(out, c.confirmAsLeader(now)...)
+		c.confirmAsLeader(now)
 	}
 	out = append(out, c.follow(now, follow.Tick{})...)
-	return append(out, resolveAll(c.tracker.Expire(now))...)
+	out = append(out, resolveAll(c.tracker.Expire(now))...)
+	if !c.confirmed.At.IsZero() {
+		out = append(out, c.lifecycle(now, lifecycle.ConfigConfirmed{})...)
+	}
+	out = append(out, c.lifecycle(now, lifecycle.Tick{InFlight: inFlight})...)
+	return append(out, c.endHandover(now)...)
 }
 
 // confirmAsLeader takes the leader's own lease as the confirmation of the
 // configuration that it has applied.
-func (c *Core) confirmAsLeader(now time.Time) []Effect {
+func (c *Core) confirmAsLeader(now time.Time) {
 	s := c.node.Status()
 	if s.Role != consensus.Leader || !s.LeaseHeld || s.Applied < s.Commit {
-		return nil
+		return
 	}
 	c.confirm(follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
-	return nil
 }
 
 func (c *Core) confirm(e follow.Confirmed) {
 	if e.Term < c.confirmed.Term || e.Term == c.confirmed.Term && e.At.Before(c.confirmed.At) {
 		return
 	}
-	c.confirmed = follow.Confirmation{Term: e.Term, Revision: e.Revision, At: e.At}
+	c.confirmed = follow.Confirmation(e)
 }
 
 func (c *Core) answerPoll(now time.Time, p follow.Poll) follow.Update {
@@ -253,9 +269,6 @@
 	return out
 }
 
-// systemTokenBit marks the proposals that nobody waits for.
-const systemTokenBit = 1 << 63
-
 // recordLayout writes a layout to the replicated log, for every group whose
 // targets list the index snapshot.
 func (c *Core) recordLayout(_ time.Time, l *targets.Layout) []Effect {
@@ -292,8 +305,8 @@
 }
 
 func (c *Core) gate() entry.Gate {
-	if c.confirmed.At.IsZero() {
-		return entry.Gate{Reason: "its configuration has not been confirmed yet"}
+	if !c.life.Accepting() {
+		return entry.Gate{Reason: "it is " + c.life.Phase().String()}
 	}
 	return entry.Gate{Accepting: true, ServeUntil: c.confirmed.At.Add(c.opts.Staleness)}
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -11,6 +11,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 )
@@ -22,8 +23,8 @@
 // Event is an input of the core.
 type Event interface{ isControlEvent() }
 
-// Tick lets time pass.
-type Tick struct{}
+// Tick lets time pass. InFlight is the number of callers' requests in progress.
+type Tick struct{ InFlight int }
 
 // Announced brings an announcement from a target.
 type Announced struct {
@@ -61,13 +62,75 @@
 	Data  []byte
 }
 
-// LookUpOrder asks what the ledger knows of a request, confirmed by a quorum.
-type LookUpOrder struct {
-	Token     uint64
-	RequestID string
+// Read asks a question about the replicated state. The answer is given once a
+// quorum has confirmed that this host still leads, so that a leader that was
+// cut off can't deny what others have accepted.
+type Read struct {
+	Token uint64
+	Query Query
+}
+
+// Query is a question about the replicated state.
+type Query interface{ isControlQuery() }
+
+// OrderQuery asks what the ledger knows of an order. The result is an
+// orders.Reply.
+type OrderQuery struct{ RequestID string }
+
+// ChangeQuery asks for the result of a past change. The result is a
+// ChangeResult.
+type ChangeQuery struct{ ChangeID string }
+
+// HistoryQuery asks for accepted changes. The result is a []config.Entry.
+type HistoryQuery struct {
+	From  uint64
+	Limit int
+}
+
+// ChangeResult is the answer to a ChangeQuery.
+type ChangeResult struct {
+	Found  bool
+	Result config.Result
+}
+
+func (OrderQuery) isControlQuery()   {}
+func (ChangeQuery) isControlQuery()  {}
+func (HistoryQuery) isControlQuery() {}
+
+// LifecycleEvent is an event for the host's lifecycle.
+type LifecycleEvent struct{ Event lifecycle.Event }
+
+// TrafficClosed says that no order of this host is open any more and its
+// connections to targets are closed.
+type TrafficClosed struct{}
+
+func (LifecycleEvent) isControlEvent() {}
+func (TrafficClosed) isControlEvent()  {}
+
+// CloseTraffic asks for open orders to be settled and connections to targets
+// to be closed.
+type CloseTraffic struct{}
+
+// SyncJournal asks for the journal to be synced and closed.
+type SyncJournal struct{}
+
+// Exit ends the process. Interrupted is the number of requests that it cuts
+// off.
+type Exit struct{ Interrupted int }
+
+func (CloseTraffic) isControlEffect() {}
+func (SyncJournal) isControlEffect()  {}
+func (Exit) isControlEffect()         {}
+
+// PlanChange asks what a change would do at this host. The result is a
+// config.Plan.
+type PlanChange struct {
+	Token  uint64
+	Change config.Change
 }
 
-func (LookUpOrder) isControlEvent() {}
+func (Read) isControlEvent()       {}
+func (PlanChange) isControlEvent() {}
 
 // Inspect asks for a copy of the control state.
 type Inspect struct{ Token uint64 }
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -38,9 +38,9 @@
 	case consensus.ProposalRefused:
 		return c.proposalRefused(e)
 	case consensus.ReadReady:
-		return c.lookUpReady(e)
+		return c.readReady(e)
 	case consensus.ReadRefused:
-		return c.lookUpRefused(e)
+		return c.readRefused(e)
 	case consensus.Apply:
 		return c.apply(now, e.Entries)
 	case consensus.RestoreSnapshot:
@@ -109,32 +109,44 @@
 	return nil, nil, verdict.New(verdict.Ran, verdict.CodeInternal, "log entry %d has the unknown kind %d", e.Index, cmd.Kind)
 }
 
-// lookUp answers from the ledger once a quorum has confirmed that this host
-// still leads, so that a leader that was cut off can't deny a newer claim.
-func (c *Core) lookUp(now time.Time, ev LookUpOrder) []Effect {
+// read keeps a question until a quorum has confirmed this host's leadership.
+func (c *Core) read(now time.Time, ev Read) []Effect {
 	if c.node == nil {
 		return []Effect{Resolve{Token: ev.Token, Err: notVoter()}}
 	}
 	id := strconv.FormatUint(ev.Token, 10)
-	c.lookUps[id] = ev
+	c.reads[id] = ev
 	return c.consensus(now, consensus.ReadIndex{ID: id, AllowLease: true})
 }
 
-func (c *Core) lookUpReady(e consensus.ReadReady) []Effect {
-	ev, ok := c.lookUps[e.ID]
+func (c *Core) readReady(e consensus.ReadReady) []Effect {
+	ev, ok := c.reads[e.ID]
 	if !ok {
 		return nil
 	}
-	delete(c.lookUps, e.ID)
-	return []Effect{Resolve{Token: ev.Token, Result: c.ledger.Lookup(ev.RequestID)}}
+	delete(c.reads, e.ID)
+	return []Effect{Resolve{Token: ev.Token, Result: c.answer(ev.Query)}}
 }
 
-func (c *Core) lookUpRefused(e consensus.ReadRefused) []Effect {
-	ev, ok := c.lookUps[e.ID]
+func (c *Core) answer(q Query) any {
+	switch q := q.(type) {
+	case OrderQuery:
+		return c.ledger.Lookup(q.RequestID)
+	case ChangeQuery:
+		result, found := c.store.Lookup(q.ChangeID)
+		return ChangeResult{Found: found, Result: result}
+	case HistoryQuery:
+		return c.store.History(q.From, q.Limit)
+	}
+	return nil
+}
+
+func (c *Core) readRefused(e consensus.ReadRefused) []Effect {
+	ev, ok := c.reads[e.ID]
 	if !ok {
 		return nil
 	}
-	delete(c.lookUps, e.ID)
+	delete(c.reads, e.ID)
 	return []Effect{Resolve{Token: ev.Token, Err: e.Err}}
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -17,11 +19,33 @@
 // immutable.
 type Snapshot struct {
 	Gate     entry.Gate
+	Ready    bool // the load balancer should send work
 	Table    *routing.Table
 	Catalogs map[string]*query.Catalog  // by group
 	Members  map[string][]query.Replica // one searcher of each target, by group
 	Targets  *targets.View
 	Leader   consensus.Member // zero if unknown
+	Revision uint64
+	Term     uint64 // of the latest confirmation
+	Phase    lifecycle.Phase
+
+	ConfirmedAt time.Time
+	Agreed      config.Members // agreed member list
+	Hosts       []Host         // known hosts, by name
+}
+
+// Host is what the snapshot says of a host.
+type Host struct {
+	Host          string
+	Region        string
+	FailureDomain string
+	Roles         []string
+	Incarnation   uint64
+	Peer          netip.AddrPort
+	Live          bool
+	Draining      bool // it said that it takes no new work
+	Revision      uint64
+	LastHeard     time.Time
 }
 
 // shared notes what changed since the last published snapshot.
@@ -38,7 +62,10 @@
 	if old != nil && !c.shared.stale && !c.shared.tableStale && old.Targets == view && old.Gate == gate {
 		return old
 	}
-	s := &Snapshot{Gate: gate, Targets: view, Leader: c.leader}
+	s := &Snapshot{
+		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
+		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, Agreed: c.store.Members(),
+	}
 	if old != nil && !c.shared.tableStale && old.Targets == view {
 		s.Table, s.Catalogs, s.Members = old.Table, old.Catalogs, old.Members
 	} else {
@@ -119,6 +146,7 @@
 	Now       time.Time
 	Revision  uint64
 	Confirmed time.Time
+	Phase     lifecycle.Phase
 	Gate      entry.Gate
 	Feeds     []string
 	Followers int
@@ -130,7 +158,7 @@
 
 func (c *Core) dump(now time.Time) Dump {
 	d := Dump{
-		Now: now, Revision: c.store.Revision(), Confirmed: c.confirmed.At, Gate: c.gate(),
+		Now: now, Revision: c.store.Revision(), Confirmed: c.confirmed.At, Phase: c.life.Phase(), Gate: c.gate(),
 		Feeds: c.follower.Feeds(), Followers: c.feed.Followers(), Pending: c.tracker.Len(),
 		Targets: c.registry.View().Len(), Members: c.store.Members(),
 	}
--- /dev/null
+++ b/internal/control/stop.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+)
+
+// lifecycle steps the host's lifecycle and handles its effects.
+func (c *Core) lifecycle(now time.Time, ev lifecycle.Event) []Effect {
+	var out []Effect
+	for _, e := range c.life.Step(now, ev) {
+		c.shared.stale = true
+		switch e := e.(type) {
+		case lifecycle.BeginHandover:
+			out = append(out, CloseTraffic{})
+			out = append(out, c.consensus(now, consensus.TransferLeadership{ID: "stop"})...)
+		case lifecycle.SyncJournal:
+			out = append(out, SyncJournal{})
+		case lifecycle.Exit:
+			out = append(out, Exit{Interrupted: e.Interrupted})
+		case lifecycle.Log:
+			out = append(out, Log{Event: e.Event, Fields: []Field{{"phase", e.Phase.String()}, {"in_flight", e.InFlight}}})
+		}
+	}
+	return out
+}
+
+// endHandover goes on with the stop once nothing of the host's traffic is left
+// and another voter leads, if there is one that can.
+func (c *Core) endHandover(now time.Time) []Effect {
+	if c.life.Phase() != lifecycle.Handover || !c.quiet || c.mustHandOver() {
+		return nil
+	}
+	return c.lifecycle(now, lifecycle.HandedOver{})
+}
+
+func (c *Core) mustHandOver() bool {
+	if c.node == nil {
+		return false
+	}
+	s := c.node.Status()
+	return s.Role == consensus.Leader && len(s.Voters) > 1
+}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
 	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
@@ -24,15 +25,21 @@
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", d.readyz).Methods(http.MethodGet)
 	r.HandleFunc("/debug/state", d.debugState).Methods(http.MethodGet)
+	r.PathPrefix("/v1/admin/").Handler(confighttp.New(confighttp.Options{Backend: backend{d}, Tokens: d.tokens, Log: d.log}))
 	return r
 }
 
 // readyz tells the load balancer whether this host takes new work.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if err := d.loop.Snapshot().Gate.Check(time.Now()); err != nil {
+	s := d.loop.Snapshot()
+	if err := s.Gate.Check(time.Now()); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	if !s.Ready {
+		http.Error(w, "this host is about to refuse new work", http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -4,17 +4,15 @@
 	"net/netip"
 
 	"github.com/hawthornlock/hawthornlock/internal/control"
-	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 )
 
 // applied is what applySnapshots last handed to the traffic side.
 type applied struct {
-	table    *routing.Table
-	targets  *targets.View
-	catalogs map[string]*query.Catalog
-	shares   map[netip.AddrPort]int
+	table   *routing.Table
+	targets *targets.View
+	shares  map[netip.AddrPort]int
 }
 
 // applySnapshots brings the traffic state that outlives single requests in
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/admission"
 	"github.com/hawthornlock/hawthornlock/internal/admission/admissionrun"
+	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
 	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
@@ -25,6 +26,8 @@
 	"github.com/hawthornlock/hawthornlock/internal/entry/entryrun"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/journal"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrun"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/query"
@@ -34,6 +37,9 @@
 	"github.com/hawthornlock/hawthornlock/internal/targets/targethttp"
 )
 
+// handoverTimeout bounds the wait for another leader and for open orders.
+const handoverTimeout = 5 * time.Second
+
 // readHeaderTimeout bounds how long a client may take to send its headers.
 const readHeaderTimeout = 5 * time.Second
 
@@ -46,6 +52,8 @@
 	loop      *controlrun.Loop
 	links     *peerlink.Links
 	directory *directory
+	tokens    *confighttp.Tokens // nil without authentication, on loopback only
+	journal   *journal.Journal   // nil on a host without the log
 	pools     *poolrun.Pools
 	driver    *queryrun.Driver
 	groups    *entryrun.Groups
@@ -69,17 +77,29 @@
 func New(s *settings.Settings, log *eventlog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, directory: newDirectory(), links: peerlink.New()}
 	d.ctx, d.cancel = context.WithCancelCause(context.Background())
+	if err := d.loadTokens(); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		d.closeListeners()
 		return nil, err
 	}
 	if err := d.assemble(); err != nil {
 		d.closeListeners()
-		return nil, err
+		return nil, errors.CombineErrors(err, d.closeLog())
 	}
 	return d, nil
 }
 
+func (d *Daemon) loadTokens() error {
+	tokens, err := confighttp.LoadTokens(d.settings.AdminTokenFile, "")
+	if err != nil {
+		return err
+	}
+	d.tokens = tokens
+	return confighttp.CheckBind(d.settings.AdminListen.String(), tokens)
+}
+
 func (d *Daemon) listen() error {
 	for _, l := range []struct {
 		name    string
@@ -118,8 +138,11 @@
 	core := control.NewCore(control.Options{
 		Self: d.settings.Host, Staleness: d.settings.ConfigStaleness, Voters: d.voterFeeds(),
 		Node: node, Codec: controlcodec.Codec{},
-	})
-	d.loop = controlrun.New(core, d.log)
+		Lifecycle: lifecycle.Options{
+			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, HandoverTimeout: handoverTimeout,
+		},
+	}, time.Now())
+	d.loop = controlrun.New(core, d.inFlight.Count, d.log)
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
@@ -190,7 +213,8 @@
 	d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: seen.Target, Incarnation: seen.Incarnation}})
 }
 
-// Run serves until ctx ends or the host fails.
+// Run serves until the host has stopped or failed. The end of ctx begins a
+// graceful stop.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.close()
 	d.start(func() { d.loop.Run(d.ctx, d) })
@@ -203,9 +227,24 @@
 		Stringer("admin", d.Address("admin")).Stringer("peer", d.Address("peer")).Send()
 	select {
 	case <-ctx.Done():
-		return nil
+		d.Stop()
+		<-d.ctx.Done()
 	case <-d.ctx.Done():
-		return context.Cause(d.ctx)
+	}
+	if err := context.Cause(d.ctx); !errors.Is(err, errStopped) {
+		return err
+	}
+	return nil
+}
+
+// errStopped is the cause of a host's end after a graceful stop.
+var errStopped = errors.New("stopped")
+
+// Stop begins a graceful stop. Called again, it ends the host at once.
+func (d *Daemon) Stop() {
+	ev := control.LifecycleEvent{Event: lifecycle.StopRequested{InFlight: d.inFlight.Count()}}
+	if err := d.loop.Post(d.ctx, ev); err != nil {
+		d.cancel(err)
 	}
 }
 
@@ -236,6 +275,8 @@
 		_ = s.http.Close()
 	}
 	d.cancel(nil)
+	// A journal that was closed by a graceful stop takes this as no news.
+	_ = d.closeLog()
 	d.links.Close()
 	d.workers.Wait()
 	d.log.Log(eventStopped).Send()
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -22,6 +22,8 @@
 	switch e := e.(type) {
 	case control.Persist:
 		d.persist(e)
+	case control.SendConsensus:
+		d.sendConsensus(e.Send)
 	case control.SendPoll:
 		d.sendPoll(e)
 	case control.SendUpdate:
@@ -30,6 +32,12 @@
 		go d.encodeState(e)
 	case control.ProposeChange:
 		go d.proposeChange(e.Change)
+	case control.CloseTraffic:
+		go d.closeTraffic()
+	case control.SyncJournal:
+		go d.syncJournal()
+	case control.Exit:
+		d.exit(e)
 	case control.Log:
 		d.logEvent(e)
 	case control.LogConsensus:
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -1,37 +1,101 @@
 package daemon
 
 import (
+	"context"
 	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/consensus/consensusrpc"
 	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/journal"
 	"github.com/hawthornlock/hawthornlock/internal/settings"
 )
 
-// openLog returns the node of a host that holds the replicated log.
+// openLog opens the journal of a host that holds the replicated log and
+// returns the node that continues from it.
 func (d *Daemon) openLog() (*consensus.Node, error) {
 	if !d.settings.HasRole(settings.Voter) {
 		return nil, nil
 	}
-	if len(d.settings.Voters) > 1 {
-		return nil, errors.New("the replicated log has no transport between voters yet: name one voter")
+	j, recovered, err := journal.Open(journal.Options{Dir: d.settings.DataDir, Log: d.log, Completed: d.persisted})
+	if err != nil {
+		return nil, err
+	}
+	d.journal = j
+	return consensus.New(d.nodeOptions(recovered.Identity), recovered.State)
+}
+
+func (d *Daemon) nodeOptions(id consensus.Identity) consensus.Options {
+	o := consensus.Options{
+		Self: consensus.Member{Identity: id, Name: d.settings.Host, Address: d.Address("peer").String()},
+		Rand: rand.New(rand.NewPCG(d.settings.Seed, 2)),
+		// The setting bounds the difference of two clock rates; the node wants
+		// what that makes over one election timeout.
+		MaxClockDrift: time.Duration(d.settings.MaxClockDrift * float64(consensus.DefaultElectionTimeout)),
 	}
-	var initial []consensus.Member
-	self := consensus.Member{Identity: consensus.Identity(d.settings.Host), Name: d.settings.Host, Address: d.Address("peer").String()}
 	for _, v := range d.settings.Voters {
-		initial = append(initial, consensus.Member{Name: v.Host, Address: v.Peer.String()})
+		address := v.Peer.String()
+		if v.Host == d.settings.Host {
+			address = o.Self.Address
+		}
+		o.Initial = append(o.Initial, consensus.Member{Name: v.Host, Address: address})
 	}
-	return consensus.New(consensus.Options{
-		Self: self, Initial: initial, Rand: rand.New(rand.NewPCG(d.settings.Seed, 2)),
-	}, consensus.DurableState{})
+	return o
 }
 
-// persist reports a change as durable although it is kept in memory only; the
-// journal takes its place.
+// persist hands a change to the journal. It runs on the control goroutine and
+// must not wait for room in that goroutine's own queue.
 func (d *Daemon) persist(e control.Persist) {
-	go func() {
-		_ = d.loop.Post(d.ctx, control.ConsensusEvent{Event: consensus.Persisted{Seq: e.Change.Seq}})
-	}()
+	err := d.journal.Submit(e.Change)
+	if err == nil {
+		return
+	}
+	go d.persisted(journal.Completion{Seq: e.Change.Seq, Err: err})
+}
+
+// persisted tells the node what became of a change.
+func (d *Daemon) persisted(c journal.Completion) {
+	var fatal *journal.FatalError
+	switch {
+	case c.Err == nil:
+		_ = d.loop.Post(d.ctx, control.ConsensusEvent{Event: consensus.Persisted{Seq: c.Seq}})
+	case errors.As(c.Err, &fatal):
+		d.fail(c.Err)
+	default:
+		_ = d.loop.Post(d.ctx, control.ConsensusEvent{Event: consensus.PersistFailed{Seq: c.Seq}})
+	}
+}
+
+// closeLog syncs and closes the journal.
+func (d *Daemon) closeLog() error {
+	if d.journal == nil {
+		return nil
+	}
+	return d.journal.Close()
+}
+
+func (d *Daemon) sendConsensus(s consensus.Send) {
+	address, err := netip.ParseAddrPort(s.To.Address)
+	if err != nil {
+		return
+	}
+	d.links.Send(address, func(ctx context.Context, client *http.Client, _ string) {
+		// A lost message is sent again by the protocol.
+		_ = consensusrpc.NewClient(client, s.To.Address).Deliver(ctx, []consensus.Message{s.Message})
+	})
+}
+
+type consensusService struct{ d *Daemon }
+
+// Deliver hands messages to the replicated log. A full control queue drops
+// them, and the protocol sends them again.
+func (s *consensusService) Deliver(_ context.Context, messages []consensus.Message) {
+	for _, m := range messages {
+		s.d.loop.TryPost(control.ConsensusEvent{Event: consensus.MessageReceived{Message: m}})
+	}
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -7,10 +7,12 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/hawthornlock/hawthornlock/internal/config/configrpc"
+	"github.com/hawthornlock/hawthornlock/internal/consensus/consensusrpc"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/follow/followrpc"
-	"github.com/hawthornlock/hawthornlock/internal/orders/orderscodec"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle/lifecyclerpc"
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrpc"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
@@ -19,13 +21,16 @@
 // peerRouter serves the other hosts.
 func (d *Daemon) peerRouter() http.Handler {
 	r := mux.NewRouter()
+	r.PathPrefix(consensusrpc.ConsensusPathPrefix).Handler(consensusrpc.NewHandler(&consensusService{d}))
 	for _, s := range []interface {
 		http.Handler
 		PathPrefix() string
 	}{
 		followrpc.NewFollowServer(&followService{d}),
 		proposalsrpc.NewProposalsServer(&proposalsService{d}),
+		lifecyclerpc.NewLifecycleServer(&lifecycleService{d}),
 		ordersrpc.NewOrdersServer(&ordersService{d}),
+		configrpc.NewConfigServer(&configService{d}),
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
@@ -59,24 +64,19 @@
 	defer cancel()
 	result, err := s.d.submitHere(ctx, proposals.Kind(m.GetKind()), m.GetData())
 	if err != nil {
-		return &proposalsrpc.SubmitReply{Failure: proposalsrpc.EncodeFailure(err, s.d.loop.Snapshot().Leader.Name)}, nil
+		return &proposalsrpc.SubmitReply{Failure: s.d.encodeFailure(err)}, nil
 	}
 	return &proposalsrpc.SubmitReply{Result: result}, nil
 }
 
-type ordersService struct{ d *Daemon }
+type lifecycleService struct{ d *Daemon }
 
-// LookUp answers from the ledger if this host leads the log.
-func (s *ordersService) LookUp(ctx context.Context, m *ordersrpc.LookUpRequest) (*ordersrpc.LookUpReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(max(0, m.GetTimeoutMs()))*time.Millisecond)
-	defer cancel()
-	reply, err := s.d.lookUpHere(ctx, m.GetRequestId())
-	if err != nil {
-		return &ordersrpc.LookUpReply{Failure: proposalsrpc.EncodeFailure(err, s.d.loop.Snapshot().Leader.Name)}, nil
-	}
-	data, err := orderscodec.EncodeReply(reply)
-	if err != nil {
-		return nil, err
-	}
-	return &ordersrpc.LookUpReply{Reply: data}, nil
+// Drain makes this host refuse new work.
+func (s *lifecycleService) Drain(ctx context.Context, _ *lifecyclerpc.DrainRequest) (*lifecyclerpc.DrainReply, error) {
+	return &lifecyclerpc.DrainReply{}, backend{s.d}.DrainHost(ctx, s.d.settings.Host)
+}
+
+// Resume ends a drain of this host.
+func (s *lifecycleService) Resume(ctx context.Context, _ *lifecyclerpc.ResumeRequest) (*lifecyclerpc.ResumeReply, error) {
+	return &lifecyclerpc.ResumeReply{}, backend{s.d}.ResumeHost(ctx, s.d.settings.Host)
 }
