--- a/cmd/hawthornlockd/main.go
+++ b/cmd/hawthornlockd/main.go
@@ -32,7 +32,13 @@
 	if s.Seed == 0 {
 		s.Seed = uint64(time.Now().UnixNano())
 	}
-	d, err := daemon.New(s, eventlog.New(os.Stderr, s.LogLevel, s.Host))
+	listeners, err := daemon.Listen(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer listeners.Close()
+	d, err := daemon.New(s, listeners, eventlog.New(os.Stderr, s.LogLevel, s.Host))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,29 +63,52 @@
 	orderRuns *ordersrun.Driver
 	orders    *entryrun.Orders
 	requests  atomic.Uint64
-	servers   []*server
+	listeners Listeners
+	servers   map[string]*http.Server
 	workers   sync.WaitGroup
 }
 
-type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
+// Listeners are the open listeners of a host by the names of their interfaces:
+// "caller", "target", "admin" and "peer".
+type Listeners map[string]net.Listener
+
+// Listen opens the listeners that the settings name.
+func Listen(s *settings.Settings) (Listeners, error) {
+	out := make(Listeners)
+	for name, address := range map[string]netip.AddrPort{
+		"caller": s.CallerListen, "target": s.TargetListen, "admin": s.AdminListen, "peer": s.PeerListen,
+	} {
+		ln, err := net.Listen("tcp", address.String())
+		if err != nil {
+			out.Close()
+			return nil, errors.Wrapf(err, "listen for the %s interface", name)
+		}
+		out[name] = ln
+	}
+	return out, nil
+}
+
+// Close closes the listeners.
+func (l Listeners) Close() {
+	for _, ln := range l {
+		_ = ln.Close()
+	}
 }
 
-// New opens the listeners and the durable state of a host. Run starts it.
-func New(s *settings.Settings, log *eventlog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, directory: newDirectory(), links: peerlink.New()}
+// Address returns the IP address and port of a listener.
+func (l Listeners) Address(name string) netip.AddrPort {
+	return l[name].Addr().(*net.TCPAddr).AddrPort()
+}
+
+// New opens the durable state of a host. Run starts it. The host closes the
+// listeners when it ends.
+func New(s *settings.Settings, listeners Listeners, log *eventlog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, listeners: listeners, directory: newDirectory(), links: peerlink.New()}
 	d.ctx, d.cancel = context.WithCancelCause(context.Background())
 	if err := d.loadTokens(); err != nil {
 		return nil, err
 	}
-	if err := d.listen(); err != nil {
-		d.closeListeners()
-		return nil, err
-	}
 	if err := d.assemble(); err != nil {
-		d.closeListeners()
 		return nil, errors.CombineErrors(err, d.closeLog())
 	}
 	return d, nil
@@ -100,35 +123,8 @@
 	return confighttp.CheckBind(d.settings.AdminListen.String(), tokens)
 }
 
-func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		name    string
-		address netip.AddrPort
-	}{
-		{"caller", d.settings.CallerListen},
-		{"target", d.settings.TargetListen},
-		{"admin", d.settings.AdminListen},
-		{"peer", d.settings.PeerListen},
-	} {
-		ln, err := net.Listen("tcp", l.address.String())
-		if err != nil {
-			return errors.Wrapf(err, "listen for the %s interface", l.name)
-		}
-		d.servers = append(d.servers, &server{name: l.name, listener: ln})
-	}
-	return nil
-}
-
-// Address returns the address on which a listener ("caller", "target",
-// "admin" or "peer") accepts connections.
-func (d *Daemon) Address(name string) netip.AddrPort {
-	for _, s := range d.servers {
-		if s.name == name {
-			return s.listener.Addr().(*net.TCPAddr).AddrPort()
-		}
-	}
-	return netip.AddrPort{}
-}
+// Address returns the address on which an interface accepts connections.
+func (d *Daemon) Address(name string) netip.AddrPort { return d.listeners.Address(name) }
 
 func (d *Daemon) assemble() error {
 	node, err := d.openLog()
@@ -153,8 +149,9 @@
 	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight)
 	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, uint64(time.Now().UnixNano()))
 	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight)
-	for _, s := range d.servers {
-		s.http = &http.Server{Handler: d.router(s.name), ReadHeaderTimeout: readHeaderTimeout}
+	d.servers = make(map[string]*http.Server)
+	for name := range d.listeners {
+		d.servers[name] = &http.Server{Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout}
 	}
 	return nil
 }
@@ -219,8 +216,8 @@
 	defer d.close()
 	d.start(func() { d.loop.Run(d.ctx, d) })
 	d.start(d.applySnapshots)
-	for _, s := range d.servers {
-		d.start(func() { d.serve(s) })
+	for name := range d.servers {
+		d.start(func() { d.serve(name) })
 	}
 	d.log.Log(eventStarted).
 		Stringer("caller", d.Address("caller")).Stringer("target", d.Address("target")).
@@ -256,9 +253,9 @@
 	}()
 }
 
-func (d *Daemon) serve(s *server) {
-	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		d.fail(errors.Wrapf(err, "serve the %s interface", s.name))
+func (d *Daemon) serve(name string) {
+	if err := d.servers[name].Serve(d.listeners[name]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.fail(errors.Wrapf(err, "serve the %s interface", name))
 	}
 }
 
@@ -272,7 +269,7 @@
 
 func (d *Daemon) close() {
 	for _, s := range d.servers {
-		_ = s.http.Close()
+		_ = s.Close()
 	}
 	d.cancel(nil)
 	// A journal that was closed by a graceful stop takes this as no news.
@@ -281,9 +278,3 @@
 	d.workers.Wait()
 	d.log.Log(eventStopped).Send()
 }
-
-func (d *Daemon) closeListeners() {
-	for _, s := range d.servers {
-		_ = s.listener.Close()
-	}
-}
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -5,19 +5,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
-	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
-	"github.com/hawthornlock/hawthornlock/internal/settings"
 	"github.com/hawthornlock/hawthornlock/internal/standin"
 )
 
@@ -25,28 +20,6 @@
 // nothing about speed.
 const patience = 30 * time.Second
 
-func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
-
-func startHost(t *testing.T) *Daemon {
-	t.Helper()
-	s, err := settings.Parse([]string{
-		"-host", "a", "-failure-domain", "fd1", "-roles", "entry,voter", "-data-dir", t.TempDir(), "-voters", "a=127.0.0.1:7403",
-		"-balancer-lag", "0s",
-	}, io.Discard)
-	require.NoError(t, err)
-	s.CallerListen, s.TargetListen, s.AdminListen, s.PeerListen = loopback(), loopback(), loopback(), loopback()
-	d, err := New(s, eventlog.New(testWriter{t}, zerolog.WarnLevel, s.Host))
-	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		require.NoError(t, <-ended)
-	})
-	return d
-}
-
 type testWriter struct{ t *testing.T }
 
 func (w testWriter) Write(p []byte) (int, error) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -69,7 +69,15 @@
 	}
 	free := netip.MustParseAddrPort("127.0.0.1:0")
 	s.CallerListen, s.TargetListen, s.AdminListen, s.PeerListen = free, free, free, free
-	return daemon.New(s, eventlog.New(logs, zerolog.ErrorLevel, s.Host))
+	listeners, err := daemon.Listen(s)
+	if err != nil {
+		return nil, err
+	}
+	d, err := daemon.New(s, listeners, eventlog.New(logs, zerolog.ErrorLevel, s.Host))
+	if err != nil {
+		listeners.Close()
+	}
+	return d, err
 }
 
 // world is the set of stand-in targets.
