Show metrics and the state of every slice

Cause: tail latency, coverage and extra load could not be seen from outside. Change: histograms of latency and coverage, counters of sub-requests by kind and of refusals by code, gauges read from the slices at each scrape, and a state dump that covers them. Result: the daemon's tests pass three times in a row; one test had counted on readiness at the moment of the first change and now waits for it.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -6,22 +6,21 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/hawthornlock/hawthornlock/internal/admission"
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
 	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
 	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/entry/entryrun"
+	"github.com/hawthornlock/hawthornlock/internal/journal"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
 )
 
 func (d *Daemon) adminRouter() http.Handler {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r := mux.NewRouter()
-	r.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	r.Handle("/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", d.readyz).Methods(http.MethodGet)
 	r.HandleFunc("/debug/state", d.debugState).Methods(http.MethodGet)
@@ -50,6 +49,10 @@
 	Connections []poolrun.Stats
 	Links       peerlink.Stats
 	Queries     queryrun.Stats
+	Admission   admission.Stats
+	Groups      []entryrun.GroupStats
+	OpenOrders  int
+	Journal     *journal.Stats `json:",omitempty"`
 }
 
 func (d *Daemon) debugState(w http.ResponseWriter, r *http.Request) {
@@ -58,12 +61,18 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	dump := stateDump{
+		Host: d.settings.Host, Control: result.(control.Dump), Connections: d.pools.Stats(),
+		Links: d.links.Stats(), Queries: d.driver.Stats(), Groups: d.groups.Stats(), OpenOrders: d.orderRuns.Open(),
+	}
+	dump.Admission, _ = d.admission.Snapshot()
+	if d.journal != nil {
+		s := d.journal.Stats()
+		dump.Journal = &s
+	}
 	w.Header().Set("Content-Type", "application/json")
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
 	// An error here means that the reader has gone.
-	_ = e.Encode(stateDump{
-		Host: d.settings.Host, Control: result.(control.Dump), Connections: d.pools.Stats(),
-		Links: d.links.Stats(), Queries: d.driver.Stats(),
-	})
+	_ = e.Encode(dump)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,7 @@
 	tokens    *confighttp.Tokens // nil without authentication, on loopback only
 	journal   *journal.Journal   // nil on a host without the log
 	pools     *poolrun.Pools
+	metrics   *metrics
 	driver    *queryrun.Driver
 	groups    *entryrun.Groups
 	admission *admissionrun.Gate
@@ -141,14 +142,15 @@
 	d.loop = controlrun.New(core, d.inFlight.Count, d.log)
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
+	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
 	d.admission = admissionrun.New(admission.Config{Concurrency: d.settings.MaxQueries, QueueLength: d.settings.QueueLength}, d.log)
 	d.driver = queryrun.New(queryrun.Config{
 		Transport: entryrun.NewTransport(client, d.groups), Catalogs: d.loop, Log: d.log, OnDrain: d.drainSeen, Seed: d.settings.Seed,
 	})
-	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight)
+	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight, d.metrics)
 	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, uint64(time.Now().UnixNano()))
-	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight)
+	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics)
 	d.servers = make(map[string]*http.Server)
 	for name := range d.listeners {
 		d.servers[name] = &http.Server{Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout}
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+const namespace = "hawthornlock"
+
+// Labels take their values from the configuration (groups) or from constants
+// of the code (codes, verdicts), so their number is bounded.
+const (
+	labelGroup   = "group"
+	labelCode    = "code"
+	labelKind    = "kind"
+	labelVerdict = "verdict"
+)
+
+// metrics records what requests experience and shows the state of the host's
+// slices at each scrape.
+type metrics struct {
+	registry    *prometheus.Registry
+	latency     *prometheus.HistogramVec
+	coverage    *prometheus.HistogramVec
+	subRequests *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	orders      *prometheus.CounterVec
+}
+
+func newMetrics(d *Daemon) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "query_seconds", Help: "Time from a query's arrival to its answer.",
+			// The buckets are dense around 130 ms, the bound on the 99th percentile.
+			Buckets: []float64{.001, .0025, .005, .01, .02, .035, .05, .075, .1, .115, .13, .15, .2, .3, .5, 1, 2, 5, 10},
+		}, []string{labelGroup}),
+		coverage: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "query_coverage_ratio", Help: "Share of the pinned index snapshot's shards in an answer.",
+			Buckets: []float64{0, .5, .8, .9, .95, .98, .99, .995, .999, 1},
+		}, []string{labelGroup}),
+		subRequests: counter("sub_requests_total", "Sub-requests sent to targets, by kind: first, hedge or retry. Hedges and retries are the extra load.", labelGroup, labelKind),
+		refusals:    counter("request_errors_total", "Queries and orders answered with an error, by its code.", labelCode),
+		orders:      counter("orders_total", "Orders answered, by verdict.", labelVerdict),
+	}
+	m.registry.MustRegister(m.latency, m.coverage, m.subRequests, m.refusals, m.orders,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), &stateCollector{d})
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// ObserveQuery implements entryrun.Observer.
+func (m *metrics) ObserveQuery(group string, took time.Duration, a *query.Answer, err error) {
+	if err != nil {
+		m.refusals.WithLabelValues(string(verdict.CodeOf(err))).Inc()
+		return
+	}
+	m.latency.WithLabelValues(group).Observe(took.Seconds())
+	m.coverage.WithLabelValues(group).Observe(a.Coverage.Share())
+	m.subRequests.WithLabelValues(group, "first").Add(float64(a.Attempts - a.Hedges - a.Retries))
+	m.subRequests.WithLabelValues(group, "hedge").Add(float64(a.Hedges))
+	m.subRequests.WithLabelValues(group, "retry").Add(float64(a.Retries))
+}
+
+// ObserveOrder implements entryrun.Observer.
+func (m *metrics) ObserveOrder(v verdict.Verdict, err error) {
+	m.orders.WithLabelValues(v.String()).Inc()
+	if err != nil {
+		m.refusals.WithLabelValues(string(verdict.CodeOf(err))).Inc()
+	}
+}
+
+// stateCollector reads the state of the slices when it is scraped.
+type stateCollector struct{ d *Daemon }
+
+type gauge struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+}
+
+func describe(kind prometheus.ValueType, name, help string, labels ...string) gauge {
+	return gauge{prometheus.NewDesc(namespace+"_"+name, help, labels, nil), kind}
+}
+
+var (
+	readyGauge       = describe(prometheus.GaugeValue, "ready", "1 if the load balancer should send work to this host.")
+	revisionGauge    = describe(prometheus.GaugeValue, "config_revision", "Configuration revision in force at this host.")
+	termGauge        = describe(prometheus.GaugeValue, "term", "Term of the latest confirmation of the configuration.")
+	confirmedGauge   = describe(prometheus.GaugeValue, "config_age_seconds", "Age of the latest confirmation of the configuration.")
+	leaderGauge      = describe(prometheus.GaugeValue, "leader", "1 if this host leads the replicated log.")
+	targetsGauge     = describe(prometheus.GaugeValue, "targets", "Targets that are alive or draining.")
+	inFlightGauge    = describe(prometheus.GaugeValue, "requests_in_progress", "Callers' requests in progress at this host.")
+	openOrdersGauge  = describe(prometheus.GaugeValue, "orders_open", "Orders whose claim is not settled yet.")
+	runningGauge     = describe(prometheus.GaugeValue, "admission_running", "Admitted queries in progress.", labelGroup)
+	waitingGauge     = describe(prometheus.GaugeValue, "admission_waiting", "Queries that wait for admission.", labelGroup)
+	limitGauge       = describe(prometheus.GaugeValue, "admission_limit", "Adaptive limit of the queries in progress.", labelGroup)
+	ejectedGauge     = describe(prometheus.GaugeValue, "searchers_ejected", "Searchers that this host has ejected.", labelGroup)
+	slotWaitGauge    = describe(prometheus.GaugeValue, "sub_requests_waiting", "Sub-requests that wait for a searcher's slot.", labelGroup)
+	connectionsGauge = describe(prometheus.GaugeValue, "connections_open", "Connections to all targets.")
+	shareGauge       = describe(prometheus.GaugeValue, "connections_share", "Connections to all targets that this host may hold.")
+	dialsTotal       = describe(prometheus.CounterValue, "connection_dials_total", "Connections set up to targets.")
+	lateTotal        = describe(prometheus.CounterValue, "late_replies_total", "Replies that came after their query had ended.")
+	sentTotal        = describe(prometheus.CounterValue, "peer_messages_total", "Messages queued for other hosts.")
+	droppedTotal     = describe(prometheus.CounterValue, "peer_messages_dropped_total", "Messages to other hosts that found the queue full.")
+	syncsTotal       = describe(prometheus.CounterValue, "journal_syncs_total", "Syncs of the journal.")
+	journalTotal     = describe(prometheus.CounterValue, "journal_written_bytes_total", "Bytes written to the journal.")
+)
+
+// Describe implements prometheus.Collector.
+func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, g := range []gauge{
+		readyGauge, revisionGauge, termGauge, confirmedGauge, leaderGauge, targetsGauge, inFlightGauge, openOrdersGauge,
+		runningGauge, waitingGauge, limitGauge, ejectedGauge, slotWaitGauge, connectionsGauge, shareGauge, dialsTotal,
+		lateTotal, sentTotal, droppedTotal, syncsTotal, journalTotal,
+	} {
+		ch <- g.desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *stateCollector) Collect(ch chan<- prometheus.Metric) {
+	send := func(g gauge, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(g.desc, g.kind, v, labels...)
+	}
+	c.collectControl(send)
+	c.collectTraffic(send)
+	c.collectConnections(send)
+	if j := c.d.journal; j != nil {
+		s := j.Stats()
+		send(syncsTotal, float64(s.Syncs))
+		send(journalTotal, float64(s.Bytes))
+	}
+}
+
+type sendFunc func(g gauge, v float64, labels ...string)
+
+func (c *stateCollector) collectControl(send sendFunc) {
+	s := c.d.loop.Snapshot()
+	send(readyGauge, number(s.Ready))
+	send(revisionGauge, float64(s.Revision))
+	send(termGauge, float64(s.Term))
+	send(leaderGauge, number(s.Leader.Name == c.d.settings.Host))
+	send(targetsGauge, float64(s.Targets.Len()))
+	if !s.ConfirmedAt.IsZero() {
+		send(confirmedGauge, time.Since(s.ConfirmedAt).Seconds())
+	}
+	links := c.d.links.Stats()
+	send(sentTotal, float64(links.Sent))
+	send(droppedTotal, float64(links.Dropped))
+}
+
+func (c *stateCollector) collectTraffic(send sendFunc) {
+	send(inFlightGauge, float64(c.d.inFlight.Count()))
+	send(openOrdersGauge, float64(c.d.orderRuns.Open()))
+	send(lateTotal, float64(c.d.driver.Stats().LateReplies))
+	admitted, _ := c.d.admission.Snapshot()
+	for _, g := range admitted.Groups {
+		send(runningGauge, float64(g.Running), g.Group)
+		send(waitingGauge, float64(g.Waiting), g.Group)
+		send(limitGauge, float64(g.Limit), g.Group)
+	}
+	now := time.Now()
+	for _, g := range c.d.groups.Stats() {
+		ejected := 0
+		for _, s := range g.Searchers {
+			if s.EjectedUntil.After(now) {
+				ejected++
+			}
+		}
+		send(ejectedGauge, float64(ejected), g.Group)
+		send(slotWaitGauge, float64(g.Waiting), g.Group)
+	}
+}
+
+func (c *stateCollector) collectConnections(send sendFunc) {
+	open, share, dialed := 0, 0, uint64(0)
+	for _, p := range c.d.pools.Stats() {
+		open += p.Open
+		share += p.Share
+		dialed += p.Dialed
+	}
+	send(connectionsGauge, float64(open))
+	send(shareGauge, float64(share))
+	send(dialsTotal, float64(dialed))
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -108,5 +108,8 @@
 
 func awaitTargets(t *testing.T, d *Daemon, n int) {
 	t.Helper()
-	require.Eventually(t, func() bool { return len(d.loop.Snapshot().Members["names"]) == n }, patience, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		s := d.loop.Snapshot()
+		return s.Ready && len(s.Members["names"]) == n
+	}, patience, 20*time.Millisecond)
 }
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -139,6 +139,7 @@
 func TestBadInputIsRefusedOverHTTP(t *testing.T) {
 	d := startHost(t)
 	pushGroup(t, d)
+	awaitTargets(t, d, 0)
 	for body, want := range map[string]int{
 		`{"team":"names"`: http.StatusBadRequest,
 		`{"team":"names","terms":"a","k":1,"colour":"red"}`:     http.StatusBadRequest,
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -62,7 +62,7 @@
 func startHost(dir string, logs io.Writer) (*daemon.Daemon, error) {
 	s, err := settings.Parse([]string{
 		"-host", "demo", "-failure-domain", "fd1", "-roles", "entry,voter", "-data-dir", dir,
-		"-voters", "demo=127.0.0.1:7403", "-balancer-lag", "0s", "-seed", "1",
+		"-voters", "demo=127.0.0.1:7404", "-balancer-lag", "0s", "-seed", "1",
 	}, logs)
 	if err != nil {
 		return nil, err
--- a/internal/entry/entryrun/orders.go
+++ b/internal/entry/entryrun/orders.go
@@ -28,16 +28,27 @@
 	client    *targethttp.Client
 	groups    *Groups
 	inFlight  *InFlight
+	observer  Observer
 }
 
 // NewOrders returns the service that runs orders with driver.
-func NewOrders(s Snapshots, driver *ordersrun.Driver, client *targethttp.Client, groups *Groups, inFlight *InFlight) *Orders {
-	return &Orders{snapshots: s, driver: driver, client: client, groups: groups, inFlight: inFlight}
+func NewOrders(s Snapshots, driver *ordersrun.Driver, client *targethttp.Client, groups *Groups, inFlight *InFlight, o Observer) *Orders {
+	return &Orders{snapshots: s, driver: driver, client: client, groups: groups, inFlight: inFlight, observer: o}
 }
 
 // Order runs one order at most once.
 func (s *Orders) Order(ctx context.Context, o entry.OrderRequest) (*entryhttp.OrderResult, error) {
 	defer s.inFlight.Begin()()
+	result, err := s.run(ctx, o)
+	v := verdict.Ran
+	if err != nil {
+		v = verdict.Of(err)
+	}
+	s.observer.ObserveOrder(v, err)
+	return result, err
+}
+
+func (s *Orders) run(ctx context.Context, o entry.OrderRequest) (*entryhttp.OrderResult, error) {
 	now := time.Now()
 	snapshot := s.snapshots.Snapshot()
 	if err := snapshot.Gate.Check(now); err != nil {
--- a/internal/entry/entryrun/queries.go
+++ b/internal/entry/entryrun/queries.go
@@ -19,6 +19,12 @@
 	Snapshot() *control.Snapshot
 }
 
+// Observer is told what requests experienced. Its methods must not block.
+type Observer interface {
+	ObserveQuery(group string, took time.Duration, a *query.Answer, err error)
+	ObserveOrder(v verdict.Verdict, err error)
+}
+
 // Queries answers queries. It is safe for concurrent use.
 type Queries struct {
 	snapshots Snapshots
@@ -26,11 +32,12 @@
 	groups    *Groups
 	admission *admissionrun.Gate
 	inFlight  *InFlight
+	observer  Observer
 }
 
 // NewQueries returns the service that runs queries with driver.
-func NewQueries(s Snapshots, driver *queryrun.Driver, groups *Groups, gate *admissionrun.Gate, inFlight *InFlight) *Queries {
-	return &Queries{snapshots: s, driver: driver, groups: groups, admission: gate, inFlight: inFlight}
+func NewQueries(s Snapshots, driver *queryrun.Driver, groups *Groups, gate *admissionrun.Gate, inFlight *InFlight, o Observer) *Queries {
+	return &Queries{snapshots: s, driver: driver, groups: groups, admission: gate, inFlight: inFlight, observer: o}
 }
 
 // Query runs one query.
@@ -39,27 +46,33 @@
 	// see every request that passed it.
 	defer s.inFlight.Begin()()
 	now := time.Now()
+	group, answer, err := s.run(ctx, now, q)
+	s.observer.ObserveQuery(group, time.Since(now), answer, err)
+	return answer, err
+}
+
+func (s *Queries) run(ctx context.Context, now time.Time, q entry.QueryRequest) (string, *query.Answer, error) {
 	snapshot := s.snapshots.Snapshot()
 	if err := snapshot.Gate.Check(now); err != nil {
-		return nil, err
+		return "", nil, err
 	}
 	target, _, err := snapshot.Table.Route(routing.Request{Team: q.Team, Labels: q.Labels, Group: q.Group})
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
 	deadline := now.Add(q.Timeout)
 	waitCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	leave, err := s.admission.Enter(waitCtx, admissionrun.Query{Group: target.Name, Team: q.Team, Caller: q.Caller})
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
 	g := s.groups.get(target)
 	answer, err := s.driver.Do(withGroup(ctx, g), query.Query{
 		RequestID: q.RequestID, Group: target.Name, Terms: q.Terms, K: q.K, Deadline: deadline, MinCoverage: q.MinCoverage,
 	}, g.latencies, &chooser{group: g})
 	leave(loadOf(ctx, answer, err))
-	return answer, err
+	return target.Name, answer, err
 }
 
 // loadOf says what the end of a query tells about the load of its group.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,10 +90,10 @@
 	fs.StringVar(&r.DataDir, "data-dir", "", "data directory on the host's disk; only with the role voter")
 	fs.StringVar(&r.peers, "peers", "", "comma-separated IP:port of other hosts' peer listeners, to find the rest")
 	fs.StringVar(&r.voters, "voters", "", "comma-separated name=IP:port of the hosts that hold the replicated log: 1, 3 or 5")
-	fs.StringVar(&r.callerListen, "caller-listen", "127.0.0.1:7400", "IP:port for callers")
-	fs.StringVar(&r.targetListen, "target-listen", "127.0.0.1:7401", "IP:port for targets' announcements")
-	fs.StringVar(&r.adminListen, "admin-listen", "127.0.0.1:7402", "IP:port for administration, metrics and state")
-	fs.StringVar(&r.peerIn, "peer-listen", "127.0.0.1:7403", "IP:port for other hosts")
+	fs.StringVar(&r.callerListen, "caller-listen", "127.0.0.1:7401", "IP:port for callers")
+	fs.StringVar(&r.targetListen, "target-listen", "127.0.0.1:7402", "IP:port for targets' announcements")
+	fs.StringVar(&r.adminListen, "admin-listen", "127.0.0.1:7403", "IP:port for administration, metrics and state")
+	fs.StringVar(&r.peerIn, "peer-listen", "127.0.0.1:7404", "IP:port for other hosts")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token on each line; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "least severe events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves a configuration that nothing confirms, 1s to 4s")
@@ -140,7 +140,7 @@
 
 One host on its own:
   hawthornlockd -host a -failure-domain fd1 -roles entry,voter \
-      -data-dir ./data -voters a=127.0.0.1:7403
+      -data-dir ./data -voters a=127.0.0.1:7404
 
 Every flag can be set by an environment variable: -data-dir is %s_DATA_DIR.
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,7 +11,7 @@
 )
 
 func voterArgs(extra ...string) []string {
-	return append([]string{"-host", "a", "-failure-domain", "fd1", "-roles", "entry,voter", "-data-dir", "d", "-voters", "a=127.0.0.1:7403"}, extra...)
+	return append([]string{"-host", "a", "-failure-domain", "fd1", "-roles", "entry,voter", "-data-dir", "d", "-voters", "a=127.0.0.1:7404"}, extra...)
 }
 
 // Guards against a start that reports only the first of several problems.
@@ -33,13 +33,13 @@
 		"needs -data-dir":          {"-data-dir", ""},
 		"has not the role voter":   {"-roles", "entry"},
 		"-peer-listen uses port":   {"-peer-listen", "127.0.0.1:9"},
-		"use the same address":     {"-caller-listen", "127.0.0.1:7402"},
-		"needs -admin-token-file":  {"-admin-listen", "10.0.0.1:7402"},
+		"use the same address":     {"-caller-listen", "127.0.0.1:7403"},
+		"needs -admin-token-file":  {"-admin-listen", "10.0.0.1:7403"},
 		"above -max-timeout":       {"-max-timeout", "1s"},
 		"-config-staleness 10s":    {"-config-staleness", "10s"},
 		"-max-clock-drift NaN":     {"-max-clock-drift", "NaN"},
 		"unexpected argument":      {"stray"},
-		"must name the IP address": {"-peer-listen", "0.0.0.0:7403"},
+		"must name the IP address": {"-peer-listen", "0.0.0.0:7404"},
 	} {
 		_, err := Parse(voterArgs(extra...), io.Discard)
 		require.ErrorContains(t, err, name)
