--- a/internal/config/configcodec/state.go
+++ b/internal/config/configcodec/state.go
@@ -100,7 +100,7 @@
 }
 
 func recordToProto(r *config.Record) *Record {
-	m := &Record{Id: r.ID[:], Content: r.Content[:], Base: r.Base, Revision: r.Revision, At: timeToProto(r.At)}
+	m := &Record{Id: r.ID[:], Content: r.Content[:], Base: r.Base, Revision: r.Revision, At: r.At}
 	if r.Refusal != nil {
 		m.Refusal = resultToProto(r.Refusal.Result)
 	}
@@ -108,7 +108,7 @@
 }
 
 func recordFromProto(m *Record) (config.Record, error) {
-	r := config.Record{Base: m.Base, Revision: m.Revision, At: timeFromProto(m.At)}
+	r := config.Record{Base: m.Base, Revision: m.Revision, At: m.At}
 	if len(m.Id) != len(r.ID) || len(m.Content) != len(r.Content) {
 		return r, errors.Wrap(ErrMalformed, "hash of a record has a wrong length")
 	}
--- a/internal/config/dryrun.go
+++ b/internal/config/dryrun.go
@@ -58,23 +58,13 @@
 		return p
 	}
 	groups, selectors := maps.Clone(s.groups), maps.Clone(s.selectors)
-	overlay(groups, st.groups)
-	overlay(selectors, st.selectors)
+	st.groups.overlay(groups)
+	st.selectors.overlay(selectors)
 	p.After = routing.NewTable(s.revision+1, slices.Collect(maps.Values(groups)), slices.Collect(maps.Values(selectors)))
 	p.touched = s.selectorVersions(c)
 	return p
 }
 
-func overlay[T any](base map[string]T, staged map[string]*T) {
-	for name, v := range staged {
-		if v == nil {
-			delete(base, name)
-			continue
-		}
-		base[name] = *v
-	}
-}
-
 // DryRun decides a change without applying it and shows its effects on the
 // given targets and on routing.
 func (s *Store) DryRun(c Change, targets []TargetLabels) Preview {
--- a/internal/config/hash.go
+++ b/internal/config/hash.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"hash"
 	"slices"
 	"strconv"
 
@@ -14,24 +13,24 @@
 // Hash is a truncated SHA-256 sum.
 type Hash [16]byte
 
-// hashID returns the hash under which the result of a change is kept.
-func hashID(id string) Hash { return Hash(sha256Sum([]byte(id))[:16]) }
-
-func sha256Sum(b []byte) []byte {
+func sumOf(b []byte) Hash {
 	sum := sha256.Sum256(b)
-	return sum[:]
+	return Hash(sum[:16])
 }
 
+// hashID returns the hash under which the result of a change is kept.
+func hashID(id string) Hash { return sumOf([]byte(id)) }
+
 // ContentHash identifies what a change does: its team and operations. Author,
 // note and base are left out, so that a resend by a colleague counts as one.
 func (c Change) ContentHash() Hash {
-	w := contentWriter{h: sha256.New()}
-	w.text(c.Team)
-	w.number(uint64(len(c.Ops)))
+	var buf [512]byte
+	b := appendTexts(buf[:0], c.Team)
+	b = appendNumber(b, uint64(len(c.Ops)))
 	for _, op := range c.Ops {
-		w.op(op)
+		b = appendOp(b, op)
 	}
-	return Hash(w.h.Sum(nil)[:16])
+	return sumOf(b)
 }
 
 // submission is a change with what is computed from it alone.
@@ -40,7 +39,6 @@
 	invalid error
 	id      Hash
 	content Hash
-	base    Hash // of base and content
 }
 
 func newSubmission(c Change) submission {
@@ -48,7 +46,6 @@
 	if s.invalid == nil {
 		s.id = hashID(c.ID)
 		s.content = c.ContentHash()
-		s.base = baseKey(c.Base, s.content)
 	}
 	return s
 }
@@ -60,29 +57,25 @@
 	return "c" + strconv.FormatUint(c.Base, 10) + "-" + hex.EncodeToString(content[:])
 }
 
-// baseKey identifies a change by its base and content.
-func baseKey(base uint64, content Hash) Hash {
-	var b [24]byte
-	binary.BigEndian.PutUint64(b[:8], base)
-	copy(b[8:], content[:])
-	return Hash(sha256Sum(b[:])[:16])
-}
+// The append functions write length-prefixed values, so that different
+// contents never give the same bytes.
 
-// contentWriter feeds length-prefixed values to a hash, so that different
-// contents never feed the same bytes.
-type contentWriter struct {
-	h   hash.Hash
-	buf [8]byte
-}
+func appendNumber(b []byte, v uint64) []byte { return binary.BigEndian.AppendUint64(b, v) }
 
-func (w *contentWriter) number(v uint64) {
-	binary.BigEndian.PutUint64(w.buf[:], v)
-	w.h.Write(w.buf[:])
+func appendTexts(b []byte, texts ...string) []byte {
+	for _, s := range texts {
+		b = appendNumber(b, uint64(len(s)))
+		b = append(b, s...)
+	}
+	return b
 }
 
-func (w *contentWriter) text(s string) {
-	w.number(uint64(len(s)))
-	w.h.Write([]byte(s))
+func appendLabels(b []byte, l routing.Labels) []byte {
+	b = appendNumber(b, uint64(len(l)))
+	for _, k := range sortedKeys(l) {
+		b = appendTexts(b, k, l[k])
+	}
+	return b
 }
 
 func sortedKeys(l routing.Labels) []string {
@@ -94,57 +87,46 @@
 	return keys
 }
 
-func (w *contentWriter) texts(s ...string) {
-	for _, v := range s {
-		w.text(v)
-	}
-}
-
-func (w *contentWriter) labels(l routing.Labels) {
-	w.number(uint64(len(l)))
-	for _, k := range sortedKeys(l) {
-		w.texts(k, l[k])
-	}
-}
-
-func (w *contentWriter) op(op Op) {
+func appendOp(b []byte, op Op) []byte {
 	switch op := op.(type) {
 	case PutGroup:
-		w.group(op.Group)
+		return appendGroup(b, op.Group)
 	case DeleteGroup:
-		w.texts("delete group", op.Name)
+		return appendTexts(b, "delete group", op.Name)
 	case PutSelector:
 		s := op.Selector
-		w.texts("put selector", s.Name, s.Owner, s.Team, s.Group)
-		w.labels(s.Match)
+		b = appendTexts(b, "put selector", s.Name, s.Owner, s.Team, s.Group)
+		return appendLabels(b, s.Match)
 	case DeleteSelector:
-		w.texts("delete selector", op.Name)
+		return appendTexts(b, "delete selector", op.Name)
 	case ForgetHost:
-		w.texts("forget host", op.Host)
+		return appendTexts(b, "forget host", op.Host)
 	case SetMembers:
-		w.text("set members")
-		w.number(op.Epoch)
-		w.number(uint64(len(op.Members)))
-		w.texts(op.Members...)
+		b = appendTexts(b, "set members")
+		b = appendNumber(b, op.Epoch)
+		b = appendNumber(b, uint64(len(op.Members)))
+		return appendTexts(b, op.Members...)
 	case AddLayout:
-		w.texts("add layout", op.Group, op.IndexSnapshot)
-		w.number(op.Generation)
-		w.number(uint64(len(op.Layout)))
-		w.texts(op.Layout...)
+		b = appendTexts(b, "add layout", op.Group, op.IndexSnapshot)
+		b = appendNumber(b, op.Generation)
+		b = appendNumber(b, uint64(len(op.Layout)))
+		return appendTexts(b, op.Layout...)
 	case RemoveLayout:
-		w.texts("remove layout", op.Group, op.IndexSnapshot)
+		return appendTexts(b, "remove layout", op.Group, op.IndexSnapshot)
 	}
+	return b
 }
 
-func (w *contentWriter) group(g routing.Group) {
-	w.texts("put group", g.Name, g.Team)
-	w.labels(g.Match)
-	w.number(uint64(g.Priority))
+func appendGroup(b []byte, g routing.Group) []byte {
+	b = appendTexts(b, "put group", g.Name, g.Team)
+	b = appendLabels(b, g.Match)
+	b = appendNumber(b, uint64(g.Priority))
 	l := g.Limits
-	for _, v := range []int{
+	for _, v := range [...]int{
 		l.QueueLength, l.TeamConcurrency, l.CallerConcurrency,
 		l.HedgePermille, l.MaxEjectedPercent, l.DefaultTimeoutMSec,
 	} {
-		w.number(uint64(v))
+		b = appendNumber(b, uint64(v))
 	}
+	return b
 }
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -30,11 +30,11 @@
 		return
 	}
 	kept := c
-	kept.Ops = make([]Op, 0, len(st.before))
-	for _, op := range c.Ops {
-		if _, ok := objectOf(op); ok {
-			kept.Ops = append(kept.Ops, op)
-		}
+	if len(st.before) < len(c.Ops) {
+		kept.Ops = slices.DeleteFunc(slices.Clone(c.Ops), func(op Op) bool {
+			_, ok := objectOf(op)
+			return !ok
+		})
 	}
 	s.history = append(s.history, Entry{Revision: s.revision, At: at, Change: kept, Before: st.before})
 }
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -19,6 +19,13 @@
 // thousands of changes to thousands of selectors within a second.
 type selectorIndex struct {
 	buckets map[string]*bucket // by the keys that the selectors require
+	places  map[string]place   // by selector name
+}
+
+// place is where a selector stands in the index.
+type place struct {
+	key  string
+	reqs []requirement
 }
 
 // bucket holds selectors that require the same keys.
@@ -29,7 +36,7 @@
 }
 
 func newSelectorIndex() selectorIndex {
-	return selectorIndex{buckets: map[string]*bucket{}}
+	return selectorIndex{buckets: map[string]*bucket{}, places: map[string]place{}}
 }
 
 func requirements(s routing.Selector) []requirement {
@@ -63,6 +70,7 @@
 		}
 		x.buckets[key] = b
 	}
+	x.places[s.Name] = place{key, reqs}
 	b.names[s.Name] = struct{}{}
 	for _, r := range reqs {
 		if b.postings[r] == nil {
@@ -72,17 +80,17 @@
 	}
 }
 
-func (x selectorIndex) remove(s routing.Selector) {
-	reqs := requirements(s)
-	key := bucketKey(reqs)
-	b := x.buckets[key]
-	delete(b.names, s.Name)
+func (x selectorIndex) remove(name string) {
+	at := x.places[name]
+	delete(x.places, name)
+	b := x.buckets[at.key]
+	delete(b.names, name)
 	if len(b.names) == 0 {
-		delete(x.buckets, key)
+		delete(x.buckets, at.key)
 		return
 	}
-	for _, r := range reqs {
-		delete(b.postings[r], s.Name)
+	for _, r := range at.reqs {
+		delete(b.postings[r], name)
 		if len(b.postings[r]) == 0 {
 			delete(b.postings, r)
 		}
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -7,8 +7,8 @@
 	ID       Hash
 	Content  Hash
 	Base     uint64
-	Revision uint64 // of an accepted change, else 0
-	At       time.Time
+	Revision uint64   // of an accepted change, else 0
+	At       int64    // Unix time in nanoseconds
 	Refusal  *Refusal // nil for an accepted change
 }
 
@@ -21,25 +21,26 @@
 	if r.Refusal != nil {
 		return r.Refusal.Result
 	}
-	return Result{Outcome: Accepted, Revision: r.Revision, At: r.At}
+	return Result{Outcome: Accepted, Revision: r.Revision, At: time.Unix(0, r.At).UTC()}
 }
 
 // record keeps the results of past changes in the order of their entries. It
-// is bounded by MaxRecords and MaxRecordAge.
+// is bounded by limit and MaxRecordAge.
 type record struct {
 	// Start is the lowest base of which all changes are still in the record.
 	// A change with an older base may have run before and is refused.
 	Start uint64
 
+	limit   int
 	clock   time.Time // highest clock of a proposer
 	entries []Record  // oldest first
 	dropped uint64    // entries removed from the front so far
-	ids     map[Hash]uint64
-	bases   map[Hash]uint64 // by base and content
+	ids     positions
+	bases   positions
 }
 
-func newRecord() record {
-	return record{ids: map[Hash]uint64{}, bases: map[Hash]uint64{}}
+func newRecord(limit int) record {
+	return record{limit: limit, ids: positions{by: propertyID}, bases: positions{by: propertyBase}}
 }
 
 // advance returns the time of a new entry. Time never goes back, so that a
@@ -51,26 +52,28 @@
 	return r.clock
 }
 
-func (r *record) byID(id Hash) (*Record, bool) { return r.at(r.ids, id) }
+func (r *record) byID(id Hash) (*Record, bool) {
+	return r.ids.get(r, &Record{ID: id})
+}
 
-func (r *record) byBase(base Hash) (*Record, bool) { return r.at(r.bases, base) }
+func (r *record) byBase(base uint64, content Hash) (*Record, bool) {
+	return r.bases.get(r, &Record{Base: base, Content: content})
+}
 
-func (r *record) at(m map[Hash]uint64, key Hash) (*Record, bool) {
-	seq, ok := m[key]
-	if !ok {
-		return nil, false
-	}
-	return &r.entries[seq-r.dropped], true
+// bySlot returns the record of a slot of positions, which is its sequence
+// number plus one modulo 2^32.
+func (r *record) bySlot(slot uint32) *Record {
+	return &r.entries[slot-1-uint32(r.dropped)]
 }
 
 // add records the result of a change that is new to the record.
 func (r *record) add(c submission, revision uint64, res Result) {
-	e := Record{ID: c.id, Content: c.content, Base: c.Base, Revision: res.Revision, At: res.At}
+	e := Record{ID: c.id, Content: c.content, Base: c.Base, Revision: res.Revision, At: res.At.UnixNano()}
 	if res.Outcome == Refused {
 		res.Final = true
 		e.Refusal = &Refusal{Result: res}
 	}
-	r.push(e, c.base)
+	r.push(e)
 	r.trim(revision)
 }
 
@@ -80,26 +83,26 @@
 	if _, known := r.byID(c.id); known {
 		return
 	}
-	first, ok := r.byBase(c.base)
+	first, ok := r.byBase(c.Base, c.content)
 	if !ok {
 		return
 	}
 	alias := *first
 	alias.ID = c.id
-	r.push(alias, c.base)
+	r.push(alias)
 }
 
-func (r *record) push(e Record, base Hash) {
+func (r *record) push(e Record) {
 	seq := r.dropped + uint64(len(r.entries))
 	r.entries = append(r.entries, e)
-	r.ids[e.ID] = seq
-	r.bases[base] = seq
+	r.ids.put(r, seq)
+	r.bases.put(r, seq)
 }
 
 // trim drops entries beyond the bounds and moves Start past their bases.
 func (r *record) trim(revision uint64) {
-	n := max(0, len(r.entries)-MaxRecords)
-	for n < len(r.entries) && r.clock.Sub(r.entries[n].At) > MaxRecordAge {
+	n := max(0, len(r.entries)-r.limit)
+	for n < len(r.entries) && r.clock.UnixNano()-r.entries[n].At > int64(MaxRecordAge) {
 		n++
 	}
 	for i := range n {
@@ -110,13 +113,8 @@
 }
 
 func (r *record) drop(e *Record, seq, revision uint64) {
-	if r.ids[e.ID] == seq {
-		delete(r.ids, e.ID)
-	}
-	key := baseKey(e.Base, e.Content)
-	if r.bases[key] == seq {
-		delete(r.bases, key)
-	}
+	r.ids.remove(r, seq)
+	r.bases.remove(r, seq)
 	// A refused change may name the current revision, which must stay a
 	// usable base.
 	r.Start = max(r.Start, min(e.Base+1, revision))
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -24,8 +24,8 @@
 	History     []Entry  // oldest first
 }
 
-// State returns a copy that later changes leave alone. What an entry or a
-// group holds is shared and must not be changed.
+// State returns what later changes leave alone: records and entries are only
+// ever appended, and are shared. Nothing in it may be changed.
 func (s *Store) State() State {
 	groups := slices.Collect(maps.Values(s.groups))
 	slices.SortFunc(groups, func(a, b routing.Group) int { return strings.Compare(a.Name, b.Name) })
@@ -34,8 +34,8 @@
 	return State{
 		Index: s.index, Revision: s.revision,
 		Groups: groups, Selectors: selectors, Members: s.Members(), Layouts: s.Layouts(),
-		RecordStart: s.record.Start, Clock: s.record.clock, Records: slices.Clone(s.record.entries),
-		HistoryFrom: s.firstKept, History: slices.Clone(s.history),
+		RecordStart: s.record.Start, Clock: s.record.clock, Records: slices.Clip(s.record.entries),
+		HistoryFrom: s.firstKept, History: slices.Clip(s.history),
 	}
 }
 
@@ -54,12 +54,10 @@
 		s.layouts[layoutKey{l.Group, l.IndexSnapshot}] = l
 	}
 	s.record.Start, s.record.clock = st.RecordStart, st.Clock
-	s.record.ids = make(map[Hash]uint64, len(st.Records))
-	s.record.bases = make(map[Hash]uint64, len(st.Records))
 	for _, r := range st.Records {
-		s.record.push(r, baseKey(r.Base, r.Content))
+		s.record.push(r)
 	}
 	s.firstKept = st.HistoryFrom
-	s.history = slices.Clone(st.History)
+	s.history = slices.Clip(st.History)
 	return s
 }
--- a/internal/config/staged.go
+++ b/internal/config/staged.go
@@ -15,8 +15,8 @@
 // staged holds what one change would replace. A nil value means removal.
 type staged struct {
 	store     *Store
-	groups    map[string]*routing.Group
-	selectors map[string]*routing.Selector
+	groups    replacements[routing.Group]
+	selectors replacements[routing.Selector]
 	members   *Members
 	layouts   map[layoutKey]*Layout
 	before    []Before
@@ -28,7 +28,7 @@
 
 // group returns the staged group, or else the one in force.
 func (st *staged) group(name string) *routing.Group {
-	if g, ok := st.groups[name]; ok {
+	if g, ok := st.groups.get(name); ok {
 		return g
 	}
 	if g, ok := st.store.groups[name]; ok {
@@ -38,7 +38,7 @@
 }
 
 func (st *staged) selector(name string) *routing.Selector {
-	if sel, ok := st.selectors[name]; ok {
+	if sel, ok := st.selectors.get(name); ok {
 		return sel
 	}
 	if sel, ok := st.store.selectors[name]; ok {
@@ -99,8 +99,7 @@
 	if err := owns(team, g.Team, o); err != nil {
 		return err
 	}
-	g.Match = maps.Clone(g.Match)
-	st.setGroup(g.Name, &g)
+	st.groups.set(g.Name, &g)
 	st.before = append(st.before, Before{Object: o, Group: old})
 	return nil
 }
@@ -114,18 +113,11 @@
 	if err := owns(team, old.Team, o); err != nil {
 		return err
 	}
-	st.setGroup(name, nil)
+	st.groups.set(name, nil)
 	st.before = append(st.before, Before{Object: o, Group: old})
 	return nil
 }
 
-func (st *staged) setGroup(name string, g *routing.Group) {
-	if st.groups == nil {
-		st.groups = map[string]*routing.Group{}
-	}
-	st.groups[name] = g
-}
-
 func (st *staged) putSelector(team string, sel routing.Selector) error {
 	o := Object{KindSelector, sel.Name}
 	old := st.selector(sel.Name)
@@ -137,8 +129,7 @@
 	if err := owns(team, sel.Owner, o); err != nil {
 		return err
 	}
-	sel.Match = maps.Clone(sel.Match)
-	st.setSelector(sel.Name, &sel)
+	st.selectors.set(sel.Name, &sel)
 	st.before = append(st.before, Before{Object: o, Selector: old})
 	return nil
 }
@@ -152,18 +143,11 @@
 	if err := owns(team, old.Owner, o); err != nil {
 		return err
 	}
-	st.setSelector(name, nil)
+	st.selectors.set(name, nil)
 	st.before = append(st.before, Before{Object: o, Selector: old})
 	return nil
 }
 
-func (st *staged) setSelector(name string, sel *routing.Selector) {
-	if st.selectors == nil {
-		st.selectors = map[string]*routing.Selector{}
-	}
-	st.selectors[name] = sel
-}
-
 func (st *staged) currentMembers() Members {
 	if st.members != nil {
 		return *st.members
@@ -275,8 +259,8 @@
 }
 
 func (st *staged) checkSelectors() error {
-	for _, name := range slices.Sorted(maps.Keys(st.selectors)) {
-		sel := st.selectors[name]
+	for _, r := range st.selectors.sorted() {
+		name, sel := r.name, r.value
 		if sel == nil {
 			continue
 		}
@@ -301,25 +285,25 @@
 		}
 	}
 	for name := range st.store.overlaps.candidates(sel) {
-		if _, replaced := st.selectors[name]; !replaced {
+		if _, replaced := st.selectors.get(name); !replaced {
 			consider(st.store.selectors[name])
 		}
 	}
-	for _, o := range st.selectors {
-		if o != nil {
-			consider(*o)
+	for _, r := range st.selectors.list {
+		if r.value != nil {
+			consider(*r.value)
 		}
 	}
 	return found, found.Name != ""
 }
 
 func (st *staged) checkDeletedGroups() error {
-	for _, name := range slices.Sorted(maps.Keys(st.groups)) {
-		if st.groups[name] != nil {
+	for _, r := range st.groups.sorted() {
+		if r.value != nil {
 			continue
 		}
-		if user, ok := st.userOf(name); ok {
-			return refusal(CodeGroupInUse, "group %q is used by selector %q; delete or change the selector first", name, user)
+		if user, ok := st.userOf(r.name); ok {
+			return refusal(CodeGroupInUse, "group %q is used by selector %q; delete or change the selector first", r.name, user)
 		}
 	}
 	return nil
@@ -334,42 +318,28 @@
 		}
 	}
 	for name, o := range st.store.selectors {
-		if _, replaced := st.selectors[name]; !replaced {
+		if _, replaced := st.selectors.get(name); !replaced {
 			consider(o)
 		}
 	}
-	for _, o := range st.selectors {
-		if o != nil {
-			consider(*o)
+	for _, r := range st.selectors.list {
+		if r.value != nil {
+			consider(*r.value)
 		}
 	}
 	return found, found != ""
 }
 
 func (st *staged) checkCounts() error {
-	if n := countAfter(st.store.groups, st.groups); n > MaxGroups && n > len(st.store.groups) {
+	if n := st.groups.countAfter(st.store.groups); n > MaxGroups && n > len(st.store.groups) {
 		return refusal(CodeTooMany, "%d groups, at most %d are allowed", n, MaxGroups)
 	}
-	if n := countAfter(st.store.selectors, st.selectors); n > MaxSelectors && n > len(st.store.selectors) {
+	if n := st.selectors.countAfter(st.store.selectors); n > MaxSelectors && n > len(st.store.selectors) {
 		return refusal(CodeTooMany, "%d selectors, at most %d are allowed", n, MaxSelectors)
 	}
 	return nil
 }
 
-func countAfter[T any](now map[string]T, staged map[string]*T) int {
-	n := len(now)
-	for name, v := range staged {
-		_, exists := now[name]
-		switch {
-		case v != nil && !exists:
-			n++
-		case v == nil && exists:
-			n--
-		}
-	}
-	return n
-}
-
 func codeOf(err error) verdict.Code {
 	var e *verdict.Error
 	if errors.As(err, &e) {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -47,7 +47,7 @@
 		selectors: map[string]routing.Selector{},
 		overlaps:  newSelectorIndex(),
 		layouts:   map[layoutKey]Layout{},
-		record:    newRecord(),
+		record:    newRecord(MaxRecords),
 	}
 }
 
@@ -86,7 +86,8 @@
 
 // Apply decides a change and puts it in force if it is accepted. Index is the
 // position of its log entry, and at the proposer's clock carried in the
-// entry. An entry at or below the last applied index changes nothing.
+// entry. An entry at or below the last applied index changes nothing. The
+// store keeps the change, so the caller must not modify it afterwards.
 func (s *Store) Apply(index uint64, at time.Time, c Change) Result {
 	if index <= s.index {
 		return s.alreadyApplied(c)
@@ -142,11 +143,11 @@
 	if r, ok := s.record.byID(c.id); ok {
 		if r.Content != c.content {
 			return final(refused(refusal(CodeContentMismatch,
-				"change ID %q was used for another change at %s; push this change under another ID", c.ID, r.At.UTC().Format(time.RFC3339)))), nil
+				"change ID %q was used for another change at %s; push this change under another ID", c.ID, time.Unix(0, r.At).UTC().Format(time.RFC3339)))), nil
 		}
 		return resent(r), nil
 	}
-	if r, ok := s.record.byBase(c.base); ok {
+	if r, ok := s.record.byBase(c.Base, c.content); ok {
 		return resent(r), nil
 	}
 	if res, ok := s.checkBase(c.Change); !ok {
@@ -208,16 +209,14 @@
 
 // commit puts the staged objects in force.
 func (s *Store) commit(st *staged) {
-	for name, g := range st.groups {
-		if g == nil {
-			delete(s.groups, name)
-			s.dropLayouts(name)
-			continue
+	st.groups.overlay(s.groups)
+	for _, r := range st.groups.list {
+		if r.value == nil {
+			s.dropLayouts(r.name)
 		}
-		s.groups[name] = *g
 	}
-	for name, sel := range st.selectors {
-		s.replaceSelector(name, sel)
+	for _, r := range st.selectors.list {
+		s.replaceSelector(r.name, r.value)
 	}
 	if st.members != nil {
 		s.members = *st.members
@@ -233,8 +232,8 @@
 }
 
 func (s *Store) replaceSelector(name string, sel *routing.Selector) {
-	if old, ok := s.selectors[name]; ok {
-		s.overlaps.remove(old)
+	if _, ok := s.selectors[name]; ok {
+		s.overlaps.remove(name)
 		delete(s.selectors, name)
 	}
 	if sel != nil {
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -110,6 +110,20 @@
 	require.Equal(t, Accepted, f.push(change("y", "red", 1, putSelector("sc", "red", "a", routing.Labels{"app": "y"}))).Outcome)
 }
 
+// Guards against a conflict that is missed because a selector matched the
+// same requests only before the other change, or only before this one.
+func TestOverlapCountsBeforeAndAfterAChange(t *testing.T) {
+	f := seeded(t)
+	f.push(change("moved", "red", 3, putSelector("sa", "red", "a", routing.Labels{"app": "y"})))
+	got := f.push(change("x", "red", 3, putSelector("new", "red", "a", routing.Labels{"app": "x", "tier": "1"})))
+	require.Equal(t, CodeConflict, got.Code)
+	f = seeded(t)
+	f.push(change("added", "red", 3, putSelector("sb", "red", "a", routing.Labels{"app": "x", "tier": "1"})))
+	got = f.push(change("x", "red", 3, putSelector("sa", "red", "a", routing.Labels{"app": "z"})))
+	require.Equal(t, CodeConflict, got.Code)
+	require.Equal(t, "added", got.Conflict.ChangeID)
+}
+
 // Guards against a resend, late or by a colleague, that reverts what was
 // changed in between or runs a second time.
 func TestResendGetsTheFirstResultAndRevertsNothing(t *testing.T) {
@@ -152,6 +166,7 @@
 	got = f.Apply(7, start, change("c6", "red", 4, putGroup("c", "red", "4")))
 	require.True(t, got.Resend)
 	require.Equal(t, Accepted, got.Outcome)
+	require.Equal(t, future, f.Apply(8, start, change("c8", "red", 5, putGroup("c", "red", "5"))).At, "time goes back")
 }
 
 // Guards against unbounded layouts and member lists that go back.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -24,11 +24,20 @@
 	case len(c.Ops) == 0 || len(c.Ops) > MaxOps:
 		return invalid("%d operations, outside 1..%d", len(c.Ops), MaxOps)
 	}
-	seen := make(map[Object]bool, len(c.Ops))
 	for _, op := range c.Ops {
 		if err := validateOp(c.Team, op); err != nil {
 			return err
 		}
+	}
+	return validateDistinct(c.Ops)
+}
+
+func validateDistinct(ops []Op) error {
+	if len(ops) == 1 {
+		return nil
+	}
+	seen := make(map[Object]bool, len(ops))
+	for _, op := range ops {
 		o, ok := objectOf(op)
 		if ok && seen[o] {
 			return invalid("%s appears in two operations", o)
