Wait for a working searcher rather than use an ejected one

Cause: when every working candidate was at its concurrency limit, Pick preferred an ejected one with free slots, so ejection ended under load.

Change: an ejection weighs more than a reached limit, and a waiting sub-request queues only at candidates that are not ejected.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -288,6 +288,12 @@
 	return max(0, rec.limit.Value()-rec.inFlight)
 }
 
+// Ejected reports whether a searcher or its target is ejected.
+func (s *State) Ejected(now time.Time, k Key) bool {
+	rec := s.records[k]
+	return rec != nil && s.instant(now) < rec.ejectedUntil()
+}
+
 // Forget removes what is known of a target, for example because it vanished
 // or restarted.
 func (s *State) Forget(name string) {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -104,6 +104,11 @@
 	}
 	require.Equal(t, SearcherEjected, end.Ejected)
 	require.Zero(t, shares(s, now.Add(time.Millisecond), rs, PickOptions{})["t0"])
+	for s.TryBegin(now, rs[1]) {
+	}
+	r, result := s.Pick(now, rs, PickOptions{}, newRNG())
+	require.Equal(t, AtLimit, result, "a wait for a working target is better than an ejected one")
+	require.Equal(t, rs[1], r)
 }
 
 // Guards against ejections that don't grow for a target that stays bad, or
--- a/internal/balance/balancerun/balancer.go
+++ b/internal/balance/balancerun/balancer.go
@@ -99,7 +99,7 @@
 	if !ok {
 		deadline = now.Add(time.Hour) // behind every waiter that has one
 	}
-	p := b.enqueueLocked(candidates, opts.Avoid, deadline)
+	p := b.enqueueLocked(now, candidates, opts.Avoid, deadline)
 	b.mu.Unlock()
 	if p == nil {
 		return balance.Replica{}, verdict.New(verdict.NotRun, CodeBusy, "too many sub-requests wait for the replicas")
@@ -107,11 +107,14 @@
 	return b.await(ctx, p)
 }
 
-// enqueueLocked returns nil if all queues of the candidates are full.
-func (b *Balancer) enqueueLocked(candidates, avoid []balance.Replica, deadline time.Time) *pending {
+// enqueueLocked adds a sub-request to the queues of all candidates that Pick
+// could choose. It returns nil if all of these are full.
+func (b *Balancer) enqueueLocked(now time.Time, candidates, avoid []balance.Replica, deadline time.Time) *pending {
 	p := &pending{ready: make(chan struct{})}
+	ejected := func(r balance.Replica) bool { return b.state.Ejected(now, r.Key) }
+	skipEjected := slices.ContainsFunc(candidates, func(r balance.Replica) bool { return !listed(avoid, r.Key) && !ejected(r) })
 	for _, r := range candidates {
-		if listed(avoid, r.Key) {
+		if listed(avoid, r.Key) || skipEjected && ejected(r) {
 			continue
 		}
 		q := b.queues[r.Key]
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -31,8 +31,8 @@
 	resting      uint8 = 1 << iota // in its slow start, and not its turn
 	sameDomain                     // in a failure domain to avoid
 	sameTarget                     // at a target to avoid
-	ejectedClass                   // ejected
 	atLimit                        // concurrency limit reached
+	ejectedClass                   // ejected: a wait for another candidate is better
 )
 
 const (
