Report a busy connection share by its own code

Cause: a request that waited for a connection until its deadline got the code deadline_exceeded, like one that a slow target didn't answer, so its caller would have blamed the target.

Change: the client keeps the code of the pool's error.

Result: go test -race -count=3 passes with a test for this case.

--- a/internal/targets/targethttp/client.go
+++ b/internal/targets/targethttp/client.go
@@ -260,12 +260,14 @@
 	return verdict.Wrap(err, v, failureCode(ctx, err), "send request to target")
 }
 
+// failureCode keeps the code of a pool's error, which tells a busy share from
+// a slow target.
 func failureCode(ctx context.Context, err error) verdict.Code {
 	switch {
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return verdict.CodeDeadlineExceeded
+		return codeOr(err, verdict.CodeDeadlineExceeded)
 	case errors.Is(err, context.Canceled) || errors.Is(ctx.Err(), context.Canceled):
-		return CodeCanceled
+		return codeOr(err, CodeCanceled)
 	default:
 		return codeOr(err, verdict.CodeUnavailable)
 	}
--- a/internal/targets/targethttp/client_test.go
+++ b/internal/targets/targethttp/client_test.go
@@ -227,6 +227,36 @@
 	require.Equal(t, verdict.CodeDeadlineExceeded, verdict.CodeOf(err))
 }
 
+// Guards against blaming the target for a wait at this host: a request that
+// got no connection of the share has not run, and says why.
+func TestBusyShareIsNotRun(t *testing.T) {
+	arrived := make(chan struct{})
+	finish := make(chan struct{})
+	target := startRawTarget(t, func(_ int32, _ string, body []byte) string {
+		close(arrived)
+		<-finish
+		return echoOrder(body)
+	})
+	pools := poolrun.NewPools(poolrun.Config{Spare: -1}, eventlog.Nop())
+	pools.SetShare(target.address, 1)
+	c := NewClient(ClientConfig{}, pools, eventlog.Nop())
+	done := make(chan error)
+	go func() {
+		_, err := c.Order(testContext(t), target.address, OrderRequest{RequestID: "o-1"})
+		done <- err
+	}()
+	<-arrived
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Order(ctx, target.address, OrderRequest{RequestID: "o-2"})
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Equal(t, poolrun.CodeShareBusy, verdict.CodeOf(err))
+	close(finish)
+	require.NoError(t, <-done)
+	require.EqualValues(t, 1, target.arrivals.Load())
+	require.NoError(t, pools.Close(testContext(t)))
+}
+
 // Guards against failing a request because the target had closed an idle
 // connection, when nothing was written and another connection works.
 func TestSealedIdleConnectionIsReplaced(t *testing.T) {
