--- a/internal/targets/targethttp/client_test.go
+++ b/internal/targets/targethttp/client_test.go
@@ -227,6 +227,36 @@
 	require.Equal(t, verdict.CodeDeadlineExceeded, verdict.CodeOf(err))
 }
 
+// Guards against blaming the target for a wait at this host: a request that
+// got no connection of the share has not run, and says why.
+func TestBusyShareIsNotRun(t *testing.T) {
+	arrived := make(chan struct{})
+	finish := make(chan struct{})
+	target := startRawTarget(t, func(_ int32, _ string, body []byte) string {
+		close(arrived)
+		<-finish
+		return echoOrder(body)
+	})
+	pools := poolrun.NewPools(poolrun.Config{Spare: -1}, eventlog.Nop())
+	pools.SetShare(target.address, 1)
+	c := NewClient(ClientConfig{}, pools, eventlog.Nop())
+	done := make(chan error)
+	go func() {
+		_, err := c.Order(testContext(t), target.address, OrderRequest{RequestID: "o-1"})
+		done <- err
+	}()
+	<-arrived
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Order(ctx, target.address, OrderRequest{RequestID: "o-2"})
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Equal(t, poolrun.CodeShareBusy, verdict.CodeOf(err))
+	close(finish)
+	require.NoError(t, <-done)
+	require.EqualValues(t, 1, target.arrivals.Load())
+	require.NoError(t, pools.Close(testContext(t)))
+}
+
 // Guards against failing a request because the target had closed an idle
 // connection, when nothing was written and another connection works.
 func TestSealedIdleConnectionIsReplaced(t *testing.T) {
@@ -306,3 +336,31 @@
 	require.Equal(t, CodeCanceled, verdict.CodeOf(err))
 	<-gone
 }
+
+// cannedTransport answers every request at once, which leaves the client's
+// own work.
+type cannedTransport struct{ body []byte }
+
+func (c cannedTransport) RoundTripper(netip.AddrPort) (http.RoundTripper, error) { return c, nil }
+
+func (c cannedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: 200, ContentLength: int64(len(c.body)), Body: io.NopCloser(bytes.NewReader(c.body))}, nil
+}
+
+func BenchmarkSearchOutsideNetHTTP(b *testing.B) {
+	reply := SearchReply{RequestID: "q", IndexSnapshot: "v1", Shard: "s1"}
+	for i := range 10 {
+		reply.Hits = append(reply.Hits, Hit{ID: fmt.Sprint("hit-", i), Score: 0.5, Text: "LATIN SMALL LETTER A"})
+	}
+	body, err := json.Marshal(reply)
+	require.NoError(b, err)
+	c := NewClient(ClientConfig{}, cannedTransport{body: body}, eventlog.Nop())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := c.Search(ctx, address, SearchRequest{RequestID: "q", IndexSnapshot: "v1", Shard: "s1", Terms: "small letter", K: 10})
+		require.NoError(b, err)
+	}
+}
