Decide between layouts of other hosts by the replicated log

A layout that another host has from the replicated log must win over one accepted here, also before the own feed brings it. LayoutReceived carries that, and tests cover refuted expiries and older records of other hosts.

--- a/internal/targets/layouts.go
+++ b/internal/targets/layouts.go
@@ -145,10 +145,10 @@
 		return nil
 	}
 	l := NewLayout(ev.Layout.IndexSnapshot, ev.Layout.Generation, ev.Layout.Shards)
-	if k := r.layouts.known[l.IndexSnapshot]; k != nil && (k.recorded || k.Hash >= l.Hash) {
+	if k := r.layouts.known[l.IndexSnapshot]; k != nil && !ev.Recorded && (k.recorded || k.Hash >= l.Hash) {
 		return nil
 	}
-	return r.setLayout(now, l, false, ev.From)
+	return r.setLayout(now, l, ev.Recorded, ev.From)
 }
 
 func (r *Registry) layoutRestored(now time.Time, ev LayoutRestored) []Effect {
--- a/internal/targets/messages.go
+++ b/internal/targets/messages.go
@@ -20,10 +20,12 @@
 	ExpiredFor time.Duration
 }
 
-// LayoutReceived brings a layout that another host disseminated.
+// LayoutReceived brings a layout that another host disseminated. Recorded is
+// set if that host has it from the replicated log.
 type LayoutReceived struct {
-	From   string
-	Layout *Layout
+	From     string
+	Layout   *Layout
+	Recorded bool
 }
 
 // RenewalsReceived brings renewals that another host forwarded to this owner.
--- a/internal/targets/registry_test.go
+++ b/internal/targets/registry_test.go
@@ -86,6 +86,10 @@
 	a.Seq, a.ConnectionLimit = 4, 1
 	_, err = r.Announce(start, a)
 	require.Equal(t, CodeStale, verdict.CodeOf(err))
+	peer := NewRegistry("h2")
+	announce(t, peer, start, older)
+	rec, _, _ := peer.Record(start, "t1")
+	require.Empty(t, r.Step(start, RecordReceived{From: "h2", Record: rec}))
 }
 
 // Guards against renewals that are disseminated to every host, which would
@@ -195,6 +199,24 @@
 	require.Len(t, tick(1300*time.Millisecond), 1)
 }
 
+// Guards against an owner that missed renewals and takes a live target out of
+// every view.
+func TestRenewalsRefuteAnOlderExpiry(t *testing.T) {
+	r := NewRegistry("h1")
+	announce(t, r, start, announcement("t1", 1, 1001))
+	rec, _, _ := r.Record(start, "t1")
+	announce(t, r, start.Add(time.Second), announcement("t1", 2, 1001))
+	expiry := RecordReceived{From: "h2", Record: rec.with(1, StatusExpired)}
+	effects := r.Step(start.Add(2*time.Second), expiry)
+	require.Equal(t, []Disseminate{{Target: "t1", Urgent: true}}, disseminated(effects))
+	rec, _, _ = r.Record(start, "t1")
+	require.Equal(t, StatusAlive, rec.Status)
+	require.EqualValues(t, 2, rec.Seq)
+	expiry.Record = rec.with(2, StatusExpired)
+	r.Step(start.Add(2*time.Second), expiry)
+	require.Zero(t, r.View().Len())
+}
+
 // Guards against a layout that depends on which of two simultaneous
 // announcements a host saw first, and against holdings counted under the
 // wrong layout.
