Watch the other hosts and judge the freshness of the configuration

Hosts need to find each other without a list of hosts, to notice failures through more than one path, and to refuse requests once a newer configuration may have been accepted elsewhere.

Neighbours exchange heartbeats; suspicion needs silence on every path and is refuted with a higher incarnation. Above 32 hosts two relays per region carry heartbeats and summaries of their regions. Each heartbeat echoes the other side's token, so evidence is dated by the question and not by the arrival of the answer. A host whose configuration was never confirmed since its start confirms nothing to others. The agreed list follows the live hosts with hysteresis and never falls below a majority of its base without an operator.

--- /dev/null
+++ b/internal/membership/agreed.go
@@ -0,0 +1,156 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Times for which a host must keep its state before the agreed list follows.
+// Each is doubled for every time the host was lost and found again lately.
+const (
+	JoinAfter       = 5 * time.Second
+	LeaveAfter      = 5 * time.Second
+	RemoveAfter     = 30 * time.Second
+	ProposeInterval = 5 * time.Second
+	flapMemory      = 10 * time.Minute
+	maxFlaps        = 5
+)
+
+// noteFlap counts how often a host was lost and found again.
+func (k *known) noteFlap(now time.Time, live bool) {
+	if now.Sub(k.since) > flapMemory {
+		k.flaps = 0
+	}
+	if live && !k.Live() && k.flaps < maxFlaps {
+		k.flaps++
+	}
+}
+
+// settled reports whether a host has kept its state for long enough.
+func (k *known) settled(now time.Time, after time.Duration) bool {
+	return now.Sub(k.since) >= after<<k.flaps
+}
+
+func (s *State) agreedListApplied(list AgreedList) {
+	if list.Epoch <= s.agreed.Epoch {
+		return
+	}
+	s.agreed = list
+	clear(s.isAgreed)
+	for _, h := range list.Hosts {
+		s.isAgreed[h] = true
+	}
+	for h := range s.forgotten {
+		if !s.isAgreed[h] {
+			delete(s.forgotten, h)
+		}
+	}
+}
+
+// AgreedList returns the agreed list in force.
+func (s *State) AgreedList() AgreedList { return s.agreed }
+
+// hostForgotten marks a host as left and takes it out of the agreed list.
+func (s *State) hostForgotten(now time.Time, host string) []Effect {
+	if host == s.self.Host {
+		return nil
+	}
+	if s.isAgreed[host] {
+		s.forgotten[host] = true
+		s.proposeAt = time.Time{}
+	}
+	k := s.members[host]
+	if k == nil || k.State == Left {
+		return nil
+	}
+	m := k.Member
+	m.State = Left
+	s.put(now, m)
+	return []Effect{Disseminate{Host: host, Urgent: true}}
+}
+
+// propose asks for a new agreed list when the live hosts have differed from
+// it steadily, or when hosts were forgotten.
+func (s *State) propose(now time.Time) []Effect {
+	if !s.leading || now.Before(s.proposeAt) {
+		return nil
+	}
+	p := ProposeMemberList{After: s.agreed.Epoch, ByOperator: len(s.forgotten) > 0}
+	if p.ByOperator {
+		p.Hosts = s.withoutForgotten()
+		p.Base = max(len(p.Hosts), s.agreed.Base-len(s.forgotten))
+	} else {
+		p.Hosts = s.desiredHosts(now)
+		p.Base = max(len(p.Hosts), s.agreed.Base)
+	}
+	if slices.Equal(p.Hosts, slices.Sorted(slices.Values(s.agreed.Hosts))) {
+		return nil
+	}
+	s.proposeAt = now.Add(ProposeInterval)
+	detail := fmt.Sprintf("%d hosts after epoch %d", len(p.Hosts), p.After)
+	return []Effect{p, Log{Event: eventListProposed, Host: s.self.Host, Detail: detail}}
+}
+
+func (s *State) withoutForgotten() []string {
+	var hosts []string
+	for _, h := range s.agreed.Hosts {
+		if !s.forgotten[h] {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// desiredHosts returns the agreed hosts without those lost for good and with
+// those that joined. It keeps lost hosts where the list would otherwise fall
+// below a majority of its base, or of the present list.
+func (s *State) desiredHosts(now time.Time) []string {
+	var hosts []string
+	var lost []string
+	for _, h := range s.agreed.Hosts {
+		if s.lost(now, h) {
+			lost = append(lost, h)
+		} else {
+			hosts = append(hosts, h)
+		}
+	}
+	kept := len(hosts)
+	for h, k := range s.members {
+		if !s.isAgreed[h] && k.State == Alive && k.settled(now, JoinAfter) {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(lost, func(a, b string) int {
+		return cmp.Or(s.lostSince(b).Compare(s.lostSince(a)), cmp.Compare(a, b))
+	})
+	missing := max(s.agreed.Base/2+1-len(hosts), len(s.agreed.Hosts)/2+1-kept, 0)
+	hosts = append(hosts, lost[:min(missing, len(lost))]...)
+	slices.Sort(hosts)
+	return hosts
+}
+
+// lost reports whether an agreed host has been gone long enough. A leader
+// that never heard of a host counts from the start of its leadership.
+func (s *State) lost(now time.Time, host string) bool {
+	k := s.members[host]
+	switch {
+	case k == nil:
+		return now.Sub(s.leadSince) >= RemoveAfter
+	case k.State == Left:
+		return k.settled(now, LeaveAfter)
+	case k.State == Dead:
+		return k.settled(now, RemoveAfter)
+	default:
+		return false
+	}
+}
+
+func (s *State) lostSince(host string) time.Time {
+	if k := s.members[host]; k != nil {
+		return k.since
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/internal/membership/freshness.go
@@ -0,0 +1,257 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+)
+
+// Windows within which a host counts as heard from. Reports of relays reach a
+// host up to 2.2 s after the messages that they count, so the window is longer
+// where they take the place of heartbeats.
+const (
+	MajorityWindow = 2 * time.Second
+	RelayedWindow  = 3 * time.Second
+	reportHorizon  = 1500 * time.Millisecond
+)
+
+// Freshness says why this host's configuration counts as current.
+type Freshness uint8
+
+// Freshness verdicts. Stale is the zero value.
+const (
+	Stale               Freshness = iota // new requests must be refused
+	ConfirmedByLeader                    // the leader confirmed the configuration lately
+	ConfirmedByMajority                  // a majority of member hosts knows nothing newer
+)
+
+// String returns the verdict as the state dump shows it.
+func (f Freshness) String() string {
+	return [...]string{"stale", "confirmed by leader", "confirmed by majority"}[min(f, ConfirmedByMajority)]
+}
+
+// Evidence is an immutable summary of what confirms this host's
+// configuration. Traffic goroutines evaluate it with the present time.
+type Evidence struct {
+	heardAt        time.Time // a majority was heard from no earlier
+	confirmedUntil time.Time // by the leader
+	majorityUntil  time.Time // by a majority, of which none knows anything newer
+	tickAt         time.Time
+	window         time.Duration
+	bootstrap      bool // there is no agreed list yet
+}
+
+// Freshness returns the verdict at a time. A control loop that has not run
+// lately can't have noticed a partition, so the result is then Stale.
+func (e Evidence) Freshness(now time.Time) Freshness {
+	switch {
+	case now.Sub(e.tickAt) > PauseBound:
+		return Stale
+	case now.Before(e.confirmedUntil):
+		return ConfirmedByLeader
+	case now.Before(e.majorityUntil):
+		return ConfirmedByMajority
+	default:
+		return Stale
+	}
+}
+
+// HearsMajority reports whether the host hears from a majority of the agreed
+// member list. A leader must accept changes only while it does. Before the
+// first agreed list it holds, so that this list can be accepted.
+func (e Evidence) HearsMajority(now time.Time) bool {
+	return e.bootstrap || now.Sub(e.tickAt) <= PauseBound && now.Sub(e.heardAt) <= e.window
+}
+
+// Evidence returns the present summary.
+func (s *State) Evidence() Evidence { return s.evidence }
+
+// Freshness returns the verdict on this host's configuration.
+func (s *State) Freshness(now time.Time) Freshness { return s.evidence.Freshness(now) }
+
+// Applied returns the configuration in force here.
+func (s *State) Applied() Position { return s.applied }
+
+// Seen returns the newest configuration that any peer knows of.
+func (s *State) Seen() Position { return s.seen }
+
+func (s *State) configApplied(p Position) {
+	s.applied = later(s.applied, p)
+	s.seen = later(s.seen, s.applied)
+	s.noteCurrent()
+}
+
+// noteCurrent notes when this process first had a configuration that the
+// leader had confirmed. Before that it has no memory of what was accepted, and
+// must neither serve nor help others to confirm an old configuration.
+func (s *State) noteCurrent() {
+	if !s.confirmed.At.IsZero() && s.applied.Compare(s.confirmed.Position) >= 0 {
+		s.wasCurrent = true
+	}
+}
+
+// advertised is the configuration that this host confirms to others.
+func (s *State) advertised() Position {
+	if !s.wasCurrent {
+		return Position{}
+	}
+	return s.applied
+}
+
+// leaderConfirmed notes the newest confirmation. A confirmation in a newer
+// term also brings the configuration in force into that term.
+func (s *State) leaderConfirmed(ev LeaderConfirmed) {
+	s.seen = later(s.seen, ev.Position)
+	if ev.Position.Revision == s.applied.Revision && !s.applied.IsZero() {
+		s.applied = later(s.applied, ev.Position)
+	}
+	if ev.At.After(s.confirmed.At) {
+		s.confirmed = ev
+	}
+	s.noteCurrent()
+}
+
+// vote is a number of member hosts heard from since a time.
+type vote struct {
+	at        time.Time
+	heard     int
+	confirmed int
+}
+
+// updateEvidence summarizes what was heard. Heartbeats alone wait for the next
+// tick, since a relay of many hosts receives about one a millisecond; newer
+// configurations take effect at once.
+func (s *State) updateEvidence(now time.Time) {
+	e := Evidence{tickAt: s.lastTick, window: MajorityWindow, bootstrap: s.agreed.Epoch == 0}
+	if s.topology != nil {
+		e.window = RelayedWindow
+	}
+	if s.replaced {
+		s.evidence = Evidence{tickAt: s.lastTick}
+		return
+	}
+	if !s.confirmed.At.IsZero() && s.applied.Compare(s.confirmed.Position) >= 0 {
+		e.confirmedUntil = s.confirmed.At.Add(s.settings.Staleness)
+	}
+	votes, newer := s.votes(now)
+	e.heardAt = s.majorityAt(votes, func(v vote) int { return v.heard })
+	current := s.wasCurrent && s.applied.Compare(s.seen) >= 0 && !newer
+	if at := s.majorityAt(votes, func(v vote) int { return v.confirmed }); current && !at.IsZero() {
+		e.majorityUntil = at.Add(s.settings.Staleness)
+	}
+	s.evidence = e
+}
+
+// majorityAt returns the time since which a majority of the agreed list was
+// heard, or the zero time.
+func (s *State) majorityAt(votes []vote, count func(vote) int) time.Time {
+	missing := len(s.agreed.Hosts)/2 + 1
+	if len(s.agreed.Hosts) == 0 {
+		return time.Time{}
+	}
+	for _, v := range votes {
+		missing -= count(v)
+		if missing <= 0 {
+			return v.at
+		}
+	}
+	return time.Time{}
+}
+
+// votes returns the evidence newest first. Newer is set if a host that was
+// heard has a newer agreed list, whose majorities this host can't judge.
+func (s *State) votes(now time.Time) (votes []vote, newer bool) {
+	if s.isAgreed[s.self.Host] && s.topology == nil {
+		votes = append(votes, vote{at: now, heard: 1, confirmed: confirmedCount(s.advertised())})
+	}
+	for host, c := range s.contacts {
+		newer = newer || c.memberEpoch > s.agreed.Epoch
+		if s.topology == nil && s.isAgreed[host] && !c.echoAt.IsZero() {
+			votes = append(votes, vote{at: c.echoAt, heard: 1, confirmed: confirmedCount(c.applied)})
+		}
+	}
+	for _, r := range s.bestReports(now) {
+		newer = newer || r.Epoch > s.agreed.Epoch
+		if r.Epoch == s.agreed.Epoch {
+			votes = append(votes, vote{at: now.Add(-r.Age), heard: int(r.Heard), confirmed: int(r.Confirmed)})
+		}
+	}
+	slices.SortFunc(votes, func(a, b vote) int { return b.at.Compare(a.at) })
+	return votes, newer
+}
+
+func confirmedCount(p Position) int {
+	if p.IsZero() {
+		return 0
+	}
+	return 1
+}
+
+// MajoritySaw reports whether a majority of the agreed list is known to have
+// seen a configuration. Once it is, every other majority includes a host that
+// knows of it, so no host elsewhere can take an older one for current.
+func (s *State) MajoritySaw(p Position) bool {
+	saw := 0
+	if s.topology != nil {
+		for _, r := range s.bestReports(s.lastTick) {
+			if r.Epoch == s.agreed.Epoch && r.Seen.Compare(p) >= 0 {
+				saw += int(r.SawNewest)
+			}
+		}
+		return saw > len(s.agreed.Hosts)/2
+	}
+	for _, host := range s.agreed.Hosts {
+		if s.seenAt(host).Compare(p) >= 0 {
+			saw++
+		}
+	}
+	return saw > len(s.agreed.Hosts)/2
+}
+
+func (s *State) seenAt(host string) Position {
+	if host == s.self.Host {
+		return s.seen
+	}
+	if c := s.contacts[host]; c != nil {
+		return c.seen
+	}
+	return Position{}
+}
+
+// SharesInUseEverywhere reports whether every member of the agreed list uses
+// the connection shares of its epoch.
+func (s *State) SharesInUseEverywhere() bool {
+	inUse := 0
+	if s.topology != nil {
+		for _, r := range s.bestReports(s.lastTick) {
+			if r.Epoch == s.agreed.Epoch {
+				inUse += int(r.SharesInUse)
+			}
+		}
+		return inUse == len(s.agreed.Hosts)
+	}
+	for _, host := range s.agreed.Hosts {
+		if s.shareEpochAt(host) >= s.agreed.Epoch {
+			inUse++
+		}
+	}
+	return inUse == len(s.agreed.Hosts)
+}
+
+func (s *State) shareEpochAt(host string) uint64 {
+	if host == s.self.Host {
+		return s.shareEpoch
+	}
+	if c := s.contacts[host]; c != nil {
+		return c.shareEpoch
+	}
+	return 0
+}
+
+func majorityEvent(quorate bool) eventlog.Event {
+	if quorate {
+		return eventMajority
+	}
+	return eventMinority
+}
--- /dev/null
+++ b/internal/membership/heartbeat.go
@@ -0,0 +1,358 @@
+package membership
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+func (s *State) tick(now time.Time) []Effect {
+	var effects []Effect
+	if !s.lastTick.IsZero() && now.Sub(s.lastTick) > PauseBound {
+		effects = append(effects, Log{Event: eventPaused, Host: s.self.Host, Detail: now.Sub(s.lastTick).String()})
+		s.forgetEvidence(now)
+	}
+	s.lastTick = now
+	s.updateReport(now)
+	if s.self.State != Left && !s.replaced {
+		effects = append(effects, s.detect(now)...)
+		effects = append(effects, s.sendHeartbeats(now)...)
+		effects = append(effects, s.probe(now)...)
+		effects = append(effects, s.propose(now)...)
+	}
+	effects = append(effects, s.compareFeeds(now)...)
+	s.cleanup(now)
+	return effects
+}
+
+// forgetEvidence discards what was heard before a pause, and gives every
+// neighbour time to be heard again.
+func (s *State) forgetEvidence(now time.Time) {
+	for _, c := range s.contacts {
+		c.since = now
+		c.echoAt = time.Time{}
+	}
+	clear(s.reports)
+	s.confirmed = LeaderConfirmed{}
+}
+
+// contactOf returns the contact with a known host and makes it if needed.
+func (s *State) contactOf(now time.Time, host string) *contact {
+	c := s.contacts[host]
+	if c == nil {
+		c = &contact{since: now, introduce: true}
+		s.contacts[host] = c
+	}
+	return c
+}
+
+// detect suspects neighbours that nobody heard, and declares dead those that
+// stayed suspect.
+func (s *State) detect(now time.Time) []Effect {
+	var effects []Effect
+	for _, host := range s.neighbours {
+		k, c := s.members[host], s.contacts[host]
+		if k == nil || c == nil || k.State != Alive || now.Sub(c.lastEvidence()) <= SuspectAfter {
+			continue
+		}
+		effects = append(effects, s.declare(now, k, Suspect, Log{Event: eventSuspect, Host: host})...)
+	}
+	for _, host := range s.suspects() {
+		k := s.members[host]
+		if now.Sub(k.since) > s.confirmTime(host) {
+			effects = append(effects, s.declare(now, k, Dead, Log{Event: eventDead, Host: host})...)
+		}
+	}
+	return effects
+}
+
+func (s *State) declare(now time.Time, k *known, state Liveness, log Log) []Effect {
+	m := k.Member
+	m.State = state
+	s.put(now, m)
+	return []Effect{log, Disseminate{Host: m.Host, Urgent: true}}
+}
+
+func (s *State) suspects() []string {
+	return slices.Sorted(maps.Keys(s.suspected))
+}
+
+func (s *State) confirmTime(host string) time.Duration {
+	if _, neighbour := slices.BinarySearch(s.neighbours, host); neighbour {
+		return ConfirmAfter
+	}
+	return ConfirmFarAfter
+}
+
+// lastEvidence is when the host was last heard by anybody. A new contact
+// counts as heard, so that it gets the full suspicion time.
+func (c *contact) lastEvidence() time.Time {
+	return slices.MaxFunc([]time.Time{c.since, c.heardAt, c.indirectAt}, time.Time.Compare)
+}
+
+// sendHeartbeats sends a request to each neighbour with which an exchange is
+// due. One exchange serves both sides, so one of them waits longer.
+func (s *State) sendHeartbeats(now time.Time) []Effect {
+	var effects []Effect
+	for _, host := range s.neighbours {
+		k, c := s.members[host], s.contacts[host]
+		if k == nil || c == nil || now.Sub(s.lastExchange(host, c)) < s.intervalTo(host) {
+			continue
+		}
+		c.sentAt = now
+		effects = append(effects, SendHeartbeat{To: host, Address: k.PeerAddress, Heartbeat: s.compose(now, host)})
+	}
+	return effects
+}
+
+// lastExchange is when this host last sent to another one or, if an exchange
+// may start at either side, last heard from it.
+func (s *State) lastExchange(host string, c *contact) time.Time {
+	if s.bothRelays(host) || c.sentAt.After(c.heardAt) {
+		return c.sentAt
+	}
+	return c.heardAt
+}
+
+// intervalTo returns the interval of exchanges that start here. Hosts start
+// those with their relays, and relays start one with each other from both
+// sides, which keeps the age of region reports under 2 s.
+func (s *State) intervalTo(host string) time.Duration {
+	waits := host < s.self.Host
+	if s.topology != nil {
+		waits = s.topology.isRelay(s.self.Host) && !s.topology.isRelay(host)
+	}
+	if waits {
+		return HeartbeatInterval * 3 / 2
+	}
+	return HeartbeatInterval
+}
+
+func (s *State) bothRelays(host string) bool {
+	return s.topology != nil && s.topology.isRelay(s.self.Host) && s.topology.isRelay(host)
+}
+
+// probe sends to the seeds while this host is alone, and otherwise now and
+// then to a lost host or a seed, so that two groups of hosts that declared
+// each other dead find together again.
+func (s *State) probe(now time.Time) []Effect {
+	if len(s.neighbours) == 0 {
+		if now.Sub(s.seedsAt) < SeedInterval {
+			return nil
+		}
+		s.seedsAt = now
+		var effects []Effect
+		for _, address := range s.probeAddresses() {
+			effects = append(effects, SendHeartbeat{Address: address, Heartbeat: s.compose(now, "")})
+		}
+		return effects
+	}
+	if now.Sub(s.probeAt) < ProbeInterval {
+		return nil
+	}
+	s.probeAt = now
+	addresses := s.probeAddresses()
+	if len(addresses) == 0 {
+		return nil
+	}
+	s.probeNext++
+	return []Effect{SendHeartbeat{Address: addresses[s.probeNext%len(addresses)], Heartbeat: s.compose(now, "")}}
+}
+
+// maxProbed bounds the lost hosts that are probed.
+const maxProbed = 64
+
+// probeAddresses returns the addresses of dead hosts and of seeds that belong
+// to no live host.
+func (s *State) probeAddresses() []netip.AddrPort {
+	live := map[netip.AddrPort]bool{}
+	var dead []netip.AddrPort
+	for _, k := range s.members {
+		if k.Live() {
+			live[k.PeerAddress] = true
+		} else if k.State == Dead {
+			dead = append(dead, k.PeerAddress)
+		}
+	}
+	slices.SortFunc(dead, netip.AddrPort.Compare)
+	addresses := append(slices.Clone(s.settings.Seeds), dead[:min(len(dead), maxProbed)]...)
+	return slices.DeleteFunc(addresses, func(a netip.AddrPort) bool { return live[a] })
+}
+
+// compose writes a heartbeat to a host, or to a seed if host is empty.
+func (s *State) compose(now time.Time, host string) Heartbeat {
+	hb := Heartbeat{
+		Host:        s.self.Host,
+		Incarnation: s.self.Incarnation,
+		Token:       now.UnixNano(),
+		Applied:     s.advertised(),
+		Seen:        s.seen,
+		MemberEpoch: s.agreed.Epoch,
+		ShareEpoch:  s.shareEpoch,
+		Ready:       s.ready,
+		Digest:      s.digest,
+		Silent:      s.silent(now),
+		Reports:     s.reportsFor(now, host),
+	}
+	c := s.contacts[host]
+	if c == nil || c.introduce || s.self.State != Alive {
+		self := s.self
+		hb.Self = &self
+	}
+	if c == nil {
+		return hb
+	}
+	hb.Echo = c.token
+	hb.Heard = s.answers(now, c.asks)
+	k := s.members[host]
+	hb.Introduce = k == nil || k.Incarnation < c.incarnation
+	if k != nil && k.State != Alive {
+		hb.News = []Member{k.Member}
+	}
+	return hb
+}
+
+// silent names the neighbours that this host does not hear.
+func (s *State) silent(now time.Time) []string {
+	var hosts []string
+	for _, host := range s.neighbours {
+		c := s.contacts[host]
+		if c != nil && now.Sub(c.heardAt) > SilentAfter && len(hosts) < MaxSilent {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+func (s *State) answers(now time.Time, asks []string) []Hearing {
+	var heard []Hearing
+	for _, host := range asks {
+		c := s.contacts[host]
+		if c != nil && !c.heardAt.IsZero() && now.Sub(c.heardAt) <= SuspectAfter {
+			heard = append(heard, Hearing{Host: host, Age: now.Sub(c.heardAt)})
+		}
+	}
+	return heard
+}
+
+func (s *State) heartbeatReceived(now time.Time, ev HeartbeatReceived) []Effect {
+	effects := s.process(now, &ev.Heartbeat)
+	reply := s.compose(now, ev.Heartbeat.Host)
+	return append(effects, ReplyHeartbeat{Call: ev.Call, Heartbeat: reply})
+}
+
+// process applies a heartbeat, whether request or reply.
+func (s *State) process(now time.Time, hb *Heartbeat) []Effect {
+	if hb.Host == s.self.Host || hb.Host == "" {
+		return nil // a seed address of this host itself
+	}
+	var effects []Effect
+	if hb.Self != nil && hb.Self.Host == hb.Host && hb.Self.Validate() == nil {
+		effects = append(effects, s.introduced(now, *hb.Self)...)
+	}
+	for _, m := range hb.News[:min(len(hb.News), MaxNews)] {
+		effects = append(effects, s.memberReceived(now, MemberReceived{From: hb.Host, Member: m})...)
+	}
+	c := s.contactOf(now, hb.Host)
+	c.introduce = hb.Introduce
+	if hb.Incarnation < c.incarnation || s.outdated(hb) {
+		return effects
+	}
+	if hb.Incarnation > c.incarnation {
+		c.restart(hb.Incarnation)
+	}
+	s.hear(now, c, hb)
+	return effects
+}
+
+// introduced takes the details of a host from itself.
+func (s *State) introduced(now time.Time, m Member) []Effect {
+	old := s.members[m.Host]
+	fresh := old == nil || old.Incarnation < m.Incarnation
+	if !s.merge(now, m) {
+		return nil
+	}
+	effects := []Effect{Disseminate{Host: m.Host, Urgent: true}}
+	if fresh && m.State == Alive {
+		effects = append(effects, Log{Event: eventJoined, Host: m.Host, Detail: m.PeerAddress.String()})
+	}
+	return effects
+}
+
+// outdated reports whether a heartbeat comes from a process that a newer one
+// has replaced. Its news must not count as the new one's.
+func (s *State) outdated(hb *Heartbeat) bool {
+	k := s.members[hb.Host]
+	return k != nil && hb.Incarnation < k.Incarnation
+}
+
+// restart forgets what an earlier process of the host said.
+func (c *contact) restart(incarnation uint64) {
+	*c = contact{incarnation: incarnation, since: c.since, heardAt: c.heardAt, sentAt: c.sentAt, introduce: c.introduce}
+}
+
+func (s *State) hear(now time.Time, c *contact, hb *Heartbeat) {
+	c.heardAt = now
+	if hb.Echo >= s.startedAt.UnixNano() && hb.Echo <= now.UnixNano() {
+		if at := time.Unix(0, hb.Echo); at.After(c.echoAt) {
+			c.echoAt = at
+		}
+	}
+	c.applied = later(c.applied, hb.Applied)
+	c.seen = later(c.seen, later(hb.Seen, hb.Applied))
+	s.seen = later(s.seen, c.seen)
+	c.memberEpoch = max(c.memberEpoch, hb.MemberEpoch)
+	c.shareEpoch = max(c.shareEpoch, hb.ShareEpoch)
+	if hb.Token < c.token {
+		return // an older message that arrived late
+	}
+	c.token = hb.Token
+	c.ready = hb.Ready
+	c.asks = hb.Silent[:min(len(hb.Silent), MaxSilent)]
+	if hb.Digest == s.digest {
+		c.differsSince = time.Time{}
+	} else if c.differsSince.IsZero() {
+		c.differsSince = now
+	}
+	for _, h := range hb.Heard[:min(len(hb.Heard), MaxSilent)] {
+		s.heardBy(now, h)
+	}
+	s.takeReports(c, hb)
+}
+
+func (s *State) heardBy(now time.Time, h Hearing) {
+	c := s.contacts[h.Host]
+	if c == nil || h.Age < 0 {
+		return
+	}
+	if at := now.Add(-h.Age); at.After(c.indirectAt) {
+		c.indirectAt = at
+	}
+}
+
+// compareFeeds reports neighbours that have had a newer configuration, or
+// other members, for too long.
+func (s *State) compareFeeds(now time.Time) []Effect {
+	var effects []Effect
+	for _, host := range s.neighbours {
+		c := s.contacts[host]
+		if c == nil {
+			continue
+		}
+		if c.applied.Compare(s.applied) <= 0 {
+			c.aheadSince = time.Time{}
+		} else if c.aheadSince.IsZero() {
+			c.aheadSince = now
+		}
+		if !c.aheadSince.IsZero() && now.Sub(c.aheadSince) > time.Second && now.Sub(c.aheadLogged) > time.Second {
+			c.aheadLogged = now
+			effects = append(effects, FeedBehind{Peer: host, Position: c.applied}, Log{Event: eventFeedBehind, Host: host})
+		}
+		if !c.differsSince.IsZero() && now.Sub(c.differsSince) > resyncAfter && now.Sub(c.resyncAt) > resyncInterval {
+			c.resyncAt = now
+			effects = append(effects, Resync{Peer: host})
+		}
+	}
+	return effects
+}
--- /dev/null
+++ b/internal/membership/neighbours.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MeshLimit is the number of live hosts up to which every host is a
+// neighbour of every other.
+const MeshLimit = 32
+
+// relaysPerRegion is the number of hosts that forward for a region.
+const relaysPerRegion = 2
+
+// Neighbours returns the hosts that self exchanges messages with, sorted. It
+// depends only on the set of live members, so two hosts with the same view
+// agree on every link. Above MeshLimit hosts, a host has the relays of its
+// region as neighbours, and the relays have each other and the hosts of their
+// region.
+func Neighbours(self string, live []Member) []string {
+	if len(live) <= MeshLimit {
+		return namesExcept(self, live)
+	}
+	topology := newTopology(live)
+	return topology.neighbours(self)
+}
+
+func namesExcept(self string, members []Member) []string {
+	var names []string
+	for i := range members {
+		if members[i].Host != self {
+			names = append(names, members[i].Host)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// topology assigns relays to the regions of a set of live members.
+type topology struct {
+	regions  map[string][]Member
+	relays   map[string][]Member // by region
+	regionOf map[string]string   // by host
+}
+
+func newTopology(live []Member) *topology {
+	t := &topology{regions: map[string][]Member{}, relays: map[string][]Member{}, regionOf: make(map[string]string, len(live))}
+	for _, m := range live {
+		t.regions[m.Region] = append(t.regions[m.Region], m)
+		t.regionOf[m.Host] = m.Region
+	}
+	for region, hosts := range t.regions {
+		t.relays[region] = chooseRelays(hosts)
+	}
+	return t
+}
+
+func (t *topology) isRelay(host string) bool {
+	return slices.ContainsFunc(t.relays[t.regionOf[host]], func(m Member) bool { return m.Host == host })
+}
+
+func (t *topology) neighbours(self string) []string {
+	region, ok := t.regionOf[self]
+	if !ok {
+		return nil
+	}
+	if !t.isRelay(self) {
+		return namesExcept(self, t.relays[region])
+	}
+	all := slices.Clone(t.regions[region])
+	for _, relays := range t.relays {
+		all = append(all, relays...)
+	}
+	return namesExcept(self, all)
+}
+
+// chooseRelays picks the relays of a region: hosts with the relay role before
+// others, then different failure domains, then the highest rendezvous weight.
+func chooseRelays(hosts []Member) []Member {
+	var chosen []Member
+	for len(chosen) < min(relaysPerRegion, len(hosts)) {
+		best := -1
+		for i := range hosts {
+			if slices.ContainsFunc(chosen, func(m Member) bool { return m.Host == hosts[i].Host }) {
+				continue
+			}
+			if best < 0 || betterRelay(&hosts[i], &hosts[best], chosen) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		chosen = append(chosen, hosts[best])
+	}
+	return chosen
+}
+
+func betterRelay(a, b *Member, chosen []Member) bool {
+	if x, y := a.Roles.Has(RoleRelay), b.Roles.Has(RoleRelay); x != y {
+		return x
+	}
+	if x, y := newDomain(a, chosen), newDomain(b, chosen); x != y {
+		return x
+	}
+	if x, y := xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host); x != y {
+		return x > y
+	}
+	return a.Host < b.Host
+}
+
+func newDomain(m *Member, chosen []Member) bool {
+	return !slices.ContainsFunc(chosen, func(c Member) bool { return c.FailureDomain == m.FailureDomain })
+}
--- /dev/null
+++ b/internal/membership/state.go
@@ -0,0 +1,362 @@
+package membership
+
+import (
+	"cmp"
+	"iter"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Periods of the failure detector.
+const (
+	HeartbeatInterval = 500 * time.Millisecond
+	SilentAfter       = 800 * time.Millisecond  // a neighbour unheard for this long is asked about
+	SuspectAfter      = 1500 * time.Millisecond // unheard by anybody for this long: suspect
+	ConfirmAfter      = 1500 * time.Millisecond // suspect for this long at a neighbour: dead
+	ConfirmFarAfter   = 4 * time.Second         // suspect for this long at another host: dead
+	SeedInterval      = 1 * time.Second         // between messages to the seeds while alone
+	ProbeInterval     = 2 * time.Second         // between probes of lost hosts and seeds
+	PauseBound        = 1 * time.Second         // a longer gap between ticks counts as a pause
+	LostRetain        = 1 * time.Hour           // a dead or left host is remembered this long
+	housekeeping      = 10 * time.Second
+	resyncAfter       = 3 * time.Second
+	resyncInterval    = 10 * time.Second
+	replacedAfter     = 10 * time.Second
+)
+
+// Settings configure a host.
+type Settings struct {
+	Self      Member // with the incarnation of this process
+	Seeds     []netip.AddrPort
+	Staleness time.Duration // how long a confirmation of the configuration holds
+}
+
+// known is a member with what this host noted about it.
+type known struct {
+	Member
+	since  time.Time // of State
+	flaps  uint8     // lost and found again this many times lately
+	digest uint64
+}
+
+// contact is what this host heard from another one directly.
+type contact struct {
+	incarnation  uint64
+	since        time.Time
+	heardAt      time.Time // last message
+	indirectAt   time.Time // last heard by another host
+	sentAt       time.Time // last request to it
+	echoAt       time.Time // what it says is at least as new as this
+	token        int64
+	introduce    bool // it lacks our details
+	applied      Position
+	seen         Position
+	memberEpoch  uint64
+	shareEpoch   uint64
+	ready        bool
+	aheadSince   time.Time
+	aheadLogged  time.Time
+	differsSince time.Time
+	resyncAt     time.Time
+	asks         []string
+}
+
+// State is the membership of one host. It belongs to the control goroutine;
+// traffic reads its Evidence.
+type State struct {
+	settings   Settings
+	self       Member
+	startedAt  time.Time
+	members    map[string]*known
+	suspected  map[string]bool
+	contacts   map[string]*contact
+	neighbours []string
+	topology   *topology // nil in a full mesh
+	digest     uint64
+	replaced   bool
+
+	agreed    AgreedList
+	isAgreed  map[string]bool
+	forgotten map[string]bool
+	leading   bool
+	leadSince time.Time
+	proposeAt time.Time
+
+	applied    Position
+	seen       Position
+	confirmed  LeaderConfirmed
+	wasCurrent bool // see noteCurrent
+	shareEpoch uint64
+	ready      bool
+	reports    map[string][]RegionReport // by region
+	report     RegionReport              // of this host's region, if it is a relay
+	reportAt   time.Time
+	evidence   Evidence
+	judged     Position // seen at the last update of evidence
+	quorate    bool
+
+	liveDirty   bool
+	lastTick    time.Time
+	lastCleanup time.Time
+	seedsAt     time.Time
+	probeAt     time.Time
+	probeNext   int
+}
+
+// NewState returns the state of a host that knows nobody yet.
+func NewState(now time.Time, settings Settings) *State {
+	self := settings.Self
+	self.State = Alive
+	s := &State{
+		settings:  settings,
+		self:      self,
+		startedAt: now,
+		members:   map[string]*known{},
+		suspected: map[string]bool{},
+		contacts:  map[string]*contact{},
+		isAgreed:  map[string]bool{},
+		forgotten: map[string]bool{},
+		reports:   map[string][]RegionReport{},
+		liveDirty: true,
+	}
+	s.put(now, self)
+	return s
+}
+
+// Step applies an event.
+func (s *State) Step(now time.Time, ev Event) []Effect {
+	var effects []Effect
+	switch ev := ev.(type) {
+	case Tick:
+		effects = s.tick(now)
+	case HeartbeatReceived:
+		effects = s.heartbeatReceived(now, ev)
+	case HeartbeatAnswered:
+		effects = s.process(now, &ev.Heartbeat)
+	case MemberReceived:
+		effects = s.memberReceived(now, ev)
+	case AgreedListApplied:
+		s.agreedListApplied(ev.List)
+	case HostForgotten:
+		effects = s.hostForgotten(now, ev.Host)
+	case ConfigApplied:
+		s.configApplied(ev.Position)
+	case LeaderConfirmed:
+		s.leaderConfirmed(ev)
+	case LeadershipChanged:
+		s.leading, s.leadSince = ev.Leading, now
+	case SharesInUse:
+		s.shareEpoch = max(s.shareEpoch, ev.Epoch)
+	case ReadinessChanged:
+		s.ready = ev.Ready
+	case Leave:
+		s.self.State = Left
+		effects = s.changeSelf(now)
+	}
+	if changesEvidence(ev) || s.seen != s.judged {
+		s.judged = s.seen
+		s.updateEvidence(now)
+	}
+	return append(effects, s.updateLive(now)...)
+}
+
+func changesEvidence(ev Event) bool {
+	switch ev.(type) {
+	case HeartbeatReceived, HeartbeatAnswered, MemberReceived:
+		return false
+	default:
+		return true
+	}
+}
+
+// Self returns this host as the others should know it.
+func (s *State) Self() Member { return s.self }
+
+// Member returns what is known of a host and for how long it has had its
+// state.
+func (s *State) Member(now time.Time, host string) (m Member, stateFor time.Duration, ok bool) {
+	k := s.members[host]
+	if k == nil {
+		return Member{}, 0, false
+	}
+	return k.Member, now.Sub(k.since), true
+}
+
+// Members returns all known hosts in no particular order. Lost hosts near the
+// end of their retention are left out, so that hosts that forget one at
+// different times don't send it to each other.
+func (s *State) Members(now time.Time) iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for _, k := range s.members {
+			if !k.Live() && now.Sub(k.since) > LostRetain*4/5 {
+				continue
+			}
+			if !yield(k.Member) {
+				return
+			}
+		}
+	}
+}
+
+// Live returns the live members, sorted by host.
+func (s *State) Live() []Member {
+	live := make([]Member, 0, len(s.members))
+	for _, k := range s.members {
+		if k.Live() {
+			live = append(live, k.Member)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	return live
+}
+
+// Ready reports whether a neighbour said that it takes new requests.
+func (s *State) Ready(host string) bool {
+	c := s.contacts[host]
+	return c != nil && c.ready
+}
+
+// put replaces what is known of a host.
+func (s *State) put(now time.Time, m Member) {
+	k := s.members[m.Host]
+	if k == nil {
+		k = &known{since: now}
+		s.members[m.Host] = k
+		s.liveDirty = true
+	}
+	if k.Live() != m.Live() || k.State != m.State {
+		k.noteFlap(now, m.Live())
+		k.since = now
+	}
+	s.liveDirty = s.liveDirty || k.Live() != m.Live() || k.Member.hash() != m.hash()
+	s.digest ^= k.digest
+	k.Member = m
+	k.digest = m.digest()
+	s.digest ^= k.digest
+	delete(s.suspected, m.Host)
+	if m.State == Suspect && m.Host != s.self.Host {
+		s.suspected[m.Host] = true
+	}
+}
+
+// merge applies news of another host and returns whether they were newer.
+func (s *State) merge(now time.Time, m Member) bool {
+	k := s.members[m.Host]
+	if k != nil && m.Compare(&k.Member) <= 0 {
+		return false
+	}
+	s.put(now, m)
+	if c := s.contacts[m.Host]; c != nil && m.Live() && c.incarnation < m.Incarnation {
+		c.indirectAt = now
+	}
+	return true
+}
+
+func (s *State) memberReceived(now time.Time, ev MemberReceived) []Effect {
+	m := ev.Member
+	if m.Validate() != nil {
+		return nil
+	}
+	if m.Host == s.self.Host {
+		return s.newsOfSelf(now, m)
+	}
+	if s.members[m.Host] == nil && !m.Live() && ev.StateFor >= LostRetain {
+		return nil
+	}
+	if !s.merge(now, m) {
+		return nil
+	}
+	if !m.Live() {
+		s.members[m.Host].since = now.Add(-ev.StateFor)
+	}
+	return []Effect{Disseminate{Host: m.Host, From: ev.From, Urgent: m.State != Alive}}
+}
+
+// newsOfSelf refutes wrong news of this host with a higher incarnation. If a
+// process elsewhere took this host's name after this one had been running,
+// this one has been replaced and stops serving instead of competing.
+func (s *State) newsOfSelf(now time.Time, m Member) []Effect {
+	if m.Compare(&s.self) <= 0 {
+		return nil
+	}
+	if m.State == Alive && m.PeerAddress != s.self.PeerAddress && now.Sub(s.startedAt) > replacedAfter {
+		if s.replaced {
+			return nil
+		}
+		s.replaced = true
+		return []Effect{Log{Event: eventReplaced, Host: m.Host, Detail: m.PeerAddress.String()}}
+	}
+	if s.replaced || s.self.State == Left && m.State == Left {
+		return nil
+	}
+	s.self.Incarnation = m.Incarnation + 1
+	effects := s.changeSelf(now)
+	return append(effects, Log{Event: eventRefuted, Host: m.Host, Detail: m.State.String()})
+}
+
+func (s *State) changeSelf(now time.Time) []Effect {
+	s.put(now, s.self)
+	return []Effect{Disseminate{Host: s.self.Host, Urgent: true}}
+}
+
+// updateLive reports changes of the live members and of the neighbours.
+func (s *State) updateLive(now time.Time) []Effect {
+	quorate := s.evidence.HearsMajority(now)
+	if !s.liveDirty && quorate == s.quorate {
+		return nil
+	}
+	var effects []Effect
+	if quorate != s.quorate {
+		effects = append(effects, Log{Event: majorityEvent(quorate), Host: s.self.Host})
+	}
+	s.quorate = quorate
+	live := s.Live()
+	names := make([]string, len(live))
+	for i := range live {
+		names[i] = live[i].Host
+	}
+	effects = append(effects, LiveChanged{Live: names, Quorate: quorate})
+	if s.liveDirty {
+		effects = append(effects, s.updateNeighbours(now, live))
+	}
+	s.liveDirty = false
+	return effects
+}
+
+func (s *State) updateNeighbours(now time.Time, live []Member) NeighboursChanged {
+	s.topology = nil
+	if len(live) > MeshLimit {
+		s.topology = newTopology(live)
+		s.neighbours = s.topology.neighbours(s.self.Host)
+	} else {
+		s.neighbours = namesExcept(s.self.Host, live)
+	}
+	neighbours := make([]Neighbour, len(s.neighbours))
+	for i, host := range s.neighbours {
+		leaf := s.relaying() && !s.topology.isRelay(host)
+		neighbours[i] = Neighbour{Member: s.members[host].Member, Leaf: leaf}
+		s.contactOf(now, host)
+	}
+	return NeighboursChanged{Neighbours: neighbours}
+}
+
+// cleanup forgets lost hosts past their retention, and contacts that are
+// neither neighbours nor heard of lately.
+func (s *State) cleanup(now time.Time) {
+	if now.Sub(s.lastCleanup) < housekeeping {
+		return
+	}
+	s.lastCleanup = now
+	for host, k := range s.members {
+		if !k.Live() && now.Sub(k.since) > LostRetain && !s.isAgreed[host] {
+			delete(s.members, host)
+		}
+	}
+	for host, c := range s.contacts {
+		_, neighbour := slices.BinarySearch(s.neighbours, host)
+		if !neighbour && now.Sub(c.heardAt) > housekeeping {
+			delete(s.contacts, host)
+		}
+	}
+}
