Spread records between neighbours by what they have not acknowledged

Drains and expiries must reach every host within 2 s over links that lose, repeat and reorder messages, without every host hearing every renewal.

Each neighbour has a bounded set of items that it has not acknowledged. Batches are bounded in bytes; drains and expiries go at once, the rest after 100 ms. News of another neighbour is passed on as an offer, except to hosts that depend on this one. After a reconnect digests of 256 buckets limit what is sent.

--- /dev/null
+++ b/internal/spread/state.go
@@ -0,0 +1,329 @@
+package spread
+
+import (
+	"slices"
+	"time"
+)
+
+// Periods and bounds of dissemination.
+const (
+	CoalesceTime     = 100 * time.Millisecond // news that is not urgent waits this long for more
+	RequestTimeout   = 300 * time.Millisecond
+	RetryInterval    = 200 * time.Millisecond
+	MaxRetryInterval = 2 * time.Second
+	MaxBatchBytes    = 32 << 10 // a single larger item is still sent
+	MaxBatchItems    = 512
+	MaxOwed          = 16_384 // items not acknowledged by one neighbour
+	resyncBuckets    = 32     // buckets sent between two digests
+	digestInterval   = 50 * time.Millisecond
+	idleInterval     = 10 * time.Second // between digests that show no progress
+)
+
+// State is the dissemination state of one host. It belongs to the control
+// goroutine.
+type State struct {
+	self    string
+	session uint64
+	source  Source
+	peers   map[string]*peer
+	order   []string // names of the peers, in the order given
+	lastID  uint64
+}
+
+// NewState returns the state of a host without neighbours. Session must
+// differ between processes of the host.
+func NewState(self string, session uint64, source Source) *State {
+	return &State{self: self, session: session, source: source, peers: map[string]*peer{}}
+}
+
+// Step applies an event.
+func (s *State) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Tick:
+		return s.tick(now)
+	case NeighboursChanged:
+		return s.neighboursChanged(now, ev)
+	case Updated:
+		return s.updated(now, ev)
+	case Received:
+		return s.received(now, ev)
+	case Answered:
+		return s.answered(now, &ev.Response)
+	case Failed:
+		return s.failed(now, ev)
+	case Resync:
+		if p := s.peers[ev.Peer]; p != nil {
+			p.requestDigest()
+			return s.flush(now, p)
+		}
+	}
+	return nil
+}
+
+// Owed returns the number of items that a neighbour has not acknowledged.
+func (s *State) Owed(name string) int {
+	p := s.peers[name]
+	if p == nil {
+		return 0
+	}
+	if p.flight != nil {
+		return len(p.dirty) + len(p.flight.keys)
+	}
+	return len(p.dirty)
+}
+
+func (s *State) tick(now time.Time) []Effect {
+	var effects []Effect
+	for _, name := range s.order {
+		p := s.peers[name]
+		if p.flight != nil && now.Sub(p.flight.sentAt) >= RequestTimeout {
+			p.fail(now)
+		}
+		effects = append(effects, s.flush(now, p)...)
+	}
+	return effects
+}
+
+func (s *State) neighboursChanged(now time.Time, ev NeighboursChanged) []Effect {
+	peers := make(map[string]*peer, len(ev.Peers))
+	s.order = s.order[:0]
+	var effects []Effect
+	for _, given := range ev.Peers {
+		if given.Name == s.self || peers[given.Name] != nil {
+			continue
+		}
+		p := s.peers[given.Name]
+		if p == nil {
+			p = newPeer(s.self, given)
+		}
+		p.leaf = given.Leaf
+		peers[given.Name] = p
+		s.order = append(s.order, given.Name)
+	}
+	s.peers = peers
+	for _, name := range s.order {
+		effects = append(effects, s.flush(now, s.peers[name])...)
+	}
+	return effects
+}
+
+// updated owes a newer item to the neighbours. News made here or brought by a
+// leaf goes out with its value; what came from another neighbour has probably
+// reached the rest by itself, so it is only offered to them.
+func (s *State) updated(now time.Time, ev Updated) []Effect {
+	from := s.peers[ev.From]
+	origin := ev.From == "" || from != nil && from.leaf
+	var effects []Effect
+	for _, name := range s.order {
+		p := s.peers[name]
+		if p == from {
+			continue
+		}
+		full := origin || p.leaf
+		p.owe(now, ev.Key, mark{full: full, urgent: ev.Urgent && full})
+		if len(p.dirty) > MaxOwed {
+			p.reset()
+			effects = append(effects, Log{Event: eventOverflow, Peer: name})
+		}
+		effects = append(effects, s.flush(now, p)...)
+	}
+	return effects
+}
+
+// flush sends what is due to a neighbour. One request is in flight at a time.
+func (s *State) flush(now time.Time, p *peer) []Effect {
+	if p.flight != nil || now.Before(p.retryAt) {
+		return nil
+	}
+	if p.digestDue(now) {
+		p.needDigest = false
+		d := s.digest(now)
+		return s.send(now, p, Request{Digest: &d}, &flight{digest: true})
+	}
+	if len(p.dirty) == 0 || !p.hasUrgent() && now.Sub(p.dirtySince) < CoalesceTime {
+		return nil
+	}
+	items, f := s.batch(now, p)
+	if len(items) == 0 {
+		return nil
+	}
+	return s.send(now, p, Request{Items: items}, f)
+}
+
+func (s *State) batch(now time.Time, p *peer) ([]Item, *flight) {
+	f := &flight{}
+	var items []Item
+	size := 0
+	for len(items) < MaxBatchItems && size < MaxBatchBytes {
+		key, m, ok := p.next()
+		if !ok {
+			break
+		}
+		item, ok := s.source.Item(now, key)
+		if !ok {
+			continue
+		}
+		if !m.full {
+			item = item.offer()
+		}
+		if len(items) > 0 && size+item.Bytes > MaxBatchBytes {
+			p.owe(now, key, m)
+			break
+		}
+		items = append(items, item)
+		size += item.Bytes
+		f.keys = append(f.keys, key)
+		f.marks = append(f.marks, m)
+	}
+	return items, f
+}
+
+func (s *State) send(now time.Time, p *peer, req Request, f *flight) []Effect {
+	s.lastID++
+	req.From, req.Session, req.ID = s.self, s.session, s.lastID
+	f.id, f.sentAt = s.lastID, now
+	p.flight = f
+	return []Effect{Send{To: p.name, Request: req}}
+}
+
+func (s *State) digest(now time.Time) Digest {
+	var d Digest
+	for item := range s.source.Items(now) {
+		d.add(&item)
+	}
+	return d
+}
+
+// received compares the items of a neighbour with the present versions.
+func (s *State) received(now time.Time, ev Received) []Effect {
+	req := &ev.Request
+	p := s.peers[req.From]
+	effects := s.noteSession(p, req.Session)
+	resp := Response{From: s.self, Session: s.session, ID: req.ID}
+	var newer []Item
+	for i := range req.Items {
+		item := &req.Items[i]
+		order := s.compare(now, item)
+		switch {
+		case order > 0 && item.IsOffer():
+			resp.Wanted = append(resp.Wanted, item.Key)
+		case order > 0:
+			newer = append(newer, *item)
+			if p != nil {
+				p.settle(item.Key)
+			}
+		case p != nil && order == 0:
+			p.settle(item.Key)
+		case p != nil:
+			p.owe(now, item.Key, mark{full: true})
+		}
+	}
+	if len(newer) > 0 {
+		effects = append(effects, Deliver{From: req.From, Items: newer})
+	}
+	if req.Digest != nil {
+		d := s.digest(now)
+		resp.Digest = &d
+		if p != nil {
+			p.needDigest = false
+			s.reconcile(now, p, &d, req.Digest)
+		}
+	}
+	effects = append(effects, Reply{Call: ev.Call, Response: resp})
+	if p != nil {
+		effects = append(effects, s.flush(now, p)...)
+	}
+	return effects
+}
+
+// compare returns how a received item relates to the present version.
+func (s *State) compare(now time.Time, item *Item) int {
+	local, ok := s.source.Item(now, item.Key)
+	if !ok {
+		return 1
+	}
+	return item.Version.Compare(local.Version)
+}
+
+func (s *State) answered(now time.Time, resp *Response) []Effect {
+	p := s.peers[resp.From]
+	if p == nil || p.flight == nil || p.flight.id != resp.ID {
+		return nil
+	}
+	f := p.flight
+	p.flight = nil
+	p.failures = 0
+	effects := s.noteSession(p, resp.Session)
+	for _, key := range resp.Wanted {
+		p.owe(now, key, mark{full: true, urgent: true})
+	}
+	if f.digest && resp.Digest != nil {
+		d := s.digest(now)
+		s.reconcile(now, p, &d, resp.Digest)
+	}
+	return append(effects, s.flush(now, p)...)
+}
+
+func (s *State) failed(now time.Time, ev Failed) []Effect {
+	p := s.peers[ev.To]
+	if p == nil || p.flight == nil || p.flight.id != ev.ID {
+		return nil
+	}
+	p.fail(now)
+	return s.flush(now, p)
+}
+
+// noteSession starts anew with a neighbour that restarted.
+func (s *State) noteSession(p *peer, session uint64) []Effect {
+	if p == nil || p.session == session {
+		return nil
+	}
+	restarted := p.session != 0
+	p.session = session
+	if !restarted {
+		return nil
+	}
+	p.reset()
+	return []Effect{Log{Event: eventRestarted, Peer: p.name}}
+}
+
+// reconcile owes the items of differing buckets to a neighbour. Of many
+// differing buckets it takes some and asks for another digest afterwards,
+// because the neighbour learns from others meanwhile and because what is owed
+// must stay bounded. Without progress the next digest waits longer.
+func (s *State) reconcile(now time.Time, p *peer, own, theirs *Digest) {
+	var chosen [Buckets]bool
+	differing, taken := 0, 0
+	for i := range Buckets {
+		b := (p.start + i) % Buckets
+		if own[b] == theirs[b] {
+			continue
+		}
+		differing++
+		if taken < resyncBuckets {
+			chosen[b] = true
+			taken++
+		}
+	}
+	if differing > taken {
+		p.needDigest = true
+		p.digestAt = now.Add(digestInterval)
+		if differing >= p.differing {
+			p.digestAt = now.Add(idleInterval)
+		}
+	}
+	p.differing = differing
+	if taken == 0 {
+		return
+	}
+	var keys []Key
+	for item := range s.source.Items(now) {
+		if chosen[item.Key.bucket()] {
+			keys = append(keys, item.Key)
+		}
+	}
+	slices.SortFunc(keys, Key.Compare) // the source has no order, and replays need one
+	for _, key := range keys {
+		p.owe(now, key, mark{full: true})
+	}
+}
