--- /dev/null
+++ b/internal/membership/membershiprpc/codec.go
@@ -0,0 +1,178 @@
+// Package membershiprpc carries heartbeats between hosts with twirp.
+package membershiprpc
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/membership"
+)
+
+// maxAge bounds ages on the wire. It is above every retention time.
+const maxAge = 24 * time.Hour
+
+// Encode returns the wire form of a heartbeat.
+func Encode(hb *membership.Heartbeat) *Heartbeat {
+	msg := &Heartbeat{
+		Host:        hb.Host,
+		Incarnation: hb.Incarnation,
+		Introduce:   hb.Introduce,
+		Token:       hb.Token,
+		Echo:        hb.Echo,
+		Applied:     encodePosition(hb.Applied),
+		MemberEpoch: hb.MemberEpoch,
+		ShareEpoch:  hb.ShareEpoch,
+		Ready:       hb.Ready,
+		Digest:      hb.Digest,
+		Silent:      hb.Silent,
+	}
+	if hb.Self != nil {
+		msg.Self = EncodeMember(hb.Self)
+	}
+	if hb.Seen != hb.Applied {
+		msg.Seen = encodePosition(hb.Seen)
+	}
+	for _, h := range hb.Heard {
+		msg.Heard = append(msg.Heard, &Hearing{Host: h.Host, AgeMs: encodeAge(h.Age)})
+	}
+	for i := range hb.News {
+		msg.News = append(msg.News, EncodeMember(&hb.News[i]))
+	}
+	for i := range hb.Reports {
+		msg.Reports = append(msg.Reports, encodeReport(&hb.Reports[i]))
+	}
+	return msg
+}
+
+// Decode returns the heartbeat of a wire message. It fails on a malformed
+// member and on lists beyond their bounds.
+func Decode(msg *Heartbeat) (membership.Heartbeat, error) {
+	hb := membership.Heartbeat{
+		Host:        msg.GetHost(),
+		Incarnation: msg.GetIncarnation(),
+		Introduce:   msg.GetIntroduce(),
+		Token:       msg.GetToken(),
+		Echo:        msg.GetEcho(),
+		Applied:     decodePosition(msg.GetApplied()),
+		Seen:        decodePosition(msg.GetApplied()),
+		MemberEpoch: msg.GetMemberEpoch(),
+		ShareEpoch:  msg.GetShareEpoch(),
+		Ready:       msg.GetReady(),
+		Digest:      msg.GetDigest(),
+		Silent:      msg.GetSilent(),
+	}
+	if hb.Host == "" {
+		return hb, errors.New("heartbeat without a host")
+	}
+	if len(msg.Silent) > membership.MaxSilent || len(msg.Heard) > membership.MaxSilent ||
+		len(msg.News) > membership.MaxNews || len(msg.Reports) > membership.MaxReports {
+		return hb, errors.Newf("heartbeat of host %q has lists beyond their bounds", hb.Host)
+	}
+	if msg.Seen != nil {
+		hb.Seen = decodePosition(msg.Seen)
+	}
+	if msg.Self != nil {
+		self, err := DecodeMember(msg.Self)
+		if err != nil {
+			return hb, err
+		}
+		hb.Self = &self
+	}
+	for _, h := range msg.Heard {
+		hb.Heard = append(hb.Heard, membership.Hearing{Host: h.GetHost(), Age: decodeAge(h.GetAgeMs())})
+	}
+	for _, m := range msg.News {
+		news, err := DecodeMember(m)
+		if err != nil {
+			return hb, err
+		}
+		hb.News = append(hb.News, news)
+	}
+	for _, r := range msg.Reports {
+		hb.Reports = append(hb.Reports, decodeReport(r))
+	}
+	return hb, nil
+}
+
+// EncodeMember returns the wire form of a member.
+func EncodeMember(m *membership.Member) *Member {
+	address, _ := m.PeerAddress.MarshalBinary() // never fails
+	return &Member{
+		Host:          m.Host,
+		Incarnation:   m.Incarnation,
+		PeerAddress:   address,
+		Region:        m.Region,
+		FailureDomain: m.FailureDomain,
+		Roles:         uint32(m.Roles),
+		State:         uint32(m.State),
+	}
+}
+
+// DecodeMember returns the member of a wire message, validated.
+func DecodeMember(msg *Member) (membership.Member, error) {
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(msg.GetPeerAddress()); err != nil {
+		return membership.Member{}, errors.Wrapf(err, "peer address of host %q", msg.GetHost())
+	}
+	if msg.GetRoles() > 0xff || msg.GetState() > uint32(membership.Left) {
+		return membership.Member{}, errors.Newf("host %q has unknown roles or state", msg.GetHost())
+	}
+	m := membership.Member{
+		Host:          msg.GetHost(),
+		Incarnation:   msg.GetIncarnation(),
+		PeerAddress:   address,
+		Region:        msg.GetRegion(),
+		FailureDomain: msg.GetFailureDomain(),
+		Roles:         membership.Roles(msg.GetRoles()),
+		State:         membership.Liveness(msg.GetState()),
+	}
+	return m, m.Validate()
+}
+
+func encodeReport(r *membership.RegionReport) *RegionReport {
+	return &RegionReport{
+		Region:      r.Region,
+		Epoch:       r.Epoch,
+		Heard:       r.Heard,
+		Confirmed:   r.Confirmed,
+		SawNewest:   r.SawNewest,
+		SharesInUse: r.SharesInUse,
+		Seen:        encodePosition(r.Seen),
+		AgeMs:       encodeAge(r.Age),
+	}
+}
+
+func decodeReport(r *RegionReport) membership.RegionReport {
+	return membership.RegionReport{
+		Region:      r.GetRegion(),
+		Epoch:       r.GetEpoch(),
+		Heard:       r.GetHeard(),
+		Confirmed:   r.GetConfirmed(),
+		SawNewest:   r.GetSawNewest(),
+		SharesInUse: r.GetSharesInUse(),
+		Seen:        decodePosition(r.GetSeen()),
+		Age:         decodeAge(r.GetAgeMs()),
+	}
+}
+
+func encodePosition(p membership.Position) *Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &Position{Term: p.Term, Revision: p.Revision}
+}
+
+func decodePosition(p *Position) membership.Position {
+	return membership.Position{Term: p.GetTerm(), Revision: p.GetRevision()}
+}
+
+// encodeAge rounds up, so that evidence never looks newer than it is.
+func encodeAge(age time.Duration) uint32 {
+	return uint32((min(max(age, 0), maxAge) + time.Millisecond - 1) / time.Millisecond)
+}
+
+func decodeAge(ms uint32) time.Duration {
+	return min(time.Duration(ms)*time.Millisecond, maxAge)
+}
