Join hosts to a system: membership, dissemination and shares

Cause: hosts knew each other only as voters, targets were known only at the host they announced to, and every host used a target's whole limit. Change: the control core steps membership, dissemination and connection shares; the gate follows the evidence of membership; a leader accepts changes only while it hears a majority of hosts, and answers a proposer only after a majority has seen the change. Without that, a majority that was cut off just after the acceptance could confirm the old configuration to itself for as long as the cut lasts. A leader tells hosts of a newer revision at once, not with the next heartbeat. A host is ready only when it may hold connections.

--- a/internal/connections/shares.go
+++ b/internal/connections/shares.go
@@ -193,7 +193,7 @@
 	s.complete(now)
 
 	var out []Effect
-	if v := s.view(now); apply || !v.same(s.applied) {
+	if v := s.view(now); apply || !v.Same(s.applied) {
 		s.applied = v
 		out = append(out, ApplyShares{View: v})
 	}
--- a/internal/connections/view.go
+++ b/internal/connections/view.go
@@ -91,7 +91,7 @@
 	return bound
 }
 
-func (v View) same(w View) bool {
+func (v View) Same(w View) bool {
 	return v.phase == w.phase && v.list == w.list && slices.Equal(v.earlier, w.earlier)
 }
 
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -1,17 +1,21 @@
 package control
 
 import (
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/spread"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -19,8 +23,11 @@
 // Options are the fixed inputs of a core.
 type Options struct {
 	Self      string
-	Staleness time.Duration // how long an unconfirmed configuration is served
+	Member    membership.Member // this host with the incarnation of this process
+	Seeds     []netip.AddrPort  // peer addresses to find other hosts by
+	Staleness time.Duration     // how long an unconfirmed configuration is served
 	Voters    []follow.FeedHost
+	Shares    connections.Config
 	Node      *consensus.Node // nil on a host without a log
 	Codec     Codec
 	Lifecycle lifecycle.Options
@@ -62,12 +69,21 @@
 	tracker   *proposals.Tracker
 	follower  *follow.Follower
 	feed      *follow.Feed
+	members   *membership.State
+	spread    *spread.State
+	shares    *connections.Shares
+	revisions map[string]uint64    // in force at other hosts
+	heardAt   map[string]time.Time // when another host was last heard from
+	known     []Host               // for the snapshot
+	hostsAt   time.Time            // when known was built
 	life      *lifecycle.State
 	quiet     bool // no order is open and no connection to a target is left
 	confirmed follow.Confirmation
 	leader    consensus.Member
 	encoding  bool // a snapshot is being encoded
 
+	unseen []unseenChange
+
 	shared   shared
 	snapshot *Snapshot // last published
 }
@@ -86,6 +102,11 @@
 		feed:     follow.NewFeed(opts.Self),
 		life:     lifecycle.New(opts.Lifecycle, now),
 	}
+	c.members = membership.NewState(now, membership.Settings{Self: opts.Member, Seeds: opts.Seeds, Staleness: opts.Staleness})
+	c.spread = spread.NewState(opts.Self, opts.Member.Incarnation, spread.Records{Targets: c.registry, Members: c.members})
+	c.shares = connections.NewShares(opts.Shares, opts.Self, now)
+	c.revisions = make(map[string]uint64)
+	c.heardAt = make(map[string]time.Time)
 	c.shared.tableStale = true
 	return c
 }
@@ -105,6 +126,21 @@
 		effects, err := c.registry.Announce(now, ev.Announcement)
 		out := c.targetEffects(now, effects)
 		return append(out, Resolve{Token: ev.Token, Err: err})
+	case HeartbeatReceived:
+		c.note(now, ev.Heartbeat)
+		out := c.membership(now, membership.HeartbeatReceived{Call: ev.Token, Heartbeat: ev.Heartbeat})
+		return append(out, c.heard(now, ev.Heartbeat)...)
+	case HeartbeatAnswered:
+		c.note(now, ev.Heartbeat)
+		out := c.membership(now, membership.HeartbeatAnswered{Heartbeat: ev.Heartbeat})
+		out = append(out, c.heard(now, ev.Heartbeat)...)
+		return append(out, c.releaseSeen(now)...)
+	case ExchangeReceived:
+		return c.spreadStep(now, spread.Received{Call: ev.Token, Request: ev.Request})
+	case SpreadEvent:
+		return c.spreadStep(now, ev.Event)
+	case WithinShares:
+		return c.sharesStep(now, connections.WithinShares(ev))
 	case TargetsEvent:
 		return c.targetEffects(now, c.registry.Step(now, ev.Event))
 	case ConsensusEvent:
@@ -133,36 +169,68 @@
 	return nil
 }
 
+// note keeps what the snapshot says of another host.
+func (c *Core) note(now time.Time, hb membership.Heartbeat) {
+	c.revisions[hb.Host] = hb.Applied.Revision
+	c.heardAt[hb.Host] = now
+}
+
 func (c *Core) tick(now time.Time, inFlight int) []Effect {
 	out := c.targetEffects(now, c.registry.Step(now, targets.Tick{}))
 	if c.node != nil {
 		out = append(out, c.consensus(now, consensus.Tick{})...)
-		c.confirmAsLeader(now)
+		out = append(out, c.confirmAsLeader(now)...)
 	}
+	out = append(out, c.membership(now, membership.Tick{})...)
+	out = append(out, c.spreadStep(now, spread.Tick{})...)
 	out = append(out, c.follow(now, follow.Tick{})...)
+	out = append(out, c.confirmShares(now)...)
+	out = append(out, c.sharesStep(now, connections.Tick{})...)
+	if now.Sub(c.hostsAt) >= hostsInterval {
+		c.hostsAt = now
+		c.known = c.hosts(now)
+		c.shared.stale = true
+		out = append(out, c.giveUpClaims(now)...)
+	}
 	out = append(out, resolveAll(c.tracker.Expire(now))...)
-	if !c.confirmed.At.IsZero() {
+	out = append(out, c.releaseSeen(now)...)
+	if c.canServe(now) {
 		out = append(out, c.lifecycle(now, lifecycle.ConfigConfirmed{})...)
 	}
 	out = append(out, c.lifecycle(now, lifecycle.Tick{InFlight: inFlight})...)
 	return append(out, c.endHandover(now)...)
 }
 
+// canServe reports whether a host that has just started may become ready: its
+// configuration is current, and it may hold connections to targets.
+func (c *Core) canServe(now time.Time) bool {
+	return c.members.Freshness(now) != membership.Stale && c.shares.View(now).Phase() >= connections.Restarted
+}
+
 // confirmAsLeader takes the leader's own lease as the confirmation of the
 // configuration that it has applied.
-func (c *Core) confirmAsLeader(now time.Time) {
+func (c *Core) confirmAsLeader(now time.Time) []Effect {
 	s := c.node.Status()
 	if s.Role != consensus.Leader || !s.LeaseHeld || s.Applied < s.Commit {
-		return
+		return nil
 	}
-	c.confirm(follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
+	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
 }
 
-func (c *Core) confirm(e follow.Confirmed) {
+func (c *Core) confirm(now time.Time, e follow.Confirmed) []Effect {
 	if e.Term < c.confirmed.Term || e.Term == c.confirmed.Term && e.At.Before(c.confirmed.At) {
-		return
+		return nil
 	}
 	c.confirmed = follow.Confirmation(e)
+	out := c.membership(now, membership.ConfigApplied{Position: c.position()})
+	return append(out, c.membership(now, membership.LeaderConfirmed{
+		Position: membership.Position{Term: e.Term, Revision: e.Revision}, At: e.At,
+	})...)
+}
+
+// position is the configuration in force here.
+func (c *Core) position() membership.Position {
+	return membership.Position{Term: c.confirmed.Term, Revision: c.store.Revision()}
 }
 
 func (c *Core) answerPoll(now time.Time, p follow.Poll) follow.Update {
@@ -194,7 +262,7 @@
 			c.feed.Reset()
 			out = append(out, c.configChanged(now)...)
 		case follow.Confirmed:
-			c.confirm(e)
+			out = append(out, c.confirm(now, e)...)
 		case follow.FeedReplaced:
 			out = append(out, Log{Event: EventFeedReplaced, Fields: []Field{{"old", e.Old}, {"new", e.New}}})
 		}
@@ -232,6 +300,10 @@
 func (c *Core) configChanged(now time.Time) []Effect {
 	c.shared.tableStale = true
 	var out []Effect
+	if !c.confirmed.At.IsZero() {
+		out = append(out, c.membership(now, membership.ConfigApplied{Position: c.position()})...)
+	}
+	out = append(out, c.membersAgreed(now)...)
 	for _, l := range c.store.Layouts() {
 		layout := targets.NewLayout(l.IndexSnapshot, l.Generation, l.Shards)
 		out = append(out, c.targetEffects(now, c.registry.Step(now, targets.LayoutRestored{Layout: layout}))...)
@@ -239,14 +311,61 @@
 	return out
 }
 
+// membersAgreed passes the agreed member list to the slices that count on it.
+func (c *Core) membersAgreed(now time.Time) []Effect {
+	m := c.store.Members()
+	if m.Epoch == 0 || m.Epoch == c.members.AgreedList().Epoch {
+		return nil
+	}
+	out := c.membership(now, membership.AgreedListApplied{List: membership.AgreedList{Epoch: m.Epoch, Hosts: m.Hosts, Base: len(m.Hosts)}})
+	return append(out, c.sharesStep(now, connections.Members{Epoch: m.Epoch, Hosts: m.Hosts})...)
+}
+
 func (c *Core) submit(now time.Time, ev Submit) []Effect {
 	if c.node == nil {
 		return []Effect{Resolve{Token: ev.Token, Err: notVoter()}}
 	}
+	if err := c.checkMajority(now, ev); err != nil {
+		return []Effect{Resolve{Token: ev.Token, Err: err}}
+	}
 	c.tracker.Add(ev.Token, ev.Deadline)
 	return c.consensus(now, consensus.Propose{ID: strconv.FormatUint(ev.Token, 10), Data: ev.Data})
 }
 
+// CodeMinority is the code of a change that a leader refuses because it hears
+// from too few hosts.
+const CodeMinority verdict.Code = "minority_of_hosts"
+
+// checkMajority refuses a change while this host does not hear from a majority
+// of the member hosts. The hosts that it does not hear could otherwise be a
+// majority that serves the old configuration for as long as it lasts. An
+// operator's ForgetHost passes, because it is the way out when a majority of
+// hosts is lost for good.
+func (c *Core) checkMajority(now time.Time, ev Submit) error {
+	if ev.Kind != proposals.KindChange || c.members.Evidence().HearsMajority(now) {
+		return nil
+	}
+	cmd, err := c.opts.Codec.DecodeCommand(ev.Data)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "decode the change")
+	}
+	if forgetsOnly(cmd.Change) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, CodeMinority, "the leader hears from less than a majority of the hosts; remove lost hosts with 'hawthornlock host forget' or restore the network")
+}
+
+func forgetsOnly(c *config.Change) bool {
+	for _, op := range c.Ops {
+		switch op.(type) {
+		case config.ForgetHost, config.SetMembers:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 func resolveAll(rs []proposals.Resolve) []Effect {
 	out := make([]Effect, 0, len(rs))
 	for _, r := range rs {
@@ -262,6 +381,12 @@
 		switch e := e.(type) {
 		case targets.Log:
 			out = append(out, Log{Event: e.Event, Fields: []Field{{"target", e.Target}, {"detail", e.Detail}}})
+		case targets.Disseminate:
+			out = append(out, c.spreadStep(now, spread.Updated{Key: spread.Key{Kind: spread.KindTarget, Name: e.Target}, From: e.From, Urgent: e.Urgent})...)
+		case targets.DisseminateLayout:
+			out = append(out, c.spreadStep(now, spread.Updated{Key: spread.Key{Kind: spread.KindLayout, Name: e.IndexSnapshot}, From: e.From})...)
+		case targets.ForwardRenewals:
+			out = append(out, ForwardRenewals(e))
 		case targets.RecordLayout:
 			out = append(out, c.recordLayout(now, e.Layout)...)
 		}
@@ -308,5 +433,5 @@
 	if !c.life.Accepting() {
 		return entry.Gate{Reason: "it is " + c.life.Phase().String()}
 	}
-	return entry.Gate{Accepting: true, ServeUntil: c.confirmed.At.Add(c.opts.Staleness)}
+	return entry.Gate{Accepting: true, Evidence: c.members.Evidence()}
 }
--- /dev/null
+++ b/internal/control/hosts.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/connections"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
+	"github.com/hawthornlock/hawthornlock/internal/spread"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+)
+
+// claimantTimeout is how long a host must be lost before its open claims are
+// given up as "may have run". It exceeds the longest time that a suspicion
+// takes to be refuted.
+const claimantTimeout = 30 * time.Second
+
+// hostsInterval is the time between two renewals of the snapshot's hosts.
+const hostsInterval = time.Second
+
+// members steps the membership and handles its effects.
+func (c *Core) membership(now time.Time, ev membership.Event) []Effect {
+	var out []Effect
+	for _, e := range c.members.Step(now, ev) {
+		out = append(out, c.membershipEffect(now, e)...)
+	}
+	return out
+}
+
+func (c *Core) membershipEffect(now time.Time, e membership.Effect) []Effect {
+	switch e := e.(type) {
+	case membership.SendHeartbeat:
+		return []Effect{SendHeartbeat(e)}
+	case membership.ReplyHeartbeat:
+		return []Effect{Resolve{Token: e.Call, Result: e.Heartbeat}}
+	case membership.Disseminate:
+		return c.spreadStep(now, spread.Updated{Key: spread.Key{Kind: spread.KindMember, Name: e.Host}, From: e.From, Urgent: e.Urgent})
+	case membership.LiveChanged:
+		c.hostsAt = time.Time{}
+		out := c.follow(now, follow.FeedsChanged{Feeds: c.feeds()})
+		return append(out, c.targetEffects(now, c.registry.Step(now, targets.MembersChanged{Live: e.Live, Quorate: e.Quorate}))...)
+	case membership.NeighboursChanged:
+		return c.spreadStep(now, spread.NeighboursChanged{Peers: peersOf(e.Neighbours)})
+	case membership.FeedBehind:
+		return c.follow(now, follow.PeerAhead{Revision: e.Position.Revision})
+	case membership.Resync:
+		return c.spreadStep(now, spread.Resync{Peer: e.Peer})
+	case membership.ProposeMemberList:
+		return c.proposeMembers(e)
+	case membership.Log:
+		return []Effect{Log{Event: e.Event, Fields: []Field{{"peer", e.Host}, {"detail", e.Detail}}}}
+	}
+	return nil
+}
+
+func peersOf(neighbours []membership.Neighbour) []spread.Peer {
+	out := make([]spread.Peer, 0, len(neighbours))
+	for _, n := range neighbours {
+		out = append(out, spread.Peer{Name: n.Member.Host, Leaf: n.Leaf})
+	}
+	return out
+}
+
+// feeds returns the hosts that this host may follow, best first: for a voter
+// the leader only, since two voters that followed each other would pass on
+// ever older confirmations; for others the live relays of the region, and the
+// voters.
+func (c *Core) feeds() []follow.FeedHost {
+	if c.node != nil {
+		if c.leader.Name == "" || c.leader.Name == c.opts.Self {
+			return nil
+		}
+		return []follow.FeedHost{{Host: c.leader.Name}}
+	}
+	var relays, voters []follow.FeedHost
+	for _, m := range c.members.Live() {
+		f := follow.FeedHost{Host: m.Host, FailureDomain: m.FailureDomain}
+		switch {
+		case m.Roles.Has(membership.RoleRelay) && m.Region == c.opts.Member.Region && !c.opts.Member.Roles.Has(membership.RoleRelay):
+			relays = append(relays, f)
+		case m.Roles.Has(membership.RoleVoter):
+			voters = append(voters, f)
+		}
+	}
+	if len(relays)+len(voters) == 0 {
+		return c.opts.Voters
+	}
+	return append(relays, voters...)
+}
+
+func (c *Core) proposeMembers(e membership.ProposeMemberList) []Effect {
+	if e.After != c.store.Members().Epoch {
+		return nil
+	}
+	change := config.Change{
+		Author: c.opts.Self, Team: config.SystemTeam, Base: c.store.Revision(),
+		Ops: []config.Op{config.SetMembers{Epoch: e.After + 1, Members: e.Hosts}},
+	}
+	change.ID = change.DerivedID()
+	return []Effect{ProposeChange{Change: change}}
+}
+
+// spreadStep steps the dissemination and handles its effects.
+func (c *Core) spreadStep(now time.Time, ev spread.Event) []Effect {
+	var out []Effect
+	for _, e := range c.spread.Step(now, ev) {
+		switch e := e.(type) {
+		case spread.Send:
+			out = append(out, SendExchange(e))
+		case spread.Reply:
+			out = append(out, Resolve{Token: e.Call, Result: e.Response})
+		case spread.Deliver:
+			out = append(out, c.delivered(now, e)...)
+		case spread.Log:
+			out = append(out, Log{Event: e.Event, Fields: []Field{{"peer", e.Peer}}})
+		}
+	}
+	return out
+}
+
+func (c *Core) delivered(now time.Time, e spread.Deliver) []Effect {
+	var out []Effect
+	for _, item := range e.Items {
+		switch {
+		case item.Member != nil:
+			out = append(out, c.membership(now, membership.MemberReceived{From: e.From, Member: *item.Member, StateFor: item.Age})...)
+		case item.Target != nil:
+			out = append(out, c.targetEffects(now, c.registry.Step(now, targets.RecordReceived{From: e.From, Record: item.Target, ExpiredFor: item.Age}))...)
+		case item.Layout != nil:
+			out = append(out, c.targetEffects(now, c.registry.Step(now, targets.LayoutReceived{From: e.From, Layout: item.Layout}))...)
+		}
+	}
+	return out
+}
+
+// heard passes what a heartbeat says of connection shares.
+func (c *Core) heard(now time.Time, hb membership.Heartbeat) []Effect {
+	return c.sharesStep(now, connections.Heard{Host: hb.Host, Acknowledged: hb.ShareEpoch, Completed: hb.ShareDone})
+}
+
+// sharesStep steps the connection shares and handles their effects.
+func (c *Core) sharesStep(now time.Time, ev connections.Event) []Effect {
+	var out []Effect
+	for _, e := range c.shares.Step(now, ev) {
+		switch e := e.(type) {
+		case connections.ApplyShares:
+			c.shared.stale = true
+		case connections.Acknowledge:
+			out = append(out, c.membership(now, membership.SharesInUse{Epoch: e.Acknowledged, Completed: e.Completed})...)
+		}
+	}
+	return out
+}
+
+// confirmShares tells the shares that the member list is still the agreed one:
+// the leader confirmed the configuration that holds it, or a majority of its
+// members knows nothing newer.
+func (c *Core) confirmShares(now time.Time) []Effect {
+	epoch := c.store.Members().Epoch
+	at := c.confirmed.At
+	if c.members.Freshness(now) == membership.ConfirmedByMajority {
+		at = latest(at, now.Add(-membership.MajorityWindow))
+	}
+	if at.IsZero() {
+		return nil
+	}
+	return c.sharesStep(now, connections.Confirmed{Epoch: epoch, At: at})
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// giveUpClaims proposes the end of claims whose hosts have been lost for long.
+// What they claimed may have run.
+func (c *Core) giveUpClaims(now time.Time) []Effect {
+	if c.node == nil || c.node.Status().Role != consensus.Leader {
+		return nil
+	}
+	var out []Effect
+	for claimant := range c.ledger.OpenClaims() {
+		m, lostFor, ok := c.members.Member(now, claimant.Host)
+		if ok && !m.Live() && lostFor > claimantTimeout {
+			out = append(out, ProposeOrder{Command: orders.ClaimantDied{Claimant: claimant}})
+		}
+	}
+	return out
+}
+
+// hosts returns what the snapshot says of the known hosts.
+func (c *Core) hosts(now time.Time) []Host {
+	var out []Host
+	for m := range c.members.Members(now) {
+		out = append(out, Host{
+			Host: m.Host, Region: m.Region, FailureDomain: m.FailureDomain, Roles: strings.Split(m.Roles.String(), ","),
+			Incarnation: m.Incarnation, Peer: m.PeerAddress, Live: m.Live(), Draining: m.Live() && !c.isReady(m.Host),
+			Revision: c.revisionOf(m.Host), LastHeard: c.heardAt[m.Host],
+		})
+	}
+	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Host, b.Host) })
+	return out
+}
+
+func (c *Core) isReady(host string) bool {
+	if host == c.opts.Self {
+		return c.life.Ready()
+	}
+	return c.members.Ready(host)
+}
+
+func (c *Core) revisionOf(host string) uint64 {
+	if host == c.opts.Self {
+		return c.store.Revision()
+	}
+	return c.revisions[host]
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -12,7 +12,10 @@
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
+	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/spread"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 )
 
@@ -122,6 +125,53 @@
 func (SyncJournal) isControlEffect()  {}
 func (Exit) isControlEffect()         {}
 
+// HeartbeatReceived brings a heartbeat of another host. The result is the
+// membership.Heartbeat that answers it.
+type HeartbeatReceived struct {
+	Token     uint64
+	Heartbeat membership.Heartbeat
+}
+
+// HeartbeatAnswered brings the answer to a SendHeartbeat.
+type HeartbeatAnswered struct{ Heartbeat membership.Heartbeat }
+
+// ExchangeReceived brings a request of a neighbour. The result is the
+// spread.Response that answers it.
+type ExchangeReceived struct {
+	Token   uint64
+	Request spread.Request
+}
+
+// SpreadEvent is an event for the dissemination.
+type SpreadEvent struct{ Event spread.Event }
+
+// WithinShares says that the pools hold no more connections than the shares
+// of an epoch.
+type WithinShares struct{ Epoch uint64 }
+
+func (HeartbeatReceived) isControlEvent() {}
+func (HeartbeatAnswered) isControlEvent() {}
+func (ExchangeReceived) isControlEvent()  {}
+func (SpreadEvent) isControlEvent()       {}
+func (WithinShares) isControlEvent()      {}
+
+// SendHeartbeat sends a heartbeat to another host.
+type SendHeartbeat membership.SendHeartbeat
+
+// SendExchange sends a request to a neighbour.
+type SendExchange spread.Send
+
+// ForwardRenewals sends renewals to the owner of their leases.
+type ForwardRenewals targets.ForwardRenewals
+
+// ProposeOrder asks for a command to be submitted to the ledger of orders.
+type ProposeOrder struct{ Command orders.Command }
+
+func (SendHeartbeat) isControlEffect()   {}
+func (SendExchange) isControlEffect()    {}
+func (ForwardRenewals) isControlEffect() {}
+func (ProposeOrder) isControlEffect()    {}
+
 // PlanChange asks what a change would do at this host. The result is a
 // config.Plan.
 type PlanChange struct {
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -7,6 +7,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -46,17 +47,34 @@
 	case consensus.RestoreSnapshot:
 		return c.restore(now, e.Snapshot)
 	case consensus.RoleChanged:
-		c.leader = e.Leader
-		c.shared.stale = true
+		return append(c.leaderChanged(now, e), LogConsensus{Effect: e})
 	}
 	return []Effect{LogConsensus{Effect: e}}
 }
 
+func (c *Core) leaderChanged(now time.Time, e consensus.RoleChanged) []Effect {
+	c.leader = e.Leader
+	c.shared.stale = true
+	out := c.membership(now, membership.LeadershipChanged{Leading: e.Role == consensus.Leader})
+	return append(out, c.follow(now, follow.FeedsChanged{Feeds: c.feeds()})...)
+}
+
 func parseToken(id string) (uint64, bool) {
 	token, err := strconv.ParseUint(id, 10, 64)
 	return token, err == nil
 }
 
+// forgotten tells the membership which hosts an operator removed.
+func (c *Core) forgotten(now time.Time, change *config.Change) []Effect {
+	var out []Effect
+	for _, op := range change.Ops {
+		if f, ok := op.(config.ForgetHost); ok {
+			out = append(out, c.membership(now, membership.HostForgotten{Host: f.Host})...)
+		}
+	}
+	return out
+}
+
 func (c *Core) proposalRefused(e consensus.ProposalRefused) []Effect {
 	token, ok := parseToken(e.ID)
 	if !ok {
@@ -79,11 +97,17 @@
 		}
 		changed = changed || len(effects) > 0
 		out = append(out, effects...)
-		out = append(out, resolveAll(c.tracker.Applied(e.Index, e.Term, result))...)
+		resolved := c.tracker.Applied(e.Index, e.Term, result)
+		if r, ok := result.(config.Result); ok && r.Outcome == config.Accepted {
+			c.holdUntilSeen(now, resolved)
+			continue
+		}
+		out = append(out, resolveAll(resolved)...)
 	}
 	if changed {
 		out = append(out, c.configChanged(now)...)
 	}
+	out = append(out, c.releaseSeen(now)...)
 	return append(out, c.maybeCompact()...)
 }
 
@@ -102,7 +126,7 @@
 		if result.Outcome != config.Accepted || result.Resend {
 			return result, nil, nil
 		}
-		return result, c.publishChange(now, cmd, result), nil
+		return result, append(c.forgotten(now, cmd.Change), c.publishChange(now, cmd, result)...), nil
 	case proposals.KindOrder:
 		return c.ledger.Apply(e.Index, cmd.Order), nil, nil
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -32,6 +34,7 @@
 	ConfirmedAt time.Time
 	Agreed      config.Members // agreed member list
 	Hosts       []Host         // known hosts, by name
+	Shares      connections.View
 }
 
 // Host is what the snapshot says of a host.
@@ -64,7 +67,7 @@
 	}
 	s := &Snapshot{
 		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
-		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, Agreed: c.store.Members(),
+		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, Agreed: c.store.Members(), Hosts: c.known, Shares: c.shares.View(now),
 	}
 	if old != nil && !c.shared.tableStale && old.Targets == view {
 		s.Table, s.Catalogs, s.Members = old.Table, old.Catalogs, old.Members
@@ -153,6 +156,9 @@
 	Pending   int
 	Targets   int
 	Members   config.Members
+	Freshness string
+	Shares    string
+	Live      []membership.Member
 	Consensus *consensus.Status `json:",omitempty"`
 }
 
@@ -160,7 +166,8 @@
 	d := Dump{
 		Now: now, Revision: c.store.Revision(), Confirmed: c.confirmed.At, Phase: c.life.Phase(), Gate: c.gate(),
 		Feeds: c.follower.Feeds(), Followers: c.feed.Followers(), Pending: c.tracker.Len(),
-		Targets: c.registry.View().Len(), Members: c.store.Members(),
+		Targets: c.registry.View().Len(), Members: c.store.Members(), Freshness: c.members.Freshness(now).String(),
+		Shares: c.shares.View(now).Phase().String(), Live: c.members.Live(),
 	}
 	if c.node != nil {
 		s := c.node.Status()
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -5,16 +5,23 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 )
 
 // lifecycle steps the host's lifecycle and handles its effects.
 func (c *Core) lifecycle(now time.Time, ev lifecycle.Event) []Effect {
 	var out []Effect
-	for _, e := range c.life.Step(now, ev) {
+	ready := c.life.Ready()
+	effects := c.life.Step(now, ev)
+	if c.life.Ready() != ready {
+		out = append(out, c.membership(now, membership.ReadinessChanged{Ready: !ready})...)
+	}
+	for _, e := range effects {
 		c.shared.stale = true
 		switch e := e.(type) {
 		case lifecycle.BeginHandover:
 			out = append(out, CloseTraffic{})
+			out = append(out, c.membership(now, membership.Leave{})...)
 			out = append(out, c.consensus(now, consensus.TransferLeadership{ID: "stop"})...)
 		case lifecycle.SyncJournal:
 			out = append(out, SyncJournal{})
--- /dev/null
+++ b/internal/control/unseen.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/membership"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// seenTimeout is how long an accepted change waits for a majority of the
+// member hosts to have seen it before its proposer is told that the outcome
+// is unknown.
+const seenTimeout = 3 * time.Second
+
+// codeNotSeen is the code of an accepted change that too few hosts have seen.
+const codeNotSeen verdict.Code = "not_seen_by_majority"
+
+// unseenChange is an accepted change whose proposer has no answer yet.
+//
+// Invariant: a proposer is told "accepted" only after a majority of the member
+// hosts has seen the revision. Every other majority then includes a host that
+// knows of it, so hosts that were cut off can't confirm an older configuration
+// to each other.
+type unseenChange struct {
+	resolve  proposals.Resolve
+	revision uint64
+	deadline time.Time
+}
+
+func (c *Core) holdUntilSeen(now time.Time, resolved []proposals.Resolve) {
+	for _, r := range resolved {
+		if r.Outcome.Err != nil {
+			// The outcome of an entry whose place another one took needs no host.
+			c.unseen = append(c.unseen, unseenChange{resolve: r, deadline: now})
+			continue
+		}
+		c.unseen = append(c.unseen, unseenChange{resolve: r, revision: c.store.Revision(), deadline: now.Add(seenTimeout)})
+	}
+}
+
+// releaseSeen answers the proposers whose changes a majority has seen or whose
+// time is up.
+func (c *Core) releaseSeen(now time.Time) []Effect {
+	var out []Effect
+	rest := c.unseen[:0]
+	for _, u := range c.unseen {
+		seen := c.members.MajoritySaw(membership.Position{Term: c.confirmed.Term, Revision: u.revision}) || c.store.Members().Epoch == 0
+		switch {
+		case u.resolve.Outcome.Err != nil || seen:
+			out = append(out, resolveAll([]proposals.Resolve{u.resolve})...)
+		case !now.Before(u.deadline):
+			u.resolve.Outcome = proposals.Outcome{Err: verdict.New(verdict.MayHaveRun, codeNotSeen,
+				"the change is in the log as revision %d or earlier, but too few hosts are known to have seen it; send it again to ask", u.revision)}
+			out = append(out, resolveAll([]proposals.Resolve{u.resolve})...)
+		default:
+			rest = append(rest, u)
+		}
+	}
+	c.unseen = rest
+	return out
+}
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -12,6 +13,8 @@
 type applied struct {
 	table   *routing.Table
 	targets *targets.View
+	view    connections.View
+	hosts   int
 	shares  map[netip.AddrPort]int
 }
 
@@ -35,22 +38,39 @@
 		a.table = s.Table
 		d.admission.SetGroups(s.Table.Groups())
 	}
-	if a.targets == s.Targets {
-		return
+	d.applyHosts(a, s)
+	if a.targets != s.Targets {
+		d.groups.Retain(s.Catalogs)
+	}
+	if a.targets != s.Targets || !a.view.Same(s.Shares) {
+		a.targets, a.view = s.Targets, s.Shares
+		d.setShares(a.shares, s)
+		d.start(func() { d.reportShares(s.Shares.Epoch()) })
+	}
+}
+
+func (d *Daemon) applyHosts(a *applied, s *control.Snapshot) {
+	live := make(map[string]netip.AddrPort, len(s.Hosts))
+	for _, h := range s.Hosts {
+		live[h.Host] = h.Peer
+	}
+	d.directory.setLive(live)
+	if n := len(s.Agreed.Hosts); n != a.hosts {
+		a.hosts = n
+		d.groups.SetHosts(n)
 	}
-	a.targets = s.Targets
-	d.groups.Retain(s.Catalogs)
-	d.setShares(a.shares, s)
 }
 
-// setShares sets the pools' shares. A target that left gets none.
+// setShares sets how many connections this host may hold to each target. A
+// target that left gets none.
 func (d *Daemon) setShares(shares map[netip.AddrPort]int, s *control.Snapshot) {
 	seen := make(map[netip.AddrPort]bool, s.Targets.Len())
 	for r := range s.Targets.Targets() {
 		seen[r.Address] = true
-		if shares[r.Address] != r.ConnectionLimit {
-			shares[r.Address] = r.ConnectionLimit
-			d.pools.SetShare(r.Address, r.ConnectionLimit)
+		n := s.Shares.Share(r.Target, r.ConnectionLimit).Connections
+		if old, ok := shares[r.Address]; !ok || old != n {
+			shares[r.Address] = n
+			d.pools.SetShare(r.Address, n)
 		}
 	}
 	for address := range shares {
@@ -60,3 +80,13 @@
 		}
 	}
 }
+
+// reportShares tells the control goroutine when no pool holds more than its
+// share. If a newer list came meanwhile, the report for the older one changes
+// nothing.
+func (d *Daemon) reportShares(epoch uint64) {
+	if epoch == 0 || d.pools.AwaitWithinShares(d.ctx) != nil {
+		return
+	}
+	_ = d.loop.Post(d.ctx, control.WithinShares{Epoch: epoch})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/admission"
 	"github.com/hawthornlock/hawthornlock/internal/admission/admissionrun"
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
+	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
@@ -28,6 +30,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/journal"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrun"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/query"
@@ -52,21 +55,23 @@
 	loop      *controlrun.Loop
 	links     *peerlink.Links
 	directory *directory
-	tokens    *confighttp.Tokens // nil without authentication, on loopback only
-	journal   *journal.Journal   // nil on a host without the log
-	pools     *poolrun.Pools
-	metrics   *metrics
-	driver    *queryrun.Driver
-	groups    *entryrun.Groups
-	admission *admissionrun.Gate
-	inFlight  entryrun.InFlight
-	queries   *entryrun.Queries
-	orderRuns *ordersrun.Driver
-	orders    *entryrun.Orders
-	requests  atomic.Uint64
-	listeners Listeners
-	servers   map[string]*http.Server
-	workers   sync.WaitGroup
+	// incarnation is higher than that of every earlier process of this host.
+	incarnation uint64
+	tokens      *confighttp.Tokens // nil without authentication, on loopback only
+	journal     *journal.Journal   // nil on a host without the log
+	pools       *poolrun.Pools
+	metrics     *metrics
+	driver      *queryrun.Driver
+	groups      *entryrun.Groups
+	admission   *admissionrun.Gate
+	inFlight    entryrun.InFlight
+	queries     *entryrun.Queries
+	orderRuns   *ordersrun.Driver
+	orders      *entryrun.Orders
+	requests    atomic.Uint64
+	listeners   Listeners
+	servers     map[string]*http.Server
+	workers     sync.WaitGroup
 }
 
 // Listeners are the open listeners of a host by the names of their interfaces:
@@ -104,7 +109,7 @@
 // New opens the durable state of a host. Run starts it. The host closes the
 // listeners when it ends.
 func New(s *settings.Settings, listeners Listeners, log *eventlog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, listeners: listeners, directory: newDirectory(), links: peerlink.New()}
+	d := &Daemon{settings: s, log: log, incarnation: uint64(time.Now().UnixNano()), listeners: listeners, directory: newDirectory(), links: peerlink.New()}
 	d.ctx, d.cancel = context.WithCancelCause(context.Background())
 	if err := d.loadTokens(); err != nil {
 		return nil, err
@@ -133,8 +138,9 @@
 		return err
 	}
 	core := control.NewCore(control.Options{
-		Self: d.settings.Host, Staleness: d.settings.ConfigStaleness, Voters: d.voterFeeds(),
-		Node: node, Codec: controlcodec.Codec{},
+		Self: d.settings.Host, Member: d.member(), Seeds: d.seeds(), Staleness: d.settings.ConfigStaleness, Voters: d.voterFeeds(),
+		Shares: connections.Config{DrainTimeout: d.settings.MaxTimeout},
+		Node:   node, Codec: controlcodec.Codec{},
 		Lifecycle: lifecycle.Options{
 			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, HandoverTimeout: handoverTimeout,
 		},
@@ -149,7 +155,7 @@
 		Transport: entryrun.NewTransport(client, d.groups), Catalogs: d.loop, Log: d.log, OnDrain: d.drainSeen, Seed: d.settings.Seed,
 	})
 	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight, d.metrics)
-	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, uint64(time.Now().UnixNano()))
+	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, d.incarnation)
 	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics)
 	d.servers = make(map[string]*http.Server)
 	for name := range d.listeners {
@@ -158,6 +164,33 @@
 	return nil
 }
 
+// member describes this host to the others.
+func (d *Daemon) member() membership.Member {
+	m := membership.Member{
+		Host: d.settings.Host, Incarnation: d.incarnation, PeerAddress: d.Address("peer"),
+		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
+	}
+	for role, flag := range map[settings.Role]membership.Roles{
+		settings.Entry: membership.RoleEntry, settings.Voter: membership.RoleVoter, settings.Relay: membership.RoleRelay,
+	} {
+		if d.settings.HasRole(role) {
+			m.Roles |= flag
+		}
+	}
+	return m
+}
+
+// seeds returns the peer addresses of other hosts from the settings.
+func (d *Daemon) seeds() []netip.AddrPort {
+	out := slices.Clone(d.settings.Peers)
+	for _, v := range d.settings.Voters {
+		out = append(out, v.Peer)
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	out = slices.Compact(out)
+	return slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == d.Address("peer") })
+}
+
 func (d *Daemon) voterFeeds() []follow.FeedHost {
 	var out []follow.FeedHost
 	for _, v := range d.settings.Voters {
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -26,6 +26,14 @@
 		d.sendConsensus(e.Send)
 	case control.SendPoll:
 		d.sendPoll(e)
+	case control.SendHeartbeat:
+		d.sendHeartbeat(e)
+	case control.SendExchange:
+		d.sendExchange(e)
+	case control.ForwardRenewals:
+		d.forwardRenewals(e)
+	case control.ProposeOrder:
+		go d.proposeOrder(e.Command)
 	case control.SendUpdate:
 		d.sendUpdate(e)
 	case control.EncodeState:
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -13,15 +13,21 @@
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/follow/followrpc"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle/lifecyclerpc"
+	"github.com/hawthornlock/hawthornlock/internal/membership/membershiprpc"
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrpc"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
+	"github.com/hawthornlock/hawthornlock/internal/spread/spreadrpc"
+	"github.com/hawthornlock/hawthornlock/internal/targets/targetsrpc"
 )
 
 // peerRouter serves the other hosts.
 func (d *Daemon) peerRouter() http.Handler {
 	r := mux.NewRouter()
 	r.PathPrefix(consensusrpc.ConsensusPathPrefix).Handler(consensusrpc.NewHandler(&consensusService{d}))
+	r.PathPrefix(membershiprpc.MembershipPathPrefix).Handler(membershiprpc.NewHandler(d.answerHeartbeat))
+	r.PathPrefix(spreadrpc.SpreadPathPrefix).Handler(spreadrpc.NewHandler(d.answerExchange))
+	r.PathPrefix(targetsrpc.RenewalsPathPrefix).Handler(targetsrpc.NewHandler(d.takeRenewals))
 	for _, s := range []interface {
 		http.Handler
 		PathPrefix() string
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -97,7 +97,7 @@
 	var effects []Effect
 	for _, host := range s.neighbours {
 		k, c := s.members[host], s.contacts[host]
-		if k == nil || c == nil || now.Sub(s.lastExchange(host, c)) < s.intervalTo(host) {
+		if k == nil || c == nil || !s.exchangeDue(now, host, c) {
 			continue
 		}
 		c.sentAt = now
@@ -106,6 +106,18 @@
 	return effects
 }
 
+// newsInterval is the time between two heartbeats of a leader to a host that
+// has not seen the leader's configuration. An operator waits until a majority
+// has seen a change.
+const newsInterval = 50 * time.Millisecond
+
+func (s *State) exchangeDue(now time.Time, host string, c *contact) bool {
+	if now.Sub(s.lastExchange(host, c)) >= s.intervalTo(host) {
+		return true
+	}
+	return s.leading && c.seen.Compare(s.applied) < 0 && now.Sub(c.sentAt) >= newsInterval
+}
+
 // lastExchange is when this host last sent to another one or, if an exchange
 // may start at either side, last heard from it.
 func (s *State) lastExchange(host string, c *contact) time.Time {
@@ -190,6 +202,7 @@
 		Seen:        s.seen,
 		MemberEpoch: s.agreed.Epoch,
 		ShareEpoch:  s.shareEpoch,
+		ShareDone:   s.shareDone,
 		Ready:       s.ready,
 		Digest:      s.digest,
 		Silent:      s.silent(now),
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -28,7 +28,8 @@
 	Applied     Position // configuration in force at the sender, if ever confirmed
 	Seen        Position // newest configuration the sender knows of
 	MemberEpoch uint64   // of the agreed member list
-	ShareEpoch  uint64   // whose connection shares are in use
+	ShareEpoch  uint64   // whose connection shares the sender keeps to
+	ShareDone   uint64   // whose connection shares all members keep to
 	Ready       bool
 	Digest      uint64 // of the live members
 	Silent      []string
@@ -123,7 +124,8 @@
 
 // SharesInUse says that this host uses the connection shares of an epoch.
 type SharesInUse struct {
-	Epoch uint64
+	Epoch     uint64
+	Completed uint64 // the last list whose shares all members keep to
 }
 
 // ReadinessChanged says whether this host takes new requests.
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -88,6 +88,7 @@
 	confirmed  LeaderConfirmed
 	wasCurrent bool // see noteCurrent
 	shareEpoch uint64
+	shareDone  uint64
 	ready      bool
 	reports    map[string][]RegionReport // by region
 	report     RegionReport              // of this host's region, if it is a relay
@@ -148,6 +149,7 @@
 		s.leading, s.leadSince = ev.Leading, now
 	case SharesInUse:
 		s.shareEpoch = max(s.shareEpoch, ev.Epoch)
+		s.shareDone = max(s.shareDone, ev.Completed)
 	case ReadinessChanged:
 		s.ready = ev.Ready
 	case Leave:
