--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -35,17 +35,11 @@
 type Start struct{}
 
 // ClaimAnswered carries the ledger's reply to a claim that was committed.
-type ClaimAnswered struct {
-	Token Token
-	Reply Reply
-}
+type ClaimAnswered struct{ Reply Reply }
 
 // ClaimFailed reports that a claim was not committed as far as is known. Sent
 // is false only if it certainly never reached the log.
-type ClaimFailed struct {
-	Token Token
-	Sent  bool
-}
+type ClaimFailed struct{ Sent bool }
 
 // RequestChanged carries the result of a lookup after a Watch.
 type RequestChanged struct{ Reply Reply }
@@ -94,8 +88,8 @@
 // ProposeSettle asks for a Record, Release or MarkMayHaveRun to be committed.
 type ProposeSettle struct{ Command Command }
 
-// Watch asks for a RequestChanged now, unless the lookup says InProgress or
-// Unknown, and again whenever the request changes in this host's ledger.
+// Watch asks for a RequestChanged now, and again whenever the request changes
+// in this host's ledger.
 type Watch struct{ RequestID string }
 
 // WakeAt asks for a Tick at a time, in place of an earlier request.
@@ -148,8 +142,8 @@
 }
 
 // NewExecution returns an execution that has not started. Fence must be
-// unique among the claimant's executions, with the low 16 bits zero: the
-// execution counts its own claims in them.
+// unique among the claimant's executions. All claims of the execution have
+// the same token, so that a late copy of one is never mistaken for another's.
 func NewExecution(req Request, claimant Claimant, fence uint64) *Execution {
 	return &Execution{req: req, token: Token{Claimant: claimant, Fence: fence}}
 }
@@ -178,11 +172,11 @@
 			x.claim(now)
 		}
 	case ClaimAnswered:
-		if x.phase == phaseClaiming && ev.Token == x.token {
+		if x.phase == phaseClaiming || x.phase == phaseWaiting && ev.Reply.Outcome == Granted {
 			x.onClaim(now, ev.Reply)
 		}
 	case ClaimFailed:
-		if x.phase == phaseClaiming && ev.Token == x.token {
+		if x.phase == phaseClaiming {
 			x.onClaimFailed(now, ev.Sent)
 		}
 	case RequestChanged:
@@ -219,6 +213,7 @@
 // onClaim dispatches if the claim was granted while the caller still waits.
 // Later it must not: the caller may have been told not_run.
 func (x *Execution) onClaim(now time.Time, r Reply) {
+	x.sent = true
 	switch r.Outcome {
 	case Granted:
 		if x.answered || !now.Before(x.req.Deadline) {
@@ -259,10 +254,14 @@
 
 func (x *Execution) onChange(now time.Time, r Reply) {
 	switch r.Outcome {
-	case InProgress, Unknown:
+	case InProgress:
+		// A copy of this execution's claim may have come through late.
+		if r.Token == x.token {
+			x.onClaim(now, Reply{Outcome: Granted, Token: r.Token})
+		}
+	case Unknown:
 	case Open:
-		x.token.Fence++
-		x.sent, x.retries = false, 0
+		x.retries = 0
 		x.claim(now)
 	default:
 		x.conclude(r)
@@ -315,7 +314,7 @@
 		x.startSettling(x.release())
 	case phaseWaiting:
 		x.answerErr(verdict.MayHaveRun, CodeInProgress, "request ID %q is in progress at another host", x.req.ID)
-		x.close()
+		x.startSettling(x.release())
 	case phaseDispatched:
 		x.answerErr(verdict.MayHaveRun, CodeOutcomeUnknown, "the target had not answered by the deadline")
 	case phaseSettling:
@@ -328,9 +327,9 @@
 func (x *Execution) onCallerGone() {
 	x.answered = true
 	switch x.phase {
-	case phaseNew, phaseWaiting:
+	case phaseNew:
 		x.close()
-	case phaseClaiming:
+	case phaseClaiming, phaseWaiting:
 		x.startSettling(x.release())
 	}
 }
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -106,7 +106,7 @@
 		return e.answer(Token{})
 	}
 	issued, err := IssuedAt(requestID)
-	if err == nil && issued.Before(p.horizon()) {
+	if err == nil && p.expired(issued.UnixMilli()) {
 		return Reply{Outcome: Expired}
 	}
 	return Reply{Outcome: Unknown}
--- a/internal/orders/model_test.go
+++ b/internal/orders/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -37,6 +38,7 @@
 // that crash, and a target that counts what it runs.
 type world struct {
 	ledger      *Ledger
+	replica     *Ledger // restored from snapshots now and then
 	index       uint64
 	now         time.Time
 	incarnation [3]uint64
@@ -55,7 +57,7 @@
 	limits := DefaultLimits()
 	limits.Partitions, limits.Retention, limits.MaxSkew, limits.MaxEndedIDs = 2, 40*time.Second, 20*time.Second, 2
 	return &world{
-		ledger: NewLedger(limits), now: epoch, incarnation: [3]uint64{1, 1, 1},
+		ledger: NewLedger(limits), replica: NewLedger(limits), now: epoch, incarnation: [3]uint64{1, 1, 1},
 		skew: [3]time.Duration{0, 5 * time.Second, time.Hour},
 		runs: map[string]int{}, ranContent: map[string]Hash{}, submitted: map[string]bool{}, recorded: map[string]int{},
 	}
@@ -127,6 +129,9 @@
 func (w *world) apply(t *rapid.T, cmd Command) Reply {
 	w.index++
 	r := w.ledger.Apply(w.index, cmd)
+	if other := w.replica.Apply(w.index, cmd); !reflect.DeepEqual(r, other) {
+		t.Fatalf("replicas differ on %T: %+v and %+v", cmd, r, other)
+	}
 	if rec, ok := cmd.(Record); ok && r.Outcome == Recorded {
 		w.recorded[rec.RequestID] = r.Result.Status
 	}
@@ -169,7 +174,7 @@
 	}
 	content := Hash{byte(rapid.IntRange(0, 4).Draw(t, "content") / 4)}
 	host := rapid.IntRange(0, 2).Draw(t, "host")
-	w.fence += 1 << 16
+	w.fence++
 	req := Request{ID: id, Content: content, Deadline: w.now.Add(3 * time.Second), First: !w.submitted[id]}
 	for _, s := range w.subs {
 		if s.id == id && s.first && s.answer == nil {
@@ -207,18 +212,62 @@
 		w.proposalFailed(t, p, true)
 		return
 	}
-	if c, ok := p.cmd.(Claim); ok {
-		w.step(t, p.by, ClaimAnswered{c.Token, r})
-		return
-	}
-	if p.by != nil {
+	w.replied(t, p, r)
+}
+
+// replied hands a reply to the execution. A grant for one that has ended is
+// released, as its documentation asks of the driver.
+func (w *world) replied(t *rapid.T, p proposal, r Reply) {
+	c, ok := p.cmd.(Claim)
+	switch {
+	case p.by == nil || p.by.x == nil:
+	case ok && r.Outcome == Granted && p.by.x.Closed():
+		w.pending = append(w.pending, proposal{cmd: Release{c.RequestID, c.Token}, by: p.by})
+	case ok:
+		w.step(t, p.by, ClaimAnswered{r})
+	default:
 		w.step(t, p.by, SettleAnswered{r})
 	}
 }
 
+// quiet lets everything that is under way end without further faults.
+func (w *world) quiet(t *rapid.T) {
+	for range 100 {
+		pending := w.pending
+		w.pending = nil
+		for _, p := range pending {
+			w.replied(t, p, w.apply(t, p.cmd))
+		}
+		for _, s := range w.subs {
+			if s.x != nil && s.out {
+				s.out = false
+				w.step(t, s, TargetReplied{Verdict: verdict.MayHaveRun})
+			}
+			if s.x != nil && s.watching {
+				w.step(t, s, RequestChanged{w.ledger.Lookup(s.id)})
+			}
+			w.step(t, s, Tick{})
+		}
+		for c := range w.ledger.OpenClaims() {
+			if c.Incarnation < w.incarnation[c.Host[1]-'0'] {
+				w.apply(t, ClaimantDied{c}) // as the leader does
+			}
+		}
+		w.now = w.now.Add(100 * time.Millisecond)
+	}
+	for _, s := range w.subs {
+		if s.x != nil && !s.x.Closed() {
+			t.Fatalf("%s never ends: phase %d", s.id, s.x.phase)
+		}
+	}
+	if open := w.ledger.OpenClaims(); len(open) > 0 {
+		t.Fatalf("claims stay open: %v", open)
+	}
+}
+
 func (w *world) proposalFailed(t *rapid.T, p proposal, sent bool) {
-	if c, ok := p.cmd.(Claim); ok {
-		w.step(t, p.by, ClaimFailed{c.Token, sent})
+	if _, ok := p.cmd.(Claim); ok {
+		w.step(t, p.by, ClaimFailed{sent})
 	} else if p.by != nil {
 		w.step(t, p.by, SettleFailed{})
 	}
@@ -268,10 +317,10 @@
 }
 
 // Guards against an order that runs twice, an answer "not run" for an order
-// that ran, and a result that is lost: claimants crash or are declared dead
+// that ran, a result that is lost, and an execution or claim that never ends: claimants crash or are declared dead
 // while alive, proposals come late, twice or never, replies are lost, callers
 // resend with the same and other content, clocks differ by up to an hour, and
-// IDs expire.
+// IDs expire. A replica restored from snapshots must answer alike.
 func TestOrdersRunAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
@@ -302,7 +351,8 @@
 				s := w.pick(t, func(*submission) bool { return true })
 				w.step(t, s, CallerGone{})
 			},
-			"snapshot": func(*rapid.T) { w.ledger = Restore(w.ledger.State()) },
+			"snapshot": func(*rapid.T) { w.replica = Restore(w.ledger.State()) },
 		})
+		w.quiet(t)
 	})
 }
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -13,8 +13,8 @@
 var (
 	orderID = fmt.Sprintf("%d-a", epoch.UnixMilli())
 	content = HashContent("red", map[string]string{"k": "v"}, "g", []byte("body"))
-	alice   = Token{Claimant{"alice", 1}, 1 << 16}
-	bob     = Token{Claimant{"bob", 1}, 1 << 16}
+	alice   = Token{Claimant{"alice", 1}, 1}
+	bob     = Token{Claimant{"bob", 1}, 1}
 )
 
 type log struct {
@@ -62,7 +62,7 @@
 	granted := l.Apply(1, claim.Claim)
 	l.n = 1
 	require.Equal(t, Granted, granted.Outcome)
-	_, dispatched := find[Dispatch](x.Step(epoch.Add(time.Second), ClaimAnswered{claim.Claim.Token, granted}))
+	_, dispatched := find[Dispatch](x.Step(epoch.Add(time.Second), ClaimAnswered{granted}))
 	require.False(t, dispatched)
 	require.Equal(t, Done, l.apply(settle.Command))
 	require.Equal(t, ClaimEnded, l.apply(claim.Claim), "a copy of the claim that comes after its release")
@@ -75,7 +75,7 @@
 func TestGrantAtTheDeadlineIsNotDispatched(t *testing.T) {
 	x := NewExecution(request(false), alice.Claimant, alice.Fence)
 	x.Step(epoch, Start{})
-	effects := x.Step(epoch.Add(time.Second), ClaimAnswered{alice, Reply{Outcome: Granted, Token: alice}})
+	effects := x.Step(epoch.Add(time.Second), ClaimAnswered{Reply{Outcome: Granted, Token: alice}})
 	_, dispatched := find[Dispatch](effects)
 	require.False(t, dispatched)
 	a, _ := find[Answer](effects)
--- a/internal/orders/orderscodec/codec_test.go
+++ b/internal/orders/orderscodec/codec_test.go
@@ -27,7 +27,7 @@
 
 func sorted(s orders.State) orders.State {
 	for _, p := range s.Partitions {
-		slices.SortFunc(p.Entries, func(a, b orders.Entry) int { return bytes.Compare(a.ID[:], b.ID[:]) })
+		slices.SortFunc(p.Entries, func(a, b *orders.Entry) int { return bytes.Compare(a.ID[:], b.ID[:]) })
 	}
 	return s
 }
--- a/internal/orders/orderscodec/state.go
+++ b/internal/orders/orderscodec/state.go
@@ -56,7 +56,7 @@
 		m.Clocks = append(m.Clocks, &HostClock{Host: c.Host, At: timeToProto(c.At)})
 	}
 	for i := range p.Entries {
-		m.Entries = append(m.Entries, entryToProto(&p.Entries[i]))
+		m.Entries = append(m.Entries, entryToProto(p.Entries[i]))
 	}
 	return m
 }
@@ -69,20 +69,20 @@
 	for i, c := range m.Clocks {
 		p.Clocks[i] = orders.HostClock{Host: c.Host, At: timeFromProto(c.At)}
 	}
-	p.Entries = make([]orders.Entry, 0, len(m.Entries))
+	p.Entries = make([]*orders.Entry, 0, len(m.Entries))
 	for _, e := range m.Entries {
 		entry, err := entryFromProto(e)
 		if err != nil {
 			return p, err
 		}
-		p.Entries = append(p.Entries, entry)
+		p.Entries = append(p.Entries, &entry)
 	}
 	return p, nil
 }
 
 func entryToProto(e *orders.Entry) *Entry {
 	m := &Entry{
-		Id: e.ID[:], Content: e.Content[:], Bound: e.Bound, IssuedAt: timeToProto(e.IssuedAt),
+		Id: e.ID[:], Content: e.Content[:], Bound: e.Bound, IssuedAtMs: e.IssuedAt,
 		Status: uint32(e.Status), Token: tokenToProto(e.Token), Result: resultToProto(e.Result),
 	}
 	for _, t := range e.Ended {
@@ -105,7 +105,7 @@
 		return orders.Entry{}, errors.Wrapf(ErrMalformed, "status %d", m.Status)
 	}
 	e := orders.Entry{
-		ID: id, Content: content, Bound: m.Bound, IssuedAt: timeFromProto(m.IssuedAt),
+		ID: id, Content: content, Bound: m.Bound, IssuedAt: m.IssuedAtMs,
 		Status: status, Token: tokenFromProto(m.Token), Result: resultFromProto(m.Result),
 	}
 	for _, t := range m.Ended {
--- a/internal/orders/partition.go
+++ b/internal/orders/partition.go
@@ -22,12 +22,13 @@
 	Finished
 )
 
-// Entry is what a partition keeps of one request.
+// Entry is what a partition keeps of one request. It is never modified, only
+// replaced, so that snapshots can share it.
 type Entry struct {
 	ID       Hash
 	Content  Hash
-	Bound    bool // Content is known
-	IssuedAt time.Time
+	IssuedAt int64 // Unix time in milliseconds
+	Bound    bool  // Content is known
 	Status   Status
 	Token    Token // of the last granted claim
 	Result   *Result
@@ -54,14 +55,14 @@
 	}
 }
 
-func (e *Entry) end(t Token, limit int) {
+// withEnded returns the ended claims with t among them, without the oldest
+// beyond the limit.
+func (e *Entry) withEnded(t Token, limit int) []Token {
 	if slices.Contains(e.Ended, t) {
-		return
-	}
-	e.Ended = append(e.Ended, t)
-	if len(e.Ended) > limit {
-		e.Ended = slices.Delete(e.Ended, 0, len(e.Ended)-limit)
+		return e.Ended
 	}
+	keep := e.Ended[max(0, len(e.Ended)+1-limit):]
+	return append(slices.Clone(keep), t)
 }
 
 // HostClock is the latest time that a host has shown.
@@ -74,7 +75,7 @@
 type partition struct {
 	limits  *Limits
 	entries map[Hash]*Entry
-	byAge   ageHeap
+	byAge   ageHeap // every entry once
 	bytes   int
 	dead    map[string]uint64 // highest dead incarnation by host
 	// clocks are the two hosts whose clocks are furthest ahead, the first
@@ -112,11 +113,17 @@
 		c[0], c[1] = c[1], c[0]
 	}
 	p.now = later(p.now, c[1].At)
-	for len(p.byAge) > 0 && p.byAge[0].IssuedAt.Before(p.horizon()) {
-		p.remove(heap.Pop(&p.byAge).(*Entry))
+	for len(p.byAge) > 0 && p.expired(p.byAge[0].issuedAt) {
+		p.remove(heap.Pop(&p.byAge).(aged).id)
 	}
 }
 
+// expired reports whether an ID of this age, in Unix milliseconds, is
+// forgotten.
+func (p *partition) expired(issuedAt int64) bool {
+	return !p.now.IsZero() && issuedAt < p.horizon().UnixMilli()
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -124,19 +131,27 @@
 	return a
 }
 
-func (p *partition) add(e *Entry) {
-	p.entries[e.ID] = e
-	heap.Push(&p.byAge, e)
-	if e.Result != nil {
-		p.bytes += len(e.Result.Body)
+// put adds an entry or replaces the one of the same ID.
+func (p *partition) put(e Entry) *Entry {
+	old := p.entries[e.ID]
+	if old == nil {
+		heap.Push(&p.byAge, aged{e.IssuedAt, e.ID})
 	}
+	p.bytes += e.resultBytes() - old.resultBytes()
+	p.entries[e.ID] = &e
+	return &e
+}
+
+func (p *partition) remove(id Hash) {
+	p.bytes -= p.entries[id].resultBytes()
+	delete(p.entries, id)
 }
 
-func (p *partition) remove(e *Entry) {
-	delete(p.entries, e.ID)
-	if e.Result != nil {
-		p.bytes -= len(e.Result.Body)
+func (e *Entry) resultBytes() int {
+	if e == nil || e.Result == nil {
+		return 0
 	}
+	return len(e.Result.Body)
 }
 
 func (p *partition) claim(c Claim) Reply {
@@ -145,7 +160,7 @@
 	if err != nil {
 		return Reply{Outcome: BadIssueTime}
 	}
-	if issued.Before(p.horizon()) {
+	if p.expired(issued.UnixMilli()) {
 		return Reply{Outcome: Expired}
 	}
 	id := hashID(c.RequestID)
@@ -161,12 +176,13 @@
 	if r := p.refuse(c, issued, e == nil); r != Unknown {
 		return Reply{Outcome: r}
 	}
-	if e == nil {
-		e = &Entry{ID: id, IssuedAt: issued}
-		p.add(e)
+	next := Entry{ID: id, IssuedAt: issued.UnixMilli()}
+	if e != nil {
+		next = *e
 	}
-	e.Content, e.Bound = c.Content, true
-	e.Status, e.Token = Claimed, c.Token
+	next.Content, next.Bound = c.Content, true
+	next.Status, next.Token = Claimed, c.Token
+	p.put(next)
 	return Reply{Outcome: Granted, Token: c.Token}
 }
 
@@ -202,31 +218,31 @@
 		r.Body, r.Truncated = nil, true
 	}
 	r.Body = bytes.Clone(r.Body)
-	e.Status, e.Result, e.Ended = Finished, &r, nil
-	p.bytes += len(r.Body)
-	return Reply{Outcome: Recorded, Result: e.Result}
+	next := *e
+	next.Status, next.Result, next.Ended = Finished, &r, nil
+	p.put(next)
+	return Reply{Outcome: Recorded, Result: &r}
 }
 
 // release re-arms the request if the claim is the one that is open. A claim
 // that is still on its way is refused when it comes.
 func (p *partition) release(c Release) Reply {
 	issued, err := IssuedAt(c.RequestID)
-	if err != nil || issued.Before(p.horizon()) {
+	if err != nil || p.expired(issued.UnixMilli()) {
 		return Reply{Outcome: Stale}
 	}
-	id := hashID(c.RequestID)
-	e := p.entries[id]
-	if e == nil {
-		e = &Entry{ID: id, IssuedAt: issued}
-		p.add(e)
+	next := Entry{ID: hashID(c.RequestID), IssuedAt: issued.UnixMilli()}
+	if e := p.entries[next.ID]; e != nil {
+		next = *e
 	}
 	switch {
-	case e.Status == Finished:
+	case next.Status == Finished:
 		return Reply{Outcome: Stale}
-	case e.Status != Released && e.Token == c.Token:
-		e.Status = Released
+	case next.Status != Released && next.Token == c.Token:
+		next.Status = Released
 	}
-	e.end(c.Token, p.limits.MaxEndedIDs)
+	next.Ended = next.withEnded(c.Token, p.limits.MaxEndedIDs)
+	p.put(next)
 	return Reply{Outcome: Done}
 }
 
@@ -235,7 +251,9 @@
 	if e == nil || e.Status != Claimed || e.Token != c.Token {
 		return Reply{Outcome: Stale}
 	}
-	e.Status = Uncertain
+	next := *e
+	next.Status = Uncertain
+	p.put(next)
 	return Reply{Outcome: Done}
 }
 
@@ -244,26 +262,33 @@
 	for _, e := range p.entries {
 		t := e.Token.Claimant
 		if e.Status == Claimed && t.Host == c.Host && t.Incarnation <= c.Incarnation {
-			e.Status = Uncertain
+			next := *e
+			next.Status = Uncertain
+			p.put(next)
 		}
 	}
 }
 
-// ageHeap orders entries by the time of issue.
-type ageHeap []*Entry
+// aged is an ID and when it was issued, in Unix milliseconds.
+type aged struct {
+	issuedAt int64
+	id       Hash
+}
+
+// ageHeap orders IDs by the time of issue.
+type ageHeap []aged
 
 func (h ageHeap) Len() int           { return len(h) }
-func (h ageHeap) Less(i, j int) bool { return h[i].IssuedAt.Before(h[j].IssuedAt) }
+func (h ageHeap) Less(i, j int) bool { return h[i].issuedAt < h[j].issuedAt }
 func (h ageHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
-func (h *ageHeap) Push(x any) { *h = append(*h, x.(*Entry)) }
+func (h *ageHeap) Push(x any) { *h = append(*h, x.(aged)) }
 
 // Pop implements heap.Interface.
 func (h *ageHeap) Pop() any {
 	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = nil
+	x := (*h)[last]
 	*h = (*h)[:last]
-	return e
+	return x
 }
--- a/internal/orders/snapshot.go
+++ b/internal/orders/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -15,22 +14,21 @@
 
 // PartitionState is the content of one partition.
 type PartitionState struct {
-	Entries []Entry // in no order
+	Entries []*Entry // in no order
 	Dead    map[string]uint64
 	Clocks  [2]HostClock
 	Now     time.Time
 }
 
-// State returns a copy that later commands leave alone. Result bodies are
-// shared and must not be changed.
+// State returns what later commands leave alone. Entries are shared and must
+// not be changed.
 func (l *Ledger) State() State {
 	st := State{Index: l.index, Limits: l.limits}
 	for _, p := range l.partitions {
 		ps := PartitionState{Dead: maps.Clone(p.dead), Clocks: p.clocks, Now: p.now}
+		ps.Entries = make([]*Entry, 0, len(p.entries))
 		for _, e := range p.entries {
-			kept := *e
-			kept.Ended = slices.Clone(e.Ended)
-			ps.Entries = append(ps.Entries, kept)
+			ps.Entries = append(ps.Entries, e)
 		}
 		st.Partitions = append(st.Partitions, ps)
 	}
@@ -47,8 +45,7 @@
 		maps.Copy(p.dead, ps.Dead)
 		p.clocks, p.now = ps.Clocks, ps.Now
 		for _, e := range ps.Entries {
-			e.Ended = slices.Clone(e.Ended)
-			p.add(&e)
+			p.put(*e)
 		}
 	}
 	return l
