Let operators see the latest changes and change single fields of selectors

Cause: history without a first revision showed the oldest changes, and put selector replaced fields that the command line did not name. Change: the API returns the latest changes when no first revision is given; selector put keeps what is not named; change wait takes a change's ID; config.SystemChange builds the changes that hosts make; names that a decoder repaired are refused.

--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -11,7 +11,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
 // pollInterval is the time between two looks at the hosts' revisions.
@@ -50,15 +52,15 @@
 			},
 		},
 		{
-			name: "wait", args: "REVISION", short: "Wait until every host has a revision in force",
+			name: "wait", args: "REVISION|CHANGE-ID", short: "Wait until every host has a change in force",
 			long:     "After -timeout it lists the hosts that lag and exits with 1.",
-			examples: []string{"hawthornlock change wait 42", "hawthornlock change wait -timeout 30s 42"}, minArgs: 1, maxArgs: 1,
+			examples: []string{"hawthornlock change wait 42", "hawthornlock change wait -timeout 30s c41-9f2c6a"}, minArgs: 1, maxArgs: 1,
 			run: func(ctx context.Context, c *common, args []string) error {
-				revision, err := parseRevision(args[0])
+				client, err := c.client()
 				if err != nil {
 					return err
 				}
-				client, err := c.client()
+				revision, err := revisionOf(ctx, client, args[0])
 				if err != nil {
 					return err
 				}
@@ -69,7 +71,7 @@
 			name: "history", short: "List accepted changes, newest last",
 			examples: []string{"hawthornlock change history", "hawthornlock change history -from 1 -limit 10"},
 			flags: func(fs *flag.FlagSet) {
-				fs.StringVar(&from, "from", "", "first `revision`; the last -limit revisions if empty")
+				fs.StringVar(&from, "from", "", "first `revision`; the latest changes if empty")
 				fs.IntVar(&limit, "limit", 20, "`number` of changes")
 			},
 			run: func(ctx context.Context, c *common, _ []string) error { return c.history(ctx, from, limit) },
@@ -96,14 +98,36 @@
 	return r, nil
 }
 
+// revisionOf returns the revision that a number or a change's ID stands for.
+func revisionOf(ctx context.Context, client *confighttp.Client, text string) (uint64, error) {
+	if revision, err := parseRevision(text); err == nil {
+		return revision, nil
+	}
+	res, err := client.Status(ctx, text)
+	if err != nil {
+		return 0, err
+	}
+	if res.Outcome != config.Accepted.String() {
+		return 0, verdict.New(verdict.NotRun, res.Code, "change %s was refused: %s", text, res.Message)
+	}
+	return res.Revision, nil
+}
+
 func (c *common) history(ctx context.Context, from string, limit int) error {
 	client, err := c.client()
 	if err != nil {
 		return err
 	}
-	first, err := c.firstRevision(ctx, client, from, limit)
-	if err != nil {
-		return err
+	if limit < 1 {
+		return usagef("-limit %d is not positive", limit)
+	}
+	var first *uint64
+	if from != "" {
+		revision, err := parseRevision(from)
+		if err != nil {
+			return err
+		}
+		first = &revision
 	}
 	h, err := client.History(ctx, first, limit)
 	if err != nil {
@@ -118,20 +142,6 @@
 	})
 }
 
-func (c *common) firstRevision(ctx context.Context, client *confighttp.Client, from string, limit int) (uint64, error) {
-	if limit < 1 {
-		return 0, usagef("-limit %d is not positive", limit)
-	}
-	if from != "" {
-		return parseRevision(from)
-	}
-	state, err := client.State(ctx)
-	if err != nil {
-		return 0, readError{err}
-	}
-	return state.Revision + 1 - min(state.Revision+1, uint64(limit)), nil
-}
-
 func opsText(ops []confighttp.Op) string {
 	var parts []string
 	for _, o := range ops {
--- a/internal/cli/objects.go
+++ b/internal/cli/objects.go
@@ -149,30 +149,18 @@
 }
 
 func selectorSpecs(a *App) []spec {
-	put, del, sel := &pushFlags{}, &pushFlags{}, &confighttp.Selector{}
-	match := ""
+	put, del, fields := &pushFlags{}, &pushFlags{}, &selectorFlags{}
 	return []spec{
 		{
 			name: "list", short: "List the selectors in force in order of precedence", examples: []string{"hawthornlock selector list"},
 			run: func(ctx context.Context, c *common, _ []string) error { return c.listSelectors(ctx) },
 		},
 		{
-			name: "put", args: "NAME", short: "Create or replace a selector",
+			name: "put", args: "NAME", short: "Create a selector or change some of its fields",
 			examples: []string{"hawthornlock selector put showroom -owner showroom -for-team showroom -match app=showroom -group showroom-app"},
-			flags: func(fs *flag.FlagSet) {
-				put.register(a, fs)
-				fs.StringVar(&sel.Owner, "owner", "", "`team` that owns the selector")
-				fs.StringVar(&sel.Team, "for-team", "", "`team` whose requests match; every team if empty")
-				fs.StringVar(&match, "match", "", "`labels` that a request must have, as key=value,key=value")
-				fs.StringVar(&sel.Group, "group", "", "`group` that the requests may reach")
-			}, minArgs: 1, maxArgs: 1,
+			flags:    func(fs *flag.FlagSet) { put.register(a, fs); fields.register(fs) }, minArgs: 1, maxArgs: 1,
 			run: func(ctx context.Context, c *common, args []string) error {
-				labels, err := parseLabels(match)
-				if err != nil {
-					return err
-				}
-				sel.Name, sel.Match = args[0], labels
-				return c.push(ctx, put, confighttp.Change{Ops: []confighttp.Op{{PutSelector: sel}}})
+				return c.putSelector(ctx, put, fields, args[0])
 			},
 		},
 		{
@@ -185,6 +173,61 @@
 	}
 }
 
+// selectorFlags are the fields of a selector on the command line.
+type selectorFlags struct {
+	fs                        *flag.FlagSet
+	owner, team, match, group string
+}
+
+func (s *selectorFlags) register(fs *flag.FlagSet) {
+	s.fs = fs
+	fs.StringVar(&s.owner, "owner", "", "`team` that owns the selector")
+	fs.StringVar(&s.team, "for-team", "", "`team` whose requests match; every team if empty")
+	fs.StringVar(&s.match, "match", "", "`labels` that a request must have, as key=value,key=value")
+	fs.StringVar(&s.group, "group", "", "`group` that the requests may reach")
+}
+
+// apply sets the given fields and leaves the others as they are.
+func (s *selectorFlags) apply(to *confighttp.Selector) error {
+	set := setFlags(s.fs)
+	if set["match"] {
+		labels, err := parseLabels(s.match)
+		if err != nil {
+			return err
+		}
+		to.Match = labels
+	}
+	for _, f := range []struct {
+		name, from string
+		to         *string
+	}{{"owner", s.owner, &to.Owner}, {"for-team", s.team, &to.Team}, {"group", s.group, &to.Group}} {
+		if set[f.name] {
+			*f.to = f.from
+		}
+	}
+	return nil
+}
+
+func (c *common) putSelector(ctx context.Context, p *pushFlags, fields *selectorFlags, name string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	selectors, err := client.Selectors(ctx)
+	if err != nil {
+		return readError{err}
+	}
+	sel := confighttp.Selector{Name: name}
+	if i := slices.IndexFunc(selectors.Selectors, func(s confighttp.Selector) bool { return s.Name == name }); i >= 0 {
+		sel = selectors.Selectors[i]
+	}
+	if err := fields.apply(&sel); err != nil {
+		return err
+	}
+	p.seen = &selectors.Revision
+	return c.push(ctx, p, confighttp.Change{Ops: []confighttp.Op{{PutSelector: &sel}}})
+}
+
 func (c *common) listSelectors(ctx context.Context) error {
 	client, err := c.client()
 	if err != nil {
--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -72,6 +72,14 @@
 	Ops    []Op
 }
 
+// SystemChange returns a change that a host makes itself. Its ID is derived,
+// so that hosts that propose the same change at the same base propose it once.
+func SystemChange(host string, base uint64, ops ...Op) Change {
+	c := Change{Author: host, Team: SystemTeam, Base: base, Ops: ops}
+	c.ID = c.DerivedID()
+	return c
+}
+
 // Op is one operation of a change.
 type Op interface{ configOp() }
 
--- a/internal/config/confighttp/client.go
+++ b/internal/config/confighttp/client.go
@@ -59,10 +59,15 @@
 	return out, c.do(ctx, http.MethodGet, "/changes/"+url.PathEscape(id), nil, &out)
 }
 
-// History returns accepted changes with revisions of at least from.
-func (c *Client) History(ctx context.Context, from uint64, limit int) (History, error) {
+// History returns accepted changes with revisions of at least from, or the
+// latest ones if from is nil.
+func (c *Client) History(ctx context.Context, from *uint64, limit int) (History, error) {
+	path := fmt.Sprintf("/changes?limit=%d", limit)
+	if from != nil {
+		path += fmt.Sprintf("&from=%d", *from)
+	}
 	var out History
-	return out, c.do(ctx, http.MethodGet, fmt.Sprintf("/changes?from=%d&limit=%d", from, limit), nil, &out)
+	return out, c.do(ctx, http.MethodGet, path, nil, &out)
 }
 
 // Diff returns what the change of a revision did.
--- a/internal/config/confighttp/handlers.go
+++ b/internal/config/confighttp/handlers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"slices"
@@ -137,20 +139,13 @@
 }
 
 func (s *server) history(c call) {
-	from, err := uintParam(c.r, "from", 0)
-	if err == nil {
-		var limit uint64
-		limit, err = uintParam(c.r, "limit", defaultHistory)
-		if err == nil {
-			s.writeHistory(c, from, int(min(limit, maxHistory)))
-			return
-		}
+	from, err := uintParam(c.r, "from", latest)
+	limit, limitErr := uintParam(c.r, "limit", defaultHistory)
+	if err := errors.Join(err, limitErr); err != nil {
+		writeError(c.w, http.StatusBadRequest, ErrorDetail{Code: verdict.CodeInvalidRequest, Verdict: verdict.NotRun, Message: err.Error()})
+		return
 	}
-	writeError(c.w, http.StatusBadRequest, ErrorDetail{Code: verdict.CodeInvalidRequest, Verdict: verdict.NotRun, Message: err.Error()})
-}
-
-func (s *server) writeHistory(c call, from uint64, limit int) {
-	entries, err := s.Backend.History(c.r.Context(), from, limit)
+	entries, err := s.entries(c.r.Context(), from, int(min(limit, maxHistory)))
 	if err != nil {
 		writeFailure(c.w, err, "")
 		return
@@ -162,6 +157,17 @@
 	writeJSON(c.w, http.StatusOK, m)
 }
 
+// latest stands for the changes up to the current revision.
+const latest = math.MaxUint64
+
+func (s *server) entries(ctx context.Context, from uint64, limit int) ([]config.Entry, error) {
+	if from != latest {
+		return s.Backend.History(ctx, from, limit)
+	}
+	all, err := s.Backend.History(ctx, 0, config.MaxHistory)
+	return all[max(0, len(all)-limit):], err
+}
+
 func (s *server) diff(c call) {
 	revision, err := strconv.ParseUint(mux.Vars(c.r)["revision"], 10, 64)
 	if err != nil {
--- a/internal/config/confighttp/server_test.go
+++ b/internal/config/confighttp/server_test.go
@@ -122,9 +122,13 @@
 	selectors, err := f.client.Selectors(ctx)
 	require.NoError(t, err)
 	require.Len(t, selectors.Selectors, 1)
-	history, err := f.client.History(ctx, 2, 10)
-	require.NoError(t, err)
-	require.Len(t, history.Entries, 1)
+	from := uint64(2)
+	for _, first := range []*uint64{&from, nil} {
+		history, err := f.client.History(ctx, first, 1)
+		require.NoError(t, err)
+		require.Len(t, history.Entries, 1)
+		require.Equal(t, uint64(2), history.Entries[0].Revision)
+	}
 	diff, err := f.client.Diff(ctx, 1)
 	require.NoError(t, err)
 	require.Equal(t, "created", diff.Objects[0].Action)
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -162,7 +162,10 @@
 	if s == "" || len(s) > MaxNameBytes || !utf8.ValidString(s) {
 		return false
 	}
-	return !strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) })
+	return !strings.ContainsFunc(s, func(r rune) bool {
+		// Decoders put RuneError in place of bytes that are not UTF-8.
+		return r == utf8.RuneError || !unicode.IsPrint(r)
+	})
 }
 
 func invalid(format string, args ...any) error {
