State what the driver of an execution must do

Cause: the step machine relies on its driver for a transport that does not retry and for a bound on unsettled executions. Change: the doc comment says so; wording of tests.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -192,7 +192,7 @@
 	g, _ := c.store.Table().Group("a")
 	require.Equal(t, "2", g.Match["site"])
 	require.Equal(t, exitDone, c.run(t, "change", "push", file))
-	require.Contains(t, c.out.String(), "revision 3", "a later push of the same content is a new wish")
+	require.Contains(t, c.out.String(), "revision 3", "a later push of the same content is a new change")
 }
 
 // Guards against a wait that ends early, hides a lagging host or never ends.
--- a/internal/cli/push.go
+++ b/internal/cli/push.go
@@ -71,7 +71,7 @@
 }
 
 // pendingMaxAge is how long a push is resumed. After that, the same content is
-// taken for a new wish.
+// treated as a new change.
 const pendingMaxAge = time.Hour
 
 func (a *App) pendingFile(c config.Change) string {
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -179,7 +179,7 @@
 	require.Len(t, f.Layouts(), MaxLayoutsPerGroup)
 	require.Equal(t, uint64(MaxLayoutsPerGroup+3), f.Layouts()[0].Generation)
 	require.Equal(t, CodeTooMany, f.push(change("old", SystemTeam, f.Revision(), AddLayout{"a", "snap0", 1, []string{"s1", "s2"}})).Code)
-	require.Equal(t, CodeLayoutChanged, f.push(change("lie", SystemTeam, 0, AddLayout{"a", "snap9", 10, []string{"s1"}})).Code)
+	require.Equal(t, CodeLayoutChanged, f.push(change("other layout", SystemTeam, 0, AddLayout{"a", "snap9", 10, []string{"s1"}})).Code)
 	require.Equal(t, Accepted, f.push(change("gone", SystemTeam, 0, RemoveLayout{"a", "snap9"})).Outcome)
 	require.Equal(t, Accepted, f.push(change("m5", SystemTeam, 0, SetMembers{5, []string{"h2", "h1"}})).Outcome)
 	require.Equal(t, CodeStaleEpoch, f.push(change("m4", SystemTeam, 0, SetMembers{4, []string{"h1"}})).Code)
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -127,7 +127,11 @@
 	phaseClosed
 )
 
-// Execution is the claimant's side of one submission.
+// Execution is the claimant's side of one submission. Its driver carries out
+// the effects in order, hands back their outcomes as events, and sends a
+// dispatched request through a transport that never retries by itself. An
+// execution may outlive its caller until its claim is settled, so the driver
+// bounds their number and refuses new orders beyond it.
 type Execution struct {
 	req      Request
 	token    Token
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -110,7 +110,7 @@
 	}
 	year := epoch.AddDate(1, 0, 0)
 	require.Equal(t, Granted, claim("alice", orderID, epoch))
-	require.Equal(t, BadIssueTime, claim("mad", id(epoch, "b"), year))
+	require.Equal(t, BadIssueTime, claim("skewed", id(epoch, "b"), year))
 	require.Equal(t, InProgress, claim("bob", orderID, epoch), "one wrong clock expired the ID")
 	require.Equal(t, BadIssueTime, claim("bob", id(epoch.Add(2*time.Minute), "c"), epoch), "issued in the future")
 	require.Equal(t, Granted, claim("bob", id(epoch, "d"), epoch))
