--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -137,7 +137,8 @@
 		{"group list -o json", 0, `"site": "1"`},
 		{"group put a -priority high -note why", 0, "revision 2"},
 		{"selector put s -owner red -match app=x -group a", 0, "revision 3"},
-		{"selector list", 0, "app=x"},
+		{"selector put s -match app=x", 0, "revision 4"},
+		{"selector list", 0, "red    -         app=x  a"},
 		{"explain -labels app=x", 0, "through selector s"},
 		{"change history", 0, "put selector s"},
 		{"change diff 2", 0, `priority: "normal" -> "high"`},
@@ -150,10 +151,10 @@
 		{"host drain h1", 0, "drains"},
 		{"host forget h9", 3, "is not a member"},
 		{"group delete a", 3, `used by selector "s"`},
-		{"group put b -owner blue -match site=2 -base 1", 0, "revision 4"},
-		{"group put b -owner blue -match site=3 -base 1", 3, "hawthornlock change diff 4"},
-		{"selector delete s", 0, "revision 5"},
-		{"group delete a", 0, "revision 6"},
+		{"group put b -owner blue -match site=2 -base 1", 0, "revision 5"},
+		{"group put b -owner blue -match site=3 -base 1", 3, "hawthornlock change diff 5"},
+		{"selector delete s", 0, "revision 6"},
+		{"group delete a", 0, "revision 7"},
 		{"group", 2, "SUBCOMMANDS"},
 		{"group lsit", 2, `unknown command "lsit"`},
 		{"group list extra", 2, "usage:"},
@@ -161,7 +162,7 @@
 		{"group put x -match site", 2, "not key=value"},
 		{"change push /nonexistent", 2, "no such file"},
 		{"change push " + file + " -dryrun", 2, "not defined"},
-		{"change wait x", 2, "is not a revision"},
+		{"change wait no-such-change", 4, "not in the record"},
 		{"change push -h", 0, "EXAMPLES"},
 		{"group list -addr 127.0.0.1:0", 3, "try another host"},
 	}
@@ -191,7 +192,7 @@
 	g, _ := c.store.Table().Group("a")
 	require.Equal(t, "2", g.Match["site"])
 	require.Equal(t, exitDone, c.run(t, "change", "push", file))
-	require.Contains(t, c.out.String(), "revision 3", "a later push of the same content is a new wish")
+	require.Contains(t, c.out.String(), "revision 3", "a later push of the same content is a new change")
 }
 
 // Guards against a wait that ends early, hides a lagging host or never ends.
--- a/internal/cli/push.go
+++ b/internal/cli/push.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -70,7 +71,7 @@
 }
 
 // pendingMaxAge is how long a push is resumed. After that, the same content is
-// taken for a new wish.
+// treated as a new change.
 const pendingMaxAge = time.Hour
 
 func (a *App) pendingFile(c config.Change) string {
@@ -188,10 +189,10 @@
 		return err == nil
 	}
 	switch remote.Status {
-	case 400, 403, 409:
+	case http.StatusBadRequest, http.StatusConflict:
 		return true
 	}
-	return false
+	return remote.Detail.Code == config.CodeNotOwner
 }
 
 func (c *common) explainPush(err error, m confighttp.Change) error {
