Bound the orders of a host that are not settled

Cause: an execution outlives its caller while the ledger can't be reached, so their number had no bound. Change: a host refuses an order as not run while 4096 are open.

--- a/internal/orders/ordersrun/driver.go
+++ b/internal/orders/ordersrun/driver.go
@@ -24,6 +24,9 @@
 	watchInterval = 100 * time.Millisecond
 	// fenceStep leaves the low bits of a fence to the execution.
 	fenceStep = 1 << 16
+	// maxOpen bounds the orders that wait for an unreachable ledger.
+	maxOpen        = 4096
+	retryAfterFull = time.Second
 )
 
 // Ledger reaches the replicated ledger.
@@ -77,8 +80,11 @@
 // Run executes one order and returns its answer. The execution goes on after
 // ctx ended if the order has been dispatched.
 func (d *Driver) Run(ctx context.Context, req orders.Request, dispatch Dispatch) (*orders.Result, error) {
+	if d.open.Add(1) > maxOpen {
+		d.open.Add(-1)
+		return nil, verdict.New(verdict.NotRun, CodeTooManyOrders, "%d orders of this host are not settled yet", maxOpen).WithRetryAfter(retryAfterFull)
+	}
 	d.running.Add(1)
-	d.open.Add(1)
 	e := &execution{
 		driver: d, dispatch: dispatch, deadline: req.Deadline, claimant: d.Claimant(),
 		events: make(chan orders.Event, 16), answer: make(chan orders.Answer, 1), caller: ctx.Done(),
@@ -192,12 +198,12 @@
 	defer cancel()
 	reply, err := e.driver.ledger.Commit(ctx, c)
 	if err != nil {
-		return orders.ClaimFailed{Token: c.Token, Sent: verdict.Of(err) != verdict.NotRun}
+		return orders.ClaimFailed{Sent: verdict.Of(err) != verdict.NotRun}
 	}
 	if reply.Outcome == orders.ClaimEnded {
 		e.driver.renew(time.Now(), e.claimant)
 	}
-	return orders.ClaimAnswered{Token: c.Token, Reply: reply}
+	return orders.ClaimAnswered{Reply: reply}
 }
 
 func (e *execution) settle(ctx context.Context, c orders.Command) orders.Event {
@@ -253,5 +259,8 @@
 	}
 }
 
-// CodeNotFound is the code of a look-up of an order that did not run.
-const CodeNotFound verdict.Code = "order_not_found"
+// Codes of the errors of this package.
+const (
+	CodeNotFound      verdict.Code = "order_not_found" // a look-up found no order that ran
+	CodeTooManyOrders verdict.Code = "too_many_orders"
+)
