Tune hedging on the bench and bound its budget

Cause: with the quantile of all latencies alone, stragglers beyond the budget push the hedge delay out to the stragglers themselves, and a burst of 20 is used up by one query of 480 shards. Change: the delay is at most 3 times the median, a query hedges only when it waits for no more shards than it adds to the budget, and the burst follows the number of shards; faults, parts of the policy and caching targets are measured; make bench and make bench-quick.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,15 @@
 
 test: lint race linkage check-generated
 
+# Policies of the data path on virtual time, then the Go benchmarks.
+bench:
+	$(GO) run ./cmd/hawthornbench
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+# Small versions of the same cases. Two runs print the same.
+bench-quick:
+	@$(GO) run ./cmd/hawthornbench -quick
+
 generate:
 	./scripts/generate.sh
 
--- a/internal/query/latency.go
+++ b/internal/query/latency.go
@@ -16,18 +16,8 @@
 	latencyWindows  = 6
 	latencyWindow   = time.Second
 	latencyRefresh  = 100 * time.Millisecond
-	minLatencyCount = 200 // samples before quantiles replace the defaults
-)
-
-// Shape of the hedge delay.
-const (
-	// hedgeShareOfBudget is the part of the hedging budget that the delay's
-	// quantile plans to use. The rest absorbs bursts.
-	hedgeShareOfBudget = 0.9
-	// hedgeOverP90 bounds the delay to this multiple of the 90th percentile.
-	// When more sub-requests straggle than the budget can hedge, the quantile
-	// lies among the stragglers, and a hedge at that age comes too late.
-	hedgeOverP90 = 3.0
+	firstRefresh    = 10 * time.Millisecond // while there are too few samples
+	minLatencyCount = 100                   // samples before quantiles replace the defaults
 )
 
 // estimate is what the recent latencies say about a group.
@@ -114,22 +104,29 @@
 	}
 	g.rotate(now)
 	h := g.recent.Merge()
-	e := &estimate{refreshAt: now.Add(latencyRefresh)}
+	e := &estimate{refreshAt: now.Add(firstRefresh)}
 	if h.TotalCount() >= minLatencyCount {
+		e.refreshAt = now.Add(latencyRefresh)
 		e.known = true
 		e.minLatency = latencyAt(h, 0)
 		e.typicalLatency = latencyAt(h, 90)
-		e.hedgeDelay = hedgeDelay(h, g.base.HedgePermille)
+		e.hedgeDelay = hedgeDelay(h, &g.base)
 	}
 	g.estimate.Store(e)
 	return e
 }
 
-// hedgeDelay is the age beyond which the budget can hedge every sub-request.
-func hedgeDelay(h *hdrhistogram.Histogram, permille int) time.Duration {
-	quantile := latencyAt(h, 100-hedgeShareOfBudget*float64(permille)/10)
-	limit := time.Duration(hedgeOverP90 * float64(latencyAt(h, 90)))
-	return max(min(quantile, limit), latencyUnit)
+// hedgeDelay is the age beyond which the budget can hedge every sub-request,
+// but at most a multiple of the median. When more sub-requests straggle than
+// the budget can hedge, the quantile lies among the stragglers, and a hedge
+// at that age comes too late.
+func hedgeDelay(h *hdrhistogram.Histogram, p *Policy) time.Duration {
+	delay := latencyAt(h, 100-p.HedgeBudgetShare*float64(p.HedgePermille)/10)
+	if p.HedgeOverMedian > 0 {
+		limit := time.Duration(p.HedgeOverMedian * float64(latencyAt(h, 50)))
+		delay = min(delay, limit)
+	}
+	return max(delay, latencyUnit)
 }
 
 func latencyAt(h *hdrhistogram.Histogram, percentile float64) time.Duration {
--- a/internal/query/policy.go
+++ b/internal/query/policy.go
@@ -18,7 +18,13 @@
 	MaxRestarts int // restarts on a newer snapshot
 
 	HedgeDelay    time.Duration // age at which a sub-request is hedged; zero turns hedging off
-	HedgePermille int           // sets how many unanswered shards are few enough to hedge all of them
+	HedgePermille int           // hedges per thousand sub-requests that the delay aims at
+	// HedgeBudgetShare is the part of HedgePermille that the adaptive delay
+	// plans to use. The rest absorbs bursts.
+	HedgeBudgetShare float64
+	// HedgeOverMedian bounds the adaptive delay to a multiple of the median
+	// latency; zero means no bound.
+	HedgeOverMedian float64
 
 	RetryBackoff    time.Duration // wait before a replica that shed load is tried again, doubled each time
 	MaxRetryBackoff time.Duration
@@ -36,6 +42,8 @@
 	DefaultMaxRestarts     = 2
 	DefaultHedgeDelay      = 50 * time.Millisecond
 	DefaultHedgePermille   = 30
+	DefaultHedgeBudget     = 0.8
+	DefaultHedgeOverMedian = 3.0
 	DefaultRetryBackoff    = 4 * time.Millisecond
 	DefaultMaxRetryBackoff = 64 * time.Millisecond
 )
@@ -43,17 +51,19 @@
 // DefaultPolicy returns the values used until latencies have been observed.
 func DefaultPolicy() Policy {
 	return Policy{
-		AnswerTime:      DefaultAnswerTime,
-		NetworkTime:     DefaultNetworkTime,
-		MinLatency:      DefaultMinLatency,
-		TypicalLatency:  DefaultTypicalLatency,
-		MaxAttempts:     DefaultMaxAttempts,
-		MaxHedges:       DefaultMaxHedges,
-		MaxRestarts:     DefaultMaxRestarts,
-		HedgeDelay:      DefaultHedgeDelay,
-		HedgePermille:   DefaultHedgePermille,
-		RetryBackoff:    DefaultRetryBackoff,
-		MaxRetryBackoff: DefaultMaxRetryBackoff,
+		AnswerTime:       DefaultAnswerTime,
+		NetworkTime:      DefaultNetworkTime,
+		MinLatency:       DefaultMinLatency,
+		TypicalLatency:   DefaultTypicalLatency,
+		MaxAttempts:      DefaultMaxAttempts,
+		MaxHedges:        DefaultMaxHedges,
+		MaxRestarts:      DefaultMaxRestarts,
+		HedgeDelay:       DefaultHedgeDelay,
+		HedgePermille:    DefaultHedgePermille,
+		HedgeBudgetShare: DefaultHedgeBudget,
+		HedgeOverMedian:  DefaultHedgeOverMedian,
+		RetryBackoff:     DefaultRetryBackoff,
+		MaxRetryBackoff:  DefaultMaxRetryBackoff,
 	}
 }
 
@@ -62,9 +72,9 @@
 const minHedgedShards = 2
 
 // hedgedShards is the largest number of unanswered shards at which a query
-// hedges. Twice the budgeted share covers ordinary variation; more means
-// that the group is slow as a whole, and a hedge would then go to a shard
-// that does not decide the query's latency.
+// hedges. It is what one query adds to the budget. More unanswered shards
+// mean that the group is slow as a whole, and a hedge would then go to a
+// shard that does not decide the query's latency.
 func (p *Policy) hedgedShards(shards int) int {
-	return max(minHedgedShards, 2*p.HedgePermille*shards/1000)
+	return max(minHedgedShards, p.HedgePermille*shards/1000)
 }
--- a/internal/query/querybench/bench.go
+++ b/internal/query/querybench/bench.go
@@ -32,6 +32,7 @@
 	balancer Balancer
 	gate     Gate
 	catalog  *query.Catalog
+	shedAt   time.Duration // last time a target shed a sub-request of this host
 	active   []*active
 }
 
@@ -107,6 +108,9 @@
 	p := &b.c.Policy
 	h.balancer = p.balancer(b, rand.New(rand.NewPCG(b.c.Seed, 100+n)))
 	h.group = query.NewGroup(p.base(), p.Limits)
+	if !p.SmallBurst {
+		h.group.SetShards(b.c.Shape.Shards())
+	}
 	return h
 }
 
@@ -135,7 +139,7 @@
 
 func (b *bench) start(a *active) {
 	h := a.host
-	h.group.SetSaturated(!b.c.Policy.HedgeSaturated && h.gate.Saturated(b.now))
+	h.group.SetSaturated(b.saturated(h))
 	a.started = b.now
 	a.reallyAnswered = make([]bool, b.c.Shape.Shards())
 	q := query.Query{RequestID: "q", Group: "g", K: hitsWanted, Deadline: epoch.Add(a.arrived + deadline)}
@@ -147,6 +151,14 @@
 	b.apply(a, a.run.Start(b.time()))
 }
 
+// saturated is the signal that turns hedging off at a host.
+func (b *bench) saturated(h *host) bool {
+	if b.c.Policy.GateSignal {
+		return h.gate.Saturated(b.now)
+	}
+	return h.shedAt > 0 && b.now-h.shedAt < shedMemory
+}
+
 // step gives a query an event.
 func (b *bench) step(a *active, ev query.Event) {
 	b.current = a
@@ -197,6 +209,9 @@
 
 func (e replied) happen(b *bench) {
 	a := e.job.active
+	if e.reply.Err != nil && verdict.CodeOf(e.reply.Err) == query.CodeShed {
+		a.host.shedAt = b.now
+	}
 	if !e.job.abandoned {
 		a.host.balancer.Done(b.time(), e.job.request.Replica, b.now-e.job.sentAt, e.reply.Err)
 	}
--- a/internal/query/querybench/case.go
+++ b/internal/query/querybench/case.go
@@ -80,4 +80,5 @@
 	slowFactor    = 5.0
 	defaultHosts  = 11
 	hitsWanted    = 10
+	shedMemory    = 100 * time.Millisecond // a group is saturated for this time after a target shed
 )
--- a/internal/query/querybench/choosers.go
+++ b/internal/query/querybench/choosers.go
@@ -110,6 +110,24 @@
 func (omniscient) Sent(time.Time, query.Replica)                       {}
 func (omniscient) Done(time.Time, query.Replica, time.Duration, error) {}
 
+// sharedQueues picks the replica with the fewest sub-requests of all hosts
+// together. It shows what hosts that do not share their counts lose.
+type sharedQueues struct{ b *bench }
+
+func (c sharedQueues) Pick(_ time.Time, candidates []query.Replica, _ string) (int, bool) {
+	best, least := 0, 0
+	for i := range candidates {
+		s := c.b.searchers[searcherIndex(&candidates[i])]
+		if n := len(s.running) + len(s.waiting) + len(s.inbound); i == 0 || n < least {
+			best, least = i, n
+		}
+	}
+	return best, len(candidates) > 0
+}
+
+func (sharedQueues) Sent(time.Time, query.Replica)                       {}
+func (sharedQueues) Done(time.Time, query.Replica, time.Duration, error) {}
+
 func searcherIndex(r *query.Replica) int {
 	k, err := strconv.Atoi(r.Searcher)
 	if err != nil {
--- a/internal/query/queryrun/queryrun.go
+++ b/internal/query/queryrun/queryrun.go
@@ -79,6 +79,9 @@
 	policy := group.Policy(now)
 	policy.Rand = rand.New(rand.NewPCG(d.cfg.Seed, d.queries.Add(1)))
 	catalog, changed := d.cfg.Catalogs.Catalog(q.Group)
+	if catalog != nil && len(catalog.Snapshots) > 0 {
+		group.SetShards(len(catalog.Snapshots[0].Layout))
+	}
 	// The context of sub-requests outlives the caller's end, so that the run
 	// decides what to cancel, and ends when Do returns.
 	subCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
