Let an empty member ask again for a lost append

Cause: a leader probes a new learner with one append and repeats it when the follower answers a heartbeat. An empty node answered none, so a lost append left the learner without data for good. Change: an empty node answers heartbeats with round 0, which confirms nothing. The property test now demands progress and that every member catches up, checks each election against the leases of other leaders, and counts voter sets in messages as in use; single refused proposals after the faults are allowed, since a write that met a full disk is retried once a second. Bytes of proposals in flight are bounded too.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -123,6 +123,9 @@
 		n.onSeed(m, b)
 	case Append:
 		n.replyEmpty(m, AppendReply{Rejected: true, PrevIndex: b.PrevIndex})
+	case Heartbeat:
+		// Round 0 confirms nothing, but makes the leader repeat a lost append.
+		n.replyEmpty(m, HeartbeatReply{})
 	case InstallSnapshot:
 		n.joinBySnapshot(m, b)
 	}
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -78,10 +77,29 @@
 		},
 	})
 	s.recover()
+	s.checkProgress()
+}
+
+// checkProgress guards against a cluster that elects a leader and then takes
+// no proposal, and against members that are never caught up. Single proposals
+// may be refused, for example until a write that found a full disk is retried.
+func (s *sim) checkProgress() {
 	before := s.lastCommit
-	s.propose(s.leader())
-	s.run(5 * time.Second)
-	require.Greater(t, s.lastCommit, before, "no progress after all faults ended")
+	for range 20 {
+		if l := s.leader(); l != nil {
+			s.propose(l)
+		}
+		s.run(time.Second)
+	}
+	if s.lastCommit == before {
+		s.fatalf("no progress after all faults ended%s", s.states())
+	}
+	set := s.leader().node.voters()
+	for _, h := range s.hosts {
+		if _, member := set.member(h.self.Identity); member && h.applied < s.lastCommit {
+			s.fatalf("%s has applied %d of %d%s", h.self.Identity, h.applied, s.lastCommit, s.states())
+		}
+	}
 }
 
 // recover ends all faults and waits for a leader, as every voter set in use
@@ -99,9 +117,13 @@
 			return
 		}
 	}
+	s.fatalf("no leader 60 s after all faults ended%s", s.states())
+}
+
+func (s *sim) states() string {
 	states := ""
 	for _, h := range s.hosts {
 		states += fmt.Sprintf("\n%+v", h.node.Status())
 	}
-	s.fatalf("no leader 60 s after all faults ended:%s", states)
+	return states
 }
--- a/internal/consensus/invariants_test.go
+++ b/internal/consensus/invariants_test.go
@@ -9,6 +9,7 @@
 		s.fatalf("term %d has two leaders: %s and %s", term, other, h.self.Identity)
 	}
 	s.leaders[term] = h.self.Identity
+	s.checkLeases(h)
 	for index, id := range s.committed {
 		if index > h.node.log.base && !h.node.log.matches(index, id.term) {
 			s.fatalf("leader %s of term %d lacks committed entry %d of term %d", h.self.Identity, term, index, id.term)
@@ -16,6 +17,21 @@
 	}
 }
 
+// checkLeases guards against a leader that is elected while another one may
+// still answer reads from its lease.
+func (s *sim) checkLeases(elected *simHost) {
+	for _, h := range s.hosts {
+		if h == elected || h.node == nil || h.node.role != Leader || h.node.leading.leaseGiven {
+			continue
+		}
+		expiry := h.node.leaseFrom().Add(simElectionTimeout - simClockDrift)
+		if h.clock(s.now).Before(expiry) {
+			s.fatalf("%s is elected while %s holds a lease for %v", elected.self.Identity, h.self.Identity,
+				expiry.Sub(h.clock(s.now)))
+		}
+	}
+}
+
 // checkLog guards against two logs that hold the same entry after different
 // ones.
 func (s *sim) checkLog(h *simHost) {
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -10,6 +10,7 @@
 type leaderState struct {
 	since       time.Time
 	termStart   uint64 // index of the no-op of this term
+	inFlight    int    // bytes of data appended and not committed
 	progress    map[Identity]*progress
 	heartbeatAt time.Time
 
@@ -28,6 +29,9 @@
 	n.leader = n.opts.Self
 	n.votes = nil
 	n.leading = leaderState{since: n.now, progress: map[Identity]*progress{}, announced: n.hard.Commit}
+	for _, e := range n.log.between(n.hard.Commit, n.log.lastIndex()) {
+		n.leading.inFlight += len(e.Data)
+	}
 	n.setRole(Leader, ReasonElected)
 	n.syncProgress()
 	n.leading.termStart = n.appendEntry(Entry{Kind: EntryNoOp})
@@ -83,6 +87,9 @@
 	case inFlight >= uint64(n.opts.MaxProposalsInFlight):
 		return verdict.New(verdict.NotRun, CodeTooManyProposals,
 			"%d proposals are in flight", inFlight).WithRetryAfter(n.opts.HeartbeatInterval)
+	case n.leading.inFlight > 0 && n.leading.inFlight+size > n.opts.MaxInFlightBytes:
+		return verdict.New(verdict.NotRun, CodeTooManyProposals,
+			"%d bytes of proposals are in flight", n.leading.inFlight).WithRetryAfter(n.opts.HeartbeatInterval)
 	}
 	return nil
 }
@@ -98,6 +105,7 @@
 	e.Index = n.log.lastIndex() + 1
 	e.Term = n.hard.Term
 	n.log.append(e)
+	n.leading.inFlight += len(e.Data)
 	n.noteVoters(e)
 	if e.Kind == EntryVoters {
 		n.syncProgress()
--- /dev/null
+++ b/internal/consensus/node_test.go
@@ -0,0 +1,266 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+func quietSim(t *testing.T, voters int) *sim {
+	s := newSim(t.Fatalf, 1, voters)
+	s.recover()
+	return s
+}
+
+// Guards against a cluster that does not start, loses its place after a
+// restart of all hosts, or starts twice.
+func TestBootstrap(t *testing.T) {
+	for _, voters := range []int{1, 3, 5} {
+		s := quietSim(t, voters)
+		require.Len(t, s.leader().node.voters().Voters, voters)
+		s.propose(s.leader())
+		s.run(time.Second)
+		cluster, committed := s.leader().node.hard.Cluster, s.lastCommit
+		for _, h := range s.hosts {
+			s.crash(h)
+		}
+		s.recover()
+		require.Equal(t, cluster, s.leader().node.hard.Cluster)
+		require.Greater(t, s.lastCommit, committed)
+	}
+}
+
+// Guards against initial voters that found a cluster without hearing from all
+// of them, which could be a second one.
+func TestBootstrapNeedsAllInitialVoters(t *testing.T) {
+	s := newSim(t.Fatalf, 1, 3)
+	s.crash(s.hosts[2])
+	s.run(10 * time.Second)
+	for _, h := range s.hosts[:2] {
+		require.True(t, h.node.empty())
+	}
+	s.recover()
+}
+
+// Guards against a lost disk whose host votes on under its name, a founder
+// that founds a second cluster, and a replacement that does not complete.
+func TestLostDiskRejoinsAsLearner(t *testing.T) {
+	for _, lost := range []int{0, 1, 2} {
+		s := quietSim(t, 3)
+		cluster := s.leader().node.hard.Cluster
+		h := s.hosts[lost]
+		old := h.self.Identity
+		s.loseDisk(h)
+		s.recover()
+		s.run(5 * time.Second)
+		set := s.leader().node.voters()
+		require.True(t, set.IsVoter(old))
+		require.True(t, set.IsLearner(h.self.Identity))
+		require.Equal(t, cluster, h.node.hard.Cluster)
+		for range 3 {
+			s.replaceLostVoter()
+			s.run(time.Second)
+		}
+		set = s.leader().node.voters()
+		require.False(t, set.IsVoter(old))
+		require.True(t, set.IsVoter(h.self.Identity))
+	}
+}
+
+// Guards against a laggard that is never caught up by a snapshot in chunks.
+func TestSnapshotReachesLaggard(t *testing.T) {
+	s := quietSim(t, 3)
+	laggard := s.hosts[2]
+	if laggard == s.leader() {
+		laggard = s.hosts[1]
+	}
+	s.crash(laggard)
+	for range 20 {
+		s.propose(s.leader())
+	}
+	s.run(time.Second)
+	s.compact(s.leader())
+	s.run(time.Second)
+	s.start(laggard)
+	s.run(3 * time.Second)
+	require.Equal(t, s.lastCommit, laggard.applied)
+	require.Equal(t, s.leader().node.snapshot.Index, laggard.node.snapshot.Index)
+}
+
+// Guards against a partitioned leader that keeps its lease, and reads that it
+// still answers.
+func TestPartitionedLeaderStepsDown(t *testing.T) {
+	s := quietSim(t, 3)
+	s.run(time.Second)
+	old := s.leader()
+	require.True(t, old.node.leaseHeld())
+	for _, h := range s.hosts {
+		s.blocked[[2]string{old.self.Name, h.self.Name}] = true
+		s.blocked[[2]string{h.self.Name, old.self.Name}] = true
+	}
+	s.read(old, false)
+	s.run(simElectionTimeout)
+	require.NotEqual(t, Leader, old.node.role)
+	s.run(5 * time.Second)
+	require.NotNil(t, s.leader())
+	require.NotEqual(t, old, s.leader())
+	require.Empty(t, s.reads)
+}
+
+// Guards against a pause during which the lease ended: the first step after
+// it must not act as leader.
+func TestPausedLeaderStepsDownBeforeItActs(t *testing.T) {
+	s := quietSim(t, 3)
+	s.run(time.Second)
+	l := s.leader()
+	s.now += 2 * simElectionTimeout
+	effects := l.node.Step(l.clock(s.now), ReadIndex{ID: "r", AllowLease: true})
+	for _, e := range effects {
+		_, answered := e.(ReadReady)
+		require.False(t, answered)
+	}
+	require.Equal(t, Follower, l.node.role)
+}
+
+// Guards against a lease that serves reads after TimeoutNow was sent, when the
+// next leader may be elected at any time.
+func TestTransferEndsLease(t *testing.T) {
+	s := quietSim(t, 3)
+	s.run(time.Second)
+	l := s.leader()
+	s.step(l, TransferLeadership{ID: "t"})
+	require.False(t, l.node.leaseHeld())
+	s.run(time.Second)
+	require.NotEqual(t, l, s.leader())
+	require.Equal(t, l.node.leader.Identity, s.leader().self.Identity)
+}
+
+// Guards against reads that are answered only by one of the two ways.
+func TestReadsByLeaseAndByQuorum(t *testing.T) {
+	for _, voters := range []int{1, 3} {
+		s := quietSim(t, voters)
+		s.run(time.Second)
+		for range 5 {
+			s.read(s.leader(), true)
+			s.read(s.leader(), false)
+		}
+		s.run(time.Second)
+		require.Equal(t, map[bool]int{true: 5, false: 5}, s.reads)
+	}
+}
+
+// Guards against a read that is confirmed by a heartbeat sent before it, when
+// another leader may have committed in between.
+func TestReadNeedsALaterHeartbeat(t *testing.T) {
+	s := quietSim(t, 3)
+	s.run(time.Second)
+	l := s.leader()
+	now := l.clock(s.now)
+	l.node.broadcastHeartbeat()
+	round := l.node.leading.round
+	l.node.Step(now, ReadIndex{ID: "r"})
+	answered := func(round uint64) bool {
+		from := l.node.otherVoters()[0]
+		effects := l.node.Step(now, MessageReceived{Message: Message{
+			From: from, To: l.self.Identity, Cluster: l.node.hard.Cluster, Term: l.node.hard.Term,
+			Body: HeartbeatReply{Round: round},
+		}})
+		for _, e := range effects {
+			if _, ok := e.(ReadReady); ok {
+				return true
+			}
+		}
+		return false
+	}
+	require.False(t, answered(round))
+	require.True(t, answered(round+1))
+}
+
+// Guards against a restarted voter that helps another leader while the lease
+// that it confirmed before the restart is still held.
+func TestRestartedVoterKeepsItsPromise(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t.Fatalf, seed, 3)
+		s.recover()
+		s.run(time.Second)
+		l := s.leader()
+		var others []*simHost
+		for _, h := range s.hosts {
+			if h != l {
+				others = append(others, h)
+			}
+		}
+		s.blocked[[2]string{l.self.Name, others[0].self.Name}] = true
+		s.run(3 * simElectionTimeout) // others[0] asks for votes, others[1] refuses
+		require.Equal(t, l, s.leader())
+		s.crash(others[1])
+		s.start(others[1])
+		s.blocked[[2]string{l.self.Name, others[1].self.Name}] = true
+		s.run(3 * simElectionTimeout) // checkLeases examines the election
+		require.NotEqual(t, l, s.leader())
+	}
+}
+
+// Guards against unbounded proposals in flight, and refusals that do not say
+// "not run".
+func TestProposalsInFlightAreBounded(t *testing.T) {
+	s := quietSim(t, 3)
+	l := s.leader()
+	for _, h := range s.hosts {
+		h.disk.full = h != l // keeps entries from being committed
+	}
+	s.propose(l)
+	s.run(500 * time.Millisecond)
+	var refused *verdict.Error
+	for i := 0; refused == nil; i++ {
+		require.Less(t, i, 100)
+		for _, e := range l.node.Step(l.clock(s.now), Propose{ID: "p", Data: []byte("x")}) {
+			if r, ok := e.(ProposalRefused); ok {
+				refused = r.Err
+			}
+		}
+	}
+	require.Equal(t, CodeTooManyProposals, refused.Code)
+	require.Equal(t, verdict.NotRun, refused.Verdict)
+}
+
+// Guards against a leader with a full disk that keeps leadership although
+// another voter can accept proposals.
+func TestLeaderWithFullDiskHandsOver(t *testing.T) {
+	s := quietSim(t, 3)
+	s.run(time.Second)
+	old := s.leader()
+	old.disk.full = true
+	s.propose(old)
+	s.run(2 * time.Second)
+	require.NotEqual(t, old, s.leader())
+	before := s.lastCommit
+	s.propose(s.leader())
+	s.run(time.Second)
+	require.Greater(t, s.lastCommit, before)
+	old.disk.full = false
+	s.run(3 * time.Second)
+	require.False(t, old.node.storage.full)
+	require.Equal(t, s.lastCommit, old.applied)
+}
+
+// Guards against settings under which two leaders could hold a lease.
+func TestOptionsAreValidated(t *testing.T) {
+	valid := Options{Self: Member{Identity: "i", Name: "a"}, Rand: rand.New(rand.NewPCG(1, 1))}
+	require.NoError(t, valid.Validate())
+	for name, change := range map[string]func(*Options){
+		"identity": func(o *Options) { o.Self.Identity = "" },
+		"drift":    func(o *Options) { o.MaxClockDrift = o.ElectionTimeout },
+		"even":     func(o *Options) { o.Initial = []Member{{Name: "a"}, {Name: "b"}} },
+		"twice":    func(o *Options) { o.Initial = []Member{{Name: "a"}, {Name: "a"}, {Name: "b"}} },
+		"rand":     func(o *Options) { o.Rand = nil },
+	} {
+		o := valid.withDefaults()
+		change(&o)
+		require.Error(t, o.Validate(), name)
+	}
+}
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -26,6 +26,7 @@
 	MaxAppendsInFlight   int // per follower
 	MaxProposalBytes     int
 	MaxProposalsInFlight int // appended and not committed
+	MaxInFlightBytes     int // data appended and not committed
 	MaxPersistsInFlight  int // emitted and not reported durable
 	MaxReadsInFlight     int
 	SnapshotChunkBytes   int
@@ -47,6 +48,7 @@
 	DefaultMaxAppendsInFlight   = 16
 	DefaultMaxProposalBytes     = 1 << 20
 	DefaultMaxProposalsInFlight = 1024
+	DefaultMaxInFlightBytes     = 32 << 20
 	DefaultMaxPersistsInFlight  = 64
 	DefaultMaxReadsInFlight     = 4096
 	DefaultSnapshotChunkBytes   = 512 << 10
@@ -70,6 +72,7 @@
 	setDefault(&o.MaxAppendsInFlight, DefaultMaxAppendsInFlight)
 	setDefault(&o.MaxProposalBytes, DefaultMaxProposalBytes)
 	setDefault(&o.MaxProposalsInFlight, DefaultMaxProposalsInFlight)
+	setDefault(&o.MaxInFlightBytes, DefaultMaxInFlightBytes)
 	setDefault(&o.MaxPersistsInFlight, DefaultMaxPersistsInFlight)
 	setDefault(&o.MaxReadsInFlight, DefaultMaxReadsInFlight)
 	setDefault(&o.SnapshotChunkBytes, DefaultSnapshotChunkBytes)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -200,5 +200,8 @@
 	if index <= n.hard.Commit || index < n.leading.termStart {
 		return
 	}
+	for _, e := range n.log.between(n.hard.Commit, index) {
+		n.leading.inFlight -= len(e.Data)
+	}
 	n.hard.Commit = index
 }
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -340,12 +340,19 @@
 }
 
 // mayLoseDisk reports whether every voter set in use keeps a majority of its
-// disks when h loses its own. The protocol promises nothing beyond that.
+// disks when h loses its own. The protocol promises nothing beyond that. A set
+// is also in use while a message carries it to a host where it may survive
+// its leader.
 func (s *sim) mayLoseDisk(h *simHost) bool {
 	present := map[Identity]bool{}
 	for _, o := range s.hosts {
 		present[o.self.Identity] = o != h
 	}
+	for _, set := range s.setsInFlight() {
+		if !keepsMajority(set, present) {
+			return false
+		}
+	}
 	for _, o := range s.hosts {
 		sets := []VoterSet{}
 		if o.disk.durable.Snapshot != nil {
@@ -362,32 +369,46 @@
 		if len(sets) == 0 {
 			return false
 		}
-		last := sets[len(sets)-1]
-		kept := 0
-		for _, m := range last.Voters {
-			if present[m.Identity] {
-				kept++
-			}
-		}
-		if kept < last.Quorum() {
+		if !keepsMajority(sets[len(sets)-1], present) {
 			return false
 		}
 	}
 	return true
 }
 
+func keepsMajority(set VoterSet, present map[Identity]bool) bool {
+	kept := 0
+	for _, m := range set.Voters {
+		if present[m.Identity] {
+			kept++
+		}
+	}
+	return kept >= set.Quorum()
+}
+
+// setsInFlight returns the uncommitted voter sets in messages.
+func (s *sim) setsInFlight() []VoterSet {
+	var sets []VoterSet
+	for _, m := range s.network {
+		a, _ := m.message.Body.(Append)
+		for _, e := range a.Entries {
+			if e.Voters != nil && e.Index > s.lastCommit {
+				sets = append(sets, *e.Voters)
+			}
+		}
+	}
+	return sets
+}
+
 // mayRemove reports whether the voters that remain after a removal keep a
 // majority of their disks. An operator who removes an intact voter while
 // others are lost ends the cluster, which the leader cannot know.
 func (s *sim) mayRemove(leader *simHost, id Identity) bool {
-	set := leader.node.voters().without(id)
-	kept := 0
+	present := map[Identity]bool{}
 	for _, h := range s.hosts {
-		if set.IsVoter(h.self.Identity) {
-			kept++
-		}
+		present[h.self.Identity] = true
 	}
-	return kept >= set.Quorum()
+	return keepsMajority(leader.node.voters().without(id), present)
 }
 
 // replaceLostVoter does what an operator does after a disk was lost: remove
