Check elections against leases by each clock, and votes by the voter set

Change: the check of votes uses the set in force when the candidate campaigned; each election is compared with every other leader's lease on that leader's own clock; a directed test runs a slow leader against fast voters.

--- a/internal/consensus/invariants_test.go
+++ b/internal/consensus/invariants_test.go
@@ -21,13 +21,14 @@
 // still answer reads from its lease.
 func (s *sim) checkLeases(elected *simHost) {
 	for _, h := range s.hosts {
-		if h == elected || h.node == nil || h.node.role != Leader || h.node.leading.leaseGiven {
+		if h == elected || h.node == nil || h.node.role != Leader {
 			continue
 		}
-		expiry := h.node.leaseFrom().Add(simElectionTimeout - simClockDrift)
-		if h.clock(s.now).Before(expiry) {
+		other := *h.node
+		other.now = h.clock(s.now)
+		if other.leaseHeld() && other.now.Before(other.leaseExpiry()) {
 			s.fatalf("%s is elected while %s holds a lease for %v", elected.self.Identity, h.self.Identity,
-				expiry.Sub(h.clock(s.now)))
+				other.leaseExpiry().Sub(other.now))
 		}
 	}
 }
@@ -56,22 +57,27 @@
 	}
 }
 
-// checkSend guards against a node that campaigns although its identity is no
-// voter, or votes although neither its own voter set nor the candidate's has
-// its identity. The second set counts because a promotion may reach the
-// candidate before it reaches the learner.
-func (s *sim) checkSend(h *simHost, e Send) {
-	elects := false
-	switch b := e.Message.Body.(type) {
-	case PreVote, Vote:
-		elects = true
-	case VoteReply:
-		candidate := s.host(e.To.Name).node
-		named := candidate != nil && candidate.self() == e.To.Identity && candidate.voters().IsVoter(h.self.Identity)
-		elects = b.Granted && !named && candidate != nil
+// checkCandidate guards against a node that campaigns although its identity is
+// no voter.
+func (s *sim) checkCandidate(h *simHost, term uint64) {
+	set := h.node.voters().Clone()
+	if !set.IsVoter(h.self.Identity) {
+		s.fatalf("%s campaigns in term %d and is no voter of %v", h.self.Identity, term, set)
 	}
-	if elects && e.Message.Term == h.node.hard.Term && !h.node.voters().IsVoter(h.self.Identity) {
-		s.fatalf("%s is no voter and sends %T", h.self.Identity, e.Message.Body)
+	s.campaigns[campaign{h.self.Identity, term}] = set
+}
+
+// checkVote guards against a node that votes although neither its own voter
+// set nor that of the campaign has its identity. The second set counts because
+// a promotion may reach the candidate before it reaches the learner.
+func (s *sim) checkVote(h *simHost) {
+	vote := h.node.hard.Vote
+	if vote == "" || vote == h.self.Identity {
+		return
+	}
+	set := s.campaigns[campaign{vote, h.node.hard.Term}]
+	if !h.node.voters().IsVoter(h.self.Identity) && !set.IsVoter(h.self.Identity) {
+		s.fatalf("%s votes for %s in term %d and is no voter", h.self.Identity, vote, h.node.hard.Term)
 	}
 }
 
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -55,6 +55,12 @@
 	return values[voters.Quorum()-1]
 }
 
+// leaseDuration is how long after its sending a confirmed heartbeat round
+// keeps other leaders out, by the slowest clock within the drift bound.
+func (n *Node) leaseDuration() time.Duration {
+	return n.opts.ElectionTimeout - n.opts.MaxClockDrift
+}
+
 // leaseExpiry returns the end of the lease. Until the first confirmed round
 // it counts from the election, which serves the step-down only: leaseHeld
 // demands a confirmed round.
@@ -63,7 +69,7 @@
 	if from.Before(n.leading.since) {
 		from = n.leading.since
 	}
-	return from.Add(n.opts.ElectionTimeout - n.opts.MaxClockDrift)
+	return from.Add(n.leaseDuration())
 }
 
 func (n *Node) leaseFrom() time.Time {
@@ -76,7 +82,7 @@
 		return false
 	}
 	from := n.leaseFrom()
-	return !from.IsZero() && n.now.Before(from.Add(n.opts.ElectionTimeout-n.opts.MaxClockDrift))
+	return !from.IsZero() && n.now.Before(from.Add(n.leaseDuration()))
 }
 
 // checkLease runs before every event, so that a leader that was paused steps
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -205,6 +205,27 @@
 	}
 }
 
+// Guards against a lease that is not shortened by the clock drift: a slow
+// leader would hold it after faster voters have elected another one.
+func TestLeaseAllowsForClockDrift(t *testing.T) {
+	for seed := range uint64(200) {
+		s := newSim(t.Fatalf, seed, 3)
+		s.maxDelay, s.maxSync = 1, 1
+		s.recover()
+		l := s.leader()
+		for _, h := range s.hosts {
+			h.rate = 1 + 0.45*float64(simClockDrift)/float64(simElectionTimeout)
+		}
+		l.rate = 1 - 0.45*float64(simClockDrift)/float64(simElectionTimeout)
+		s.run(time.Second)
+		for _, h := range s.hosts {
+			s.blocked[[2]string{l.self.Name, h.self.Name}] = true
+		}
+		s.run(3 * simElectionTimeout) // checkLeases examines the election
+		require.NotEqual(t, l, s.leader())
+	}
+}
+
 // Guards against unbounded proposals in flight, and refusals that do not say
 // "not run".
 func TestProposalsInFlightAreBounded(t *testing.T) {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -74,22 +74,29 @@
 
 type entryID struct{ index, term uint64 }
 
+type campaign struct {
+	candidate Identity
+	term      uint64
+}
+
 // sim is a cluster on virtual time with a faulty network, and the invariants
 // that must hold after every step.
 type sim struct {
-	fatalf  func(format string, args ...any)
-	rnd     *rand.Rand
-	now     time.Duration
-	initial []Member
-	hosts   []*simHost
-	network []simMessage
-	blocked map[[2]string]bool
-	loss    float64
-	disks   map[Identity]*simDisk // every disk that ever existed
+	fatalf            func(format string, args ...any)
+	rnd               *rand.Rand
+	now               time.Duration
+	initial           []Member
+	hosts             []*simHost
+	network           []simMessage
+	blocked           map[[2]string]bool
+	loss              float64
+	maxDelay, maxSync time.Duration
+	disks             map[Identity]*simDisk // every disk that ever existed
 
 	nextID     int
 	leaders    map[uint64]Identity
-	seen       map[entryID]string // entry content and the term before it
+	campaigns  map[campaign]VoterSet // set in force at the candidate
+	seen       map[entryID]string    // entry content and the term before it
 	committed  map[uint64]entryID
 	lastCommit uint64
 	readFloor  map[string]uint64
@@ -105,8 +112,8 @@
 
 func newSim(fatalf func(string, ...any), seed uint64, voters int) *sim {
 	s := &sim{
-		fatalf: fatalf, rnd: rand.New(rand.NewPCG(seed, 7)), blocked: map[[2]string]bool{},
-		disks: map[Identity]*simDisk{}, leaders: map[uint64]Identity{}, seen: map[entryID]string{},
+		fatalf: fatalf, maxDelay: 10 * time.Millisecond, maxSync: 30 * time.Millisecond, rnd: rand.New(rand.NewPCG(seed, 7)), blocked: map[[2]string]bool{},
+		disks: map[Identity]*simDisk{}, leaders: map[uint64]Identity{}, campaigns: map[campaign]VoterSet{}, seen: map[entryID]string{},
 		committed: map[uint64]entryID{}, readFloor: map[string]uint64{}, reads: map[bool]int{}, values: map[string]bool{},
 	}
 	for i := range voters {
@@ -187,16 +194,19 @@
 	if h.node == nil {
 		return
 	}
+	vote := h.node.hard.Vote
 	for _, e := range h.node.Step(h.clock(s.now), ev) {
 		s.execute(h, e)
 	}
+	if h.node.hard.Vote != vote {
+		s.checkVote(h)
+	}
 	s.checkLog(h)
 }
 
 func (s *sim) execute(h *simHost, e Effect) {
 	switch e := e.(type) {
 	case Send:
-		s.checkSend(h, e)
 		s.transmit(h, e)
 	case Persist:
 		s.submit(h, e)
@@ -205,8 +215,11 @@
 	case RestoreSnapshot:
 		s.checkRestore(h, e.Snapshot)
 	case RoleChanged:
-		if e.Role == Leader {
+		switch e.Role {
+		case Leader:
 			s.checkLeader(h, e.Term)
+		case Candidate, PreCandidate:
+			s.checkCandidate(h, e.Term)
 		}
 	case ReadReady:
 		s.checkRead(h, e)
@@ -227,7 +240,7 @@
 		return
 	}
 	d.refused = 0
-	d.pending = append(d.pending, pendingWrite{p, s.now + time.Duration(s.rnd.Int64N(int64(30*time.Millisecond)))})
+	d.pending = append(d.pending, pendingWrite{p, s.now + time.Duration(s.rnd.Int64N(int64(s.maxSync)))})
 }
 
 // sync completes the writes that are due, in order.
@@ -254,7 +267,7 @@
 		copies = 2
 	}
 	for range copies {
-		delay := time.Duration(s.rnd.Int64N(int64(10 * time.Millisecond)))
+		delay := time.Duration(s.rnd.Int64N(int64(s.maxDelay)))
 		if s.rnd.Float64() < s.loss {
 			delay += time.Duration(s.rnd.Int64N(int64(3 * time.Second)))
 		}
