--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -102,7 +102,11 @@
 	if !n.empty() || m.To != n.self() {
 		return
 	}
-	if !r.Empty || !slices.Equal(r.Names, initialNames(n.opts.Initial)) {
+	same := slices.Equal(r.Names, initialNames(n.opts.Initial))
+	if r.Empty && !same {
+		n.emit(InitialVotersDiffer{Member: r.Member})
+	}
+	if !r.Empty || !same {
 		n.joining.empty = nil
 		return
 	}
--- a/internal/consensus/effects.go
+++ b/internal/consensus/effects.go
@@ -158,21 +158,26 @@
 	Voters VoterSet
 }
 
+// InitialVotersDiffer reports that another empty host has a different list of
+// initial voters, which keeps the cluster from being founded.
+type InitialVotersDiffer struct{ Member Member }
+
 // StorageFull reports that the journal began or ceased to refuse writes.
 type StorageFull struct{ Full bool }
 
-func (Send) isEffect()             {}
-func (Persist) isEffect()          {}
-func (Apply) isEffect()            {}
-func (RestoreSnapshot) isEffect()  {}
-func (ProposalAppended) isEffect() {}
-func (ProposalRefused) isEffect()  {}
-func (TransferEnded) isEffect()    {}
-func (ReadReady) isEffect()        {}
-func (ReadRefused) isEffect()      {}
-func (RoleChanged) isEffect()      {}
-func (VotersChanged) isEffect()    {}
-func (StorageFull) isEffect()      {}
+func (Send) isEffect()                {}
+func (Persist) isEffect()             {}
+func (Apply) isEffect()               {}
+func (RestoreSnapshot) isEffect()     {}
+func (ProposalAppended) isEffect()    {}
+func (ProposalRefused) isEffect()     {}
+func (TransferEnded) isEffect()       {}
+func (ReadReady) isEffect()           {}
+func (ReadRefused) isEffect()         {}
+func (RoleChanged) isEffect()         {}
+func (VotersChanged) isEffect()       {}
+func (InitialVotersDiffer) isEffect() {}
+func (StorageFull) isEffect()         {}
 
 // Role is the part a node plays in its term.
 type Role uint8
--- a/internal/consensus/events.go
+++ b/internal/consensus/events.go
@@ -26,6 +26,9 @@
 	EventStorageRecovered = eventlog.Define(4005, zerolog.InfoLevel, "consensus resumed writing",
 		"The data directory has space again.",
 		"None.")
+	EventInitialVotersDiffer = eventlog.Define(4006, zerolog.WarnLevel, "hosts have different lists of initial voters",
+		"The settings of two empty hosts name different initial voters, so no cluster is founded.",
+		"Give all voters the same list of initial voters and start them again.")
 )
 
 // LogEffect writes the log event that belongs to an effect, if it has one.
@@ -44,6 +47,8 @@
 	case RestoreSnapshot:
 		log.Log(EventSnapshotRestored).Uint64("index", e.Snapshot.Index).
 			Int("bytes", len(e.Snapshot.Data)).Send()
+	case InitialVotersDiffer:
+		log.Log(EventInitialVotersDiffer).Str("other", e.Member.Name).Send()
 	case StorageFull:
 		event := EventStorageRecovered
 		if e.Full {
--- a/internal/journal/errors.go
+++ b/internal/journal/errors.go
@@ -10,7 +10,7 @@
 const (
 	CodeStorageFull verdict.Code = "storage_full"
 	CodeQueueFull   verdict.Code = "journal_queue_full"
-	CodeFailed      verdict.Code = "journal_failed"
+	CodeOutOfOrder  verdict.Code = "journal_out_of_order"
 )
 
 // CorruptError says where the durable state is damaged. Open returns it.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -13,9 +13,8 @@
 // Completion reports the outcome of one request.
 //
 // Without Err the change is durable. An error with verdict.NotRun says that
-// nothing was written; every later request is then refused until the first
-// refused one is submitted again. A *FatalError says that the process must
-// end.
+// nothing was written; every later request is then refused until this one was
+// submitted again. A *FatalError says that the process must end.
 type Completion struct {
 	Seq uint64
 	Err error
@@ -42,7 +41,7 @@
 	batch    uint64 // number of the last record
 	state    change // hard state and snapshot position, without entries
 	lastSeq  uint64 // last durable request
-	refused  uint64 // first request refused for lack of space, or 0
+	noSpace  bool   // the latest write was refused for lack of space
 	fatal    *FatalError
 	closeErr error
 	buf      []byte
@@ -55,8 +54,9 @@
 	}
 }
 
-// Submit queues a request and returns at once. Requests must have rising
-// sequence numbers; a refused one is submitted again under its old number.
+// Submit queues a request and returns at once. Sequence numbers start at 1
+// after Open and rise by one. A request that Submit or its completion refused
+// is submitted again under its old number, and so are those after it.
 func (j *Journal) Submit(p consensus.Persist) error {
 	j.closing.RLock()
 	defer j.closing.RUnlock()
@@ -163,8 +163,8 @@
 	if first.Seq <= j.lastSeq {
 		return 1, nil // submitted again after it had succeeded
 	}
-	if j.refused != 0 && first.Seq > j.refused {
-		return 0, j.full(first.Seq, errors.New("an earlier write was refused"))
+	if first.Seq > j.lastSeq+1 {
+		return 0, verdict.New(verdict.NotRun, CodeOutOfOrder, "journal: request %d came before request %d", first.Seq, j.lastSeq+1)
 	}
 	n, err := j.writeBatch(batch)
 	switch {
@@ -172,7 +172,7 @@
 		j.written()
 		return n, nil
 	case noSpace(err):
-		return 0, j.full(first.Seq, err)
+		return 0, j.full(err)
 	default:
 		return 0, j.fail("write", err)
 	}
@@ -187,8 +187,8 @@
 	r := record{batch: j.batch + 1}
 	var snapshot *consensus.Snapshot
 	for i, p := range batch {
-		repeated := i > 0 && p.Seq <= batch[i-1].Seq
-		if repeated || p.Snapshot != nil && len(r.changes) > 0 {
+		follows := i == 0 || p.Seq == batch[i-1].Seq+1
+		if !follows || p.Snapshot != nil && len(r.changes) > 0 {
 			break
 		}
 		r.changes = append(r.changes, changeOf(p))
@@ -279,9 +279,9 @@
 	return fatal
 }
 
-func (j *Journal) full(seq uint64, err error) error {
-	if j.refused == 0 {
-		j.refused = seq
+func (j *Journal) full(err error) error {
+	if !j.noSpace {
+		j.noSpace = true
 		j.opts.Log.Log(EventFull).Err(err).Send()
 	}
 	j.stats.refused.Add(1)
@@ -290,8 +290,8 @@
 
 // written notes that space has returned, if it was lacking.
 func (j *Journal) written() {
-	if j.refused != 0 {
-		j.refused = 0
+	if j.noSpace {
+		j.noSpace = false
 		j.opts.Log.Log(EventSpaceReturned).Send()
 	}
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -83,6 +84,15 @@
 	return nil
 }
 
+// renumbered returns requests as a restarted node numbers them.
+func renumbered(requests []consensus.Persist) []consensus.Persist {
+	out := slices.Clone(requests)
+	for i := range out {
+		out[i].Seq = uint64(i + 1)
+	}
+	return out
+}
+
 // write submits requests, up to burst at a time, and returns how many were
 // reported durable. It stops at the first error.
 func write(t *testing.T, j *Journal, done chan Completion, requests []consensus.Persist, burst int) (int, error) {
@@ -157,6 +167,15 @@
 	crashed := err != nil
 	msg := fmt.Sprintf("crash at operation %d", fs.crashAt)
 	after := fs.afterCrash(rnd)
+	for range rnd.IntN(3) { // crashes during recovery
+		after.crashAt = 1 + rnd.IntN(6)
+		if j, _, _, err := open(after, "d"); err == nil {
+			_ = j.Close()
+		} else {
+			require.ErrorIs(t, err, errCrashed, msg)
+		}
+		after = after.afterCrash(rnd)
+	}
 	j, r, done, err := open(after, "d")
 	require.NoError(t, err, msg)
 	if acked > 0 {
@@ -164,7 +183,7 @@
 	}
 	at := matchState(w, r.State, acked)
 	require.GreaterOrEqual(t, at, acked, msg)
-	_, err = write(t, j, done, w.requests[at:], burst)
+	_, err = write(t, j, done, renumbered(w.requests[at:]), burst)
 	require.NoError(t, err, msg)
 	require.NoError(t, j.Close())
 	j, r, _, err = open(after, "d")
@@ -331,3 +350,22 @@
 	close(block)
 	require.NoError(t, j.Close())
 }
+
+// Guards against segments that pile up over restarts without a change.
+func TestRestartsLeaveNoSegments(t *testing.T) {
+	fs := newMemFS()
+	w := newWorkload(rand.New(rand.NewPCG(1, 1)), 5)
+	j, _, done, err := open(fs, "d")
+	require.NoError(t, err)
+	_, err = write(t, j, done, w.requests, 1)
+	require.NoError(t, err)
+	require.NoError(t, j.Close())
+	for range 10 {
+		var r Recovered
+		j, r, _, err = open(fs, "d")
+		require.NoError(t, err)
+		requireState(t, w.states[len(w.states)-1], r.State)
+		require.NoError(t, j.Close())
+	}
+	require.LessOrEqual(t, len(fs.files), 5) // identity, snapshot, segments
+}
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -206,11 +206,13 @@
 	}
 	recovered.Bytes += int64(len(b))
 	s := segment{number: number}
+	batchBefore, records := j.batch, 0
 	end, problem, err := readSegment(b, number, func(offset int, rec record) error {
 		if j.batch != 0 && rec.batch != j.batch+1 {
 			return j.dir.corrupt(name, offset, "a record is missing")
 		}
 		j.batch = rec.batch
+		records++
 		for _, c := range rec.changes {
 			if problem := r.change(c); problem != "" {
 				return j.dir.corrupt(name, offset, problem)
@@ -223,6 +225,12 @@
 		return err
 	}
 	j.state = r.position()
+	if problem == "" && last && records == 1 && len(j.segments) > 0 {
+		// Only the repeated state: an earlier start wrote nothing. Segments of
+		// many restarts would otherwise pile up.
+		j.batch = batchBefore
+		return j.removeSegment(name)
+	}
 	if problem == "" {
 		j.segments = append(j.segments, s)
 		return nil
@@ -255,6 +263,10 @@
 	if len(j.segments) == 0 || len(b) > len(j.segmentStart(number, 0)) {
 		return j.dir.corrupt(name, 0, problem)
 	}
+	return j.removeSegment(name)
+}
+
+func (j *Journal) removeSegment(name string) error {
 	if err := j.dir.fs.Remove(j.dir.join(name)); err != nil {
 		return err
 	}
