--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -102,7 +102,11 @@
 	if !n.empty() || m.To != n.self() {
 		return
 	}
-	if !r.Empty || !slices.Equal(r.Names, initialNames(n.opts.Initial)) {
+	same := slices.Equal(r.Names, initialNames(n.opts.Initial))
+	if r.Empty && !same {
+		n.emit(InitialVotersDiffer{Member: r.Member})
+	}
+	if !r.Empty || !same {
 		n.joining.empty = nil
 		return
 	}
@@ -123,6 +127,9 @@
 		n.onSeed(m, b)
 	case Append:
 		n.replyEmpty(m, AppendReply{Rejected: true, PrevIndex: b.PrevIndex})
+	case Heartbeat:
+		// Round 0 confirms nothing, but makes the leader repeat a lost append.
+		n.replyEmpty(m, HeartbeatReply{})
 	case InstallSnapshot:
 		n.joinBySnapshot(m, b)
 	}
