Let the choices of one query see each other

Cause: a query chooses a replica for every shard before it sends the first sub-request, and a choice counted only when it was sent. The shards of a query met at the same searchers and queued there. Change: a choice takes the searcher's slot; the transport uses it; what a query did not send is given back.

--- a/internal/entry/entryrun/chooser.go
+++ b/internal/entry/entryrun/chooser.go
@@ -1,22 +1,29 @@
 package entryrun
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/balance"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 )
 
-// chooser lets the balancer of a group choose for one query. It belongs to
-// that query's goroutine.
+// chooser lets the balancer of a group choose for one query. A choice takes
+// the searcher's slot at once, because a query chooses for all its shards
+// before the first sub-request is sent: choices that did not count each other
+// would meet at the same searchers.
 type chooser struct {
 	group   *group
 	scratch []balance.Replica
 	avoid   [1]balance.Replica
+
+	mu       sync.Mutex
+	reserved map[balance.Key][]balance.Replica
 }
 
 // Pick implements query.Chooser.
-func (c *chooser) Pick(now time.Time, candidates []query.Replica, avoidDomain string) (int, bool) {
+func (c *chooser) Pick(_ time.Time, candidates []query.Replica, avoidDomain string) (int, bool) {
 	c.scratch = c.scratch[:0]
 	for _, r := range candidates {
 		c.scratch = append(c.scratch, balanceReplica(r))
@@ -26,10 +33,13 @@
 		c.avoid[0] = balance.Replica{FailureDomain: avoidDomain}
 		opts.Avoid = c.avoid[:]
 	}
-	picked, result := c.group.balancer.Choose(now, c.scratch, opts)
+	picked, result := c.group.balancer.TryAcquire(c.scratch, opts)
 	if result == balance.NoCandidate {
 		return 0, false
 	}
+	if result == balance.Picked {
+		c.reserve(picked)
+	}
 	for i := range c.scratch {
 		if c.scratch[i].Key == picked.Key {
 			return i, true
@@ -37,3 +47,36 @@
 	}
 	return 0, false
 }
+
+func (c *chooser) reserve(r balance.Replica) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reserved == nil {
+		c.reserved = make(map[balance.Key][]balance.Replica)
+	}
+	c.reserved[r.Key] = append(c.reserved[r.Key], r)
+}
+
+// acquire uses a reserved slot of the replica or waits for one.
+func (c *chooser) acquire(ctx context.Context, r balance.Replica) (balance.Replica, error) {
+	c.mu.Lock()
+	if held := c.reserved[r.Key]; len(held) > 0 {
+		c.reserved[r.Key] = held[:len(held)-1]
+		c.mu.Unlock()
+		return held[len(held)-1], nil
+	}
+	c.mu.Unlock()
+	return c.group.balancer.Acquire(ctx, []balance.Replica{r}, balance.PickOptions{})
+}
+
+// releaseUnused gives back the slots whose sub-requests were never sent.
+func (c *chooser) releaseUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, held := range c.reserved {
+		for _, r := range held {
+			c.group.balancer.Release(r, balance.Outcome{Kind: balance.Canceled})
+		}
+	}
+	c.reserved = nil
+}
--- a/internal/entry/entryrun/queries.go
+++ b/internal/entry/entryrun/queries.go
@@ -68,9 +68,11 @@
 		return "", nil, err
 	}
 	g := s.groups.get(target)
-	answer, err := s.driver.Do(withGroup(ctx, g), query.Query{
+	c := &chooser{group: g}
+	defer c.releaseUnused()
+	answer, err := s.driver.Do(withChooser(ctx, c), query.Query{
 		RequestID: q.RequestID, Group: target.Name, Terms: q.Terms, K: q.K, Deadline: deadline, MinCoverage: q.MinCoverage,
-	}, g.latencies, &chooser{group: g})
+	}, g.latencies, c)
 	leave(loadOf(ctx, answer, err))
 	return target.Name, answer, err
 }
--- a/internal/entry/entryrun/transport.go
+++ b/internal/entry/entryrun/transport.go
@@ -36,25 +36,25 @@
 	return &Transport{client: client, groups: groups}
 }
 
-// groupKey carries the group of a query to the transport.
-type groupKey struct{}
+// chooserKey carries the chooser of a query to the transport.
+type chooserKey struct{}
 
-func withGroup(ctx context.Context, g *group) context.Context {
-	return context.WithValue(ctx, groupKey{}, g)
+func withChooser(ctx context.Context, c *chooser) context.Context {
+	return context.WithValue(ctx, chooserKey{}, c)
 }
 
 // Search waits for a slot, sends one sub-request and returns its reply.
 func (t *Transport) Search(ctx context.Context, req query.SubRequest) query.Reply {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	g := ctx.Value(groupKey{}).(*group)
-	replica, err := g.balancer.Acquire(ctx, []balance.Replica{balanceReplica(req.Replica)}, balance.PickOptions{})
+	c := ctx.Value(chooserKey{}).(*chooser)
+	replica, err := c.acquire(ctx, balanceReplica(req.Replica))
 	if err != nil {
 		return query.Reply{Attempt: req.Attempt, Err: translate(err)}
 	}
 	start := time.Now()
 	reply, err := t.search(ctx, req)
-	g.balancer.Release(replica, balance.Outcome{Kind: outcomeOf(ctx, err), Latency: time.Since(start)})
+	c.group.balancer.Release(replica, balance.Outcome{Kind: outcomeOf(ctx, err), Latency: time.Since(start)})
 	if err != nil {
 		return query.Reply{Attempt: req.Attempt, Draining: verdict.CodeOf(err) == targethttp.CodeTargetDraining, Err: translate(err)}
 	}
