Test the election, commit, read and voter rules one by one

Cause: with the default 100 runs, the property test misses some single rules that it needs thousands of runs to show. Change: a table of vote rules, and tests of answers before the sync, commits of earlier terms, reads before the first commit of the term, heartbeat commits and voter changes.

--- /dev/null
+++ b/internal/consensus/rules_test.go
@@ -0,0 +1,163 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newVoter returns voter a of three in term 2, with one entry after the
+// bootstrap, one election timeout after its start.
+func newVoter(t *testing.T) (*Node, time.Time) {
+	set := VoterSet{}
+	for _, id := range []Identity{"a", "b", "c"} {
+		set.Voters = append(set.Voters, Member{Identity: id, Name: string(id), Address: string(id)})
+	}
+	n, err := New(Options{Self: set.Voters[0], Rand: rand.New(rand.NewPCG(1, 1))}, DurableState{
+		HardState: HardState{Cluster: "a", Term: 2},
+		Snapshot:  &Snapshot{Index: 1, Term: 1, Voters: set},
+		Entries:   []Entry{{Index: 2, Term: 2}},
+	})
+	require.NoError(t, err)
+	now := time.Unix(1, 0)
+	n.Step(now, Tick{})
+	return n, now.Add(DefaultElectionTimeout)
+}
+
+// answer delivers a message and returns the body of the answer, after
+// everything has been synced.
+func answer(n *Node, now time.Time, from Identity, term uint64, body Body) Body {
+	effects := n.Step(now, MessageReceived{Message: Message{
+		From: Member{Identity: from}, To: "a", Cluster: "a", Term: term, Body: body,
+	}})
+	effects = append(effects, n.Step(now, Persisted{Seq: n.storage.seq})...)
+	for _, e := range effects {
+		if s, ok := e.(Send); ok && s.To.Identity == from {
+			return s.Message.Body
+		}
+	}
+	return nil
+}
+
+// Guards against votes that could elect a leader without committed entries,
+// two leaders in one term, or a leader beside one that holds a lease.
+func TestVoteRules(t *testing.T) {
+	granted := VoteReply{Granted: true}
+	upToDate := Vote{LastIndex: 2, LastTerm: 2}
+
+	n, now := newVoter(t)
+	require.Equal(t, granted, answer(n, now, "b", 3, upToDate))
+	require.Equal(t, granted, answer(n, now, "b", 3, upToDate), "a repeated request")
+	require.Equal(t, VoteReply{}, answer(n, now, "c", 3, upToDate), "a second candidate")
+	require.Equal(t, VoteReply{}, answer(n, now, "c", 2, upToDate), "an old term")
+
+	n, now = newVoter(t)
+	require.Equal(t, VoteReply{}, answer(n, now, "b", 3, Vote{LastIndex: 1, LastTerm: 1}), "a shorter log")
+	require.Equal(t, VoteReply{}, answer(n, now, "b", 4, Vote{LastIndex: 9, LastTerm: 1}), "an older log")
+
+	n, now = newVoter(t)
+	require.Equal(t, HeartbeatReply{Round: 1}, answer(n, now, "b", 2, Heartbeat{Round: 1}))
+	require.Nil(t, answer(n, now, "c", 3, upToDate), "a leader was heard")
+	require.Equal(t, PreVoteReply{}, answer(n, now, "c", 3, PreVote{LastIndex: 2, LastTerm: 2}))
+	require.Equal(t, uint64(2), n.hard.Term)
+	require.Equal(t, granted, answer(n, now, "c", 3, Vote{LastIndex: 2, LastTerm: 2, Transfer: true}), "a transfer")
+}
+
+// Guards against a vote or an acknowledgement that leaves before it is synced.
+func TestAnswersWaitForSync(t *testing.T) {
+	n, now := newVoter(t)
+	for _, m := range []Message{
+		{Term: 3, Body: Vote{LastIndex: 2, LastTerm: 2}},
+		{Term: 3, Body: Append{PrevIndex: 2, PrevTerm: 2, Entries: []Entry{{Index: 3, Term: 3}}}},
+	} {
+		m.From, m.To, m.Cluster = Member{Identity: "b"}, "a", "a"
+		persists := 0
+		for _, e := range n.Step(now, MessageReceived{Message: m}) {
+			_, sent := e.(Send)
+			require.False(t, sent, "%T was answered before the sync", m.Body)
+			if _, ok := e.(Persist); ok {
+				persists++
+			}
+		}
+		require.Equal(t, 1, persists)
+		n.Step(now, Persisted{Seq: n.storage.seq})
+	}
+}
+
+// newLeader returns voter a as leader of term 3, elected by b, with its no-op
+// at index 3.
+func newLeader(t *testing.T) (*Node, time.Time) {
+	n, now := newVoter(t)
+	now = now.Add(DefaultElectionTimeout)
+	n.Step(now, Tick{})
+	answer(n, now, "b", 3, PreVoteReply{Granted: true})
+	answer(n, now, "b", 3, VoteReply{Granted: true})
+	require.Equal(t, Leader, n.role)
+	require.Equal(t, uint64(3), n.log.lastIndex())
+	return n, now
+}
+
+// Guards against a commit of an earlier term's entry by counting replicas,
+// which a later leader could still replace (figure 8 of the Raft paper).
+func TestEarlierTermsCommitOnlyWithTheOwnTerm(t *testing.T) {
+	n, now := newLeader(t)
+	answer(n, now, "b", 3, AppendReply{PrevIndex: 2, Match: 2})
+	require.Equal(t, uint64(1), n.hard.Commit)
+	answer(n, now, "b", 3, AppendReply{PrevIndex: 2, Match: 3})
+	require.Equal(t, uint64(3), n.hard.Commit)
+}
+
+// Guards against a read at a new leader that does not know yet what the
+// leader before it committed.
+func TestReadWaitsForTheOwnTerm(t *testing.T) {
+	n, now := newLeader(t)
+	n.Step(now, ReadIndex{ID: "quorum"})
+	answer(n, now, "b", 3, HeartbeatReply{Round: n.leading.round})
+	require.True(t, n.leaseHeld())
+	n.Step(now, ReadIndex{ID: "lease", AllowLease: true})
+	require.Len(t, n.leading.reads, 2)
+	answer(n, now, "b", 3, AppendReply{PrevIndex: 2, Match: 3})
+	require.Empty(t, n.leading.reads)
+}
+
+// Guards against a heartbeat that lets a follower commit entries which differ
+// from the leader's.
+func TestHeartbeatCommitsOnlyWhatMatches(t *testing.T) {
+	n, now := newLeader(t)
+	answer(n, now, "b", 3, AppendReply{PrevIndex: 2, Match: 3})
+	commits := map[Identity]uint64{}
+	for _, e := range n.Step(now.Add(DefaultHeartbeatInterval), Tick{}) {
+		if s, ok := e.(Send); ok {
+			if h, ok := s.Message.Body.(Heartbeat); ok {
+				commits[s.To.Identity] = h.Commit
+			}
+		}
+	}
+	require.Equal(t, map[Identity]uint64{"b": 3, "c": 0}, commits)
+}
+
+// Guards against two voter changes at a time, whose majorities may not
+// intersect.
+func TestVotersChangeOneAtATime(t *testing.T) {
+	n, now := newLeader(t)
+	add := func(id Identity) Effect {
+		change := ChangeVoters{ID: "c", Op: AddLearner, Member: Member{Identity: id, Name: string(id)}}
+		effects := n.Step(now, change)
+		for _, e := range effects {
+			switch e.(type) {
+			case ProposalAppended, ProposalRefused:
+				return e
+			}
+		}
+		return nil
+	}
+	require.IsType(t, ProposalRefused{}, add("d"), "before the first commit of the term")
+	answer(n, now, "b", 3, AppendReply{PrevIndex: 2, Match: 3})
+	require.IsType(t, ProposalAppended{}, add("d"))
+	require.IsType(t, ProposalRefused{}, add("e"), "while another change is not committed")
+	n.Step(now, Persisted{Seq: n.storage.seq})
+	answer(n, now, "b", 3, AppendReply{PrevIndex: 3, Match: 4})
+	require.IsType(t, ProposalAppended{}, add("e"))
+}
