--- a/internal/membership/membershiprpc/codec.go
+++ b/internal/membership/membershiprpc/codec.go
@@ -31,7 +31,7 @@
 	if hb.Self != nil {
 		msg.Self = EncodeMember(hb.Self)
 	}
-	if hb.Seen != hb.Applied {
+	if hb.Seen.Compare(hb.Applied) > 0 {
 		msg.Seen = encodePosition(hb.Seen)
 	}
 	for _, h := range hb.Heard {
@@ -70,8 +70,8 @@
 		len(msg.News) > membership.MaxNews || len(msg.Reports) > membership.MaxReports {
 		return hb, errors.Newf("heartbeat of host %q has lists beyond their bounds", hb.Host)
 	}
-	if msg.Seen != nil {
-		hb.Seen = decodePosition(msg.Seen)
+	if seen := decodePosition(msg.GetSeen()); seen.Compare(hb.Applied) > 0 {
+		hb.Seen = seen
 	}
 	if msg.Self != nil {
 		self, err := DecodeMember(msg.Self)
--- /dev/null
+++ b/internal/spread/spreadrpc/rpc_test.go
@@ -0,0 +1,111 @@
+package spreadrpc
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hawthornlock/hawthornlock/internal/membership"
+	"github.com/hawthornlock/hawthornlock/internal/spread"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+)
+
+func fullRequest() spread.Request {
+	member := membership.Member{Host: "h2", Incarnation: 4, PeerAddress: netip.MustParseAddrPort("10.0.0.2:7000"), State: membership.Dead}
+	record := &targets.Record{
+		Announcement: targets.Announcement{
+			Target: "t1", Incarnation: 3, Seq: 7, Address: netip.MustParseAddrPort("10.0.0.1:80"), FailureDomain: "oita",
+			ConnectionLimit: 30, Phase: targets.Ready, Searchers: []targets.Searcher{{Name: "s0", Slots: 2}},
+		},
+		Status: targets.StatusExpired,
+	}
+	version := spread.Version{Incarnation: 1, Seq: 2, Rank: 3, Tie: 4}
+	return spread.Request{
+		From: "h1", Session: 5, ID: 6, Digest: &spread.Digest{7: 8},
+		Items: []spread.Item{
+			{Key: spread.Key{Kind: spread.KindMember, Name: "h2"}, Version: version, Member: &member, Age: time.Minute},
+			{Key: spread.Key{Kind: spread.KindTarget, Name: "t1"}, Version: version, Target: record, Age: time.Second},
+			{Key: spread.Key{Kind: spread.KindLayout, Name: "v1"}, Version: version, Layout: targets.NewLayout("v1", 1, []string{"a"})},
+			{Key: spread.Key{Kind: spread.KindTarget, Name: "t2"}, Version: version},
+		},
+	}
+}
+
+// Guards against fields that get lost between two hosts, and against an offer
+// that turns into an item.
+func TestExchangeTravelsWhole(t *testing.T) {
+	want := fullRequest()
+	reply := spread.Response{From: "h2", Session: 1, ID: 6, Wanted: []spread.Key{{Kind: spread.KindTarget, Name: "t2"}}, Digest: &spread.Digest{1: 2}}
+	server := httptest.NewServer(NewHandler(func(_ context.Context, req spread.Request) (spread.Response, error) {
+		require.Equal(t, want, req)
+		return reply, nil
+	}))
+	defer server.Close()
+	got, err := Exchange(t.Context(), server.Client(), server.URL, &want)
+	require.NoError(t, err)
+	require.Equal(t, reply, got)
+}
+
+// Guards against a value that is filed under the name of another item.
+func TestItemsMustMatchTheirKeys(t *testing.T) {
+	for i := range 3 {
+		req := fullRequest()
+		msg := EncodeRequest(&req)
+		msg.Items[i].Key.Name = "other"
+		_, err := DecodeRequest(msg)
+		require.Error(t, err)
+		msg = EncodeRequest(&req)
+		msg.Items[i].Key.Kind = 9
+		_, err = DecodeRequest(msg)
+		require.Error(t, err)
+	}
+	_, err := DecodeRequest(&ExchangeRequest{Digest: []uint64{1}})
+	require.Error(t, err)
+}
+
+// Guards against input that makes the decoder panic.
+func FuzzDecodeRequest(f *testing.F) {
+	req := fullRequest()
+	seed, err := proto.Marshal(EncodeRequest(&req))
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var msg ExchangeRequest
+		if proto.Unmarshal(data, &msg) != nil {
+			return
+		}
+		req, err := DecodeRequest(&msg)
+		if err != nil {
+			return
+		}
+		again, err := DecodeRequest(EncodeRequest(&req))
+		require.NoError(t, err)
+		require.Equal(t, len(req.Items), len(again.Items))
+	})
+}
+
+// Guards against input that makes the decoder panic.
+func FuzzDecodeResponse(f *testing.F) {
+	resp := spread.Response{From: "h2", Wanted: []spread.Key{{Kind: spread.KindTarget, Name: "t2"}}, Digest: &spread.Digest{1: 2}}
+	seed, err := proto.Marshal(EncodeResponse(&resp))
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var msg ExchangeResponse
+		if proto.Unmarshal(data, &msg) != nil {
+			return
+		}
+		resp, err := DecodeResponse(&msg)
+		if err != nil {
+			return
+		}
+		again, err := DecodeResponse(EncodeResponse(&resp))
+		require.NoError(t, err)
+		require.Equal(t, resp, again)
+	})
+}
