Keep the cost of membership changes in proportion to what changed

With 8,100 hosts every joining host made membership sort all hosts and the registry walk a map of all leases: 8,100 joins took 26 s and one departure 11 ms.

Membership keeps its live members sorted and reports changes once per tick; the registry walks a slice and compares one stored weight per lease.

--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -19,18 +19,21 @@
 // region as neighbours, and the relays have each other and the hosts of their
 // region.
 func Neighbours(self string, live []Member) []string {
+	members := make([]*Member, len(live))
+	for i := range live {
+		members[i] = &live[i]
+	}
 	if len(live) <= MeshLimit {
-		return namesExcept(self, live)
+		return namesExcept(self, members)
 	}
-	topology := newTopology(live)
-	return topology.neighbours(self)
+	return newTopology(members).neighbours(self)
 }
 
-func namesExcept(self string, members []Member) []string {
+func namesExcept(self string, members []*Member) []string {
 	var names []string
-	for i := range members {
-		if members[i].Host != self {
-			names = append(names, members[i].Host)
+	for _, m := range members {
+		if m.Host != self {
+			names = append(names, m.Host)
 		}
 	}
 	slices.Sort(names)
@@ -39,65 +42,63 @@
 
 // topology assigns relays to the regions of a set of live members.
 type topology struct {
-	regions  map[string][]Member
-	relays   map[string][]Member // by region
-	regionOf map[string]string   // by host
+	regions  map[string][]*Member
+	relays   map[string][]*Member // by region
+	regionOf map[string]string    // by relay
 }
 
-func newTopology(live []Member) *topology {
-	t := &topology{regions: map[string][]Member{}, relays: map[string][]Member{}, regionOf: make(map[string]string, len(live))}
+func newTopology(live []*Member) *topology {
+	t := &topology{regions: map[string][]*Member{}, relays: map[string][]*Member{}, regionOf: map[string]string{}}
 	for _, m := range live {
 		t.regions[m.Region] = append(t.regions[m.Region], m)
-		t.regionOf[m.Host] = m.Region
 	}
 	for region, hosts := range t.regions {
 		t.relays[region] = chooseRelays(hosts)
+		for _, m := range t.relays[region] {
+			t.regionOf[m.Host] = region
+		}
 	}
 	return t
 }
 
 func (t *topology) isRelay(host string) bool {
-	return slices.ContainsFunc(t.relays[t.regionOf[host]], func(m Member) bool { return m.Host == host })
+	_, ok := t.regionOf[host]
+	return ok
 }
 
 func (t *topology) neighbours(self string) []string {
-	region, ok := t.regionOf[self]
-	if !ok {
-		return nil
-	}
-	if !t.isRelay(self) {
-		return namesExcept(self, t.relays[region])
+	if region, ok := t.regionOf[self]; ok {
+		all := slices.Clone(t.regions[region])
+		for _, relays := range t.relays {
+			all = append(all, relays...)
+		}
+		return namesExcept(self, all)
 	}
-	all := slices.Clone(t.regions[region])
-	for _, relays := range t.relays {
-		all = append(all, relays...)
+	for region, hosts := range t.regions {
+		if slices.ContainsFunc(hosts, func(m *Member) bool { return m.Host == self }) {
+			return namesExcept(self, t.relays[region])
+		}
 	}
-	return namesExcept(self, all)
+	return nil
 }
 
 // chooseRelays picks the relays of a region: hosts with the relay role before
 // others, then different failure domains, then the highest rendezvous weight.
-func chooseRelays(hosts []Member) []Member {
-	var chosen []Member
+func chooseRelays(hosts []*Member) []*Member {
+	var chosen []*Member
 	for len(chosen) < min(relaysPerRegion, len(hosts)) {
-		best := -1
-		for i := range hosts {
-			if slices.ContainsFunc(chosen, func(m Member) bool { return m.Host == hosts[i].Host }) {
-				continue
+		var best *Member
+		for _, m := range hosts {
+			if !slices.Contains(chosen, m) && (best == nil || betterRelay(m, best, chosen)) {
+				best = m
 			}
-			if best < 0 || betterRelay(&hosts[i], &hosts[best], chosen) {
-				best = i
-			}
-		}
-		if best < 0 {
-			break
 		}
-		chosen = append(chosen, hosts[best])
+		chosen = append(chosen, best)
 	}
 	return chosen
 }
 
-func betterRelay(a, b *Member, chosen []Member) bool {
+func betterRelay(a, b *Member, chosen []*Member) bool {
 	if x, y := a.Roles.Has(RoleRelay), b.Roles.Has(RoleRelay); x != y {
 		return x
 	}
@@ -110,6 +111,6 @@
 	return a.Host < b.Host
 }
 
-func newDomain(m *Member, chosen []Member) bool {
-	return !slices.ContainsFunc(chosen, func(c Member) bool { return c.FailureDomain == m.FailureDomain })
+func newDomain(m *Member, chosen []*Member) bool {
+	return !slices.ContainsFunc(chosen, func(c *Member) bool { return c.FailureDomain == m.FailureDomain })
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -69,6 +69,7 @@
 	self       Member
 	startedAt  time.Time
 	members    map[string]*known
+	live       []*Member // in members, sorted by host
 	suspected  map[string]bool
 	contacts   map[string]*contact
 	neighbours []string
@@ -158,7 +159,7 @@
 		s.judged = s.seen
 		s.updateEvidence(now)
 	}
-	return append(effects, s.updateLive(now)...)
+	return append(effects, s.updateLive(now, ev)...)
 }
 
 func changesEvidence(ev Event) bool {
@@ -201,13 +202,10 @@
 
 // Live returns the live members, sorted by host.
 func (s *State) Live() []Member {
-	live := make([]Member, 0, len(s.members))
-	for _, k := range s.members {
-		if k.Live() {
-			live = append(live, k.Member)
-		}
+	live := make([]Member, len(s.live))
+	for i, m := range s.live {
+		live[i] = *m
 	}
-	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
 	return live
 }
 
@@ -229,6 +227,7 @@
 		k.noteFlap(now, m.Live())
 		k.since = now
 	}
+	s.updateLiveList(k, m)
 	s.liveDirty = s.liveDirty || k.Live() != m.Live() || k.Member.hash() != m.hash()
 	s.digest ^= k.digest
 	k.Member = m
@@ -240,6 +239,19 @@
 	}
 }
 
+// updateLiveList enters a member into the sorted list of live ones, or takes
+// it out, before m replaces what is known of it.
+func (s *State) updateLiveList(k *known, m Member) {
+	i, listed := slices.BinarySearchFunc(s.live, m.Host, func(o *Member, host string) int { return cmp.Compare(o.Host, host) })
+	switch {
+	case m.Live() && !listed:
+		k.Host = m.Host
+		s.live = slices.Insert(s.live, i, &k.Member)
+	case !m.Live() && listed:
+		s.live = slices.Delete(s.live, i, i+1)
+	}
+}
+
 // merge applies news of another host and returns whether they were newer.
 func (s *State) merge(now time.Time, m Member) bool {
 	k := s.members[m.Host]
@@ -300,10 +312,12 @@
 	return []Effect{Disseminate{Host: s.self.Host, Urgent: true}}
 }
 
-// updateLive reports changes of the live members and of the neighbours.
-func (s *State) updateLive(now time.Time) []Effect {
+// updateLive reports changes of the live members and of the neighbours. Where
+// hosts are many it does so at ticks only, since each report costs time in
+// proportion to their number.
+func (s *State) updateLive(now time.Time, ev Event) []Effect {
 	quorate := s.evidence.HearsMajority(now)
-	if !s.liveDirty && quorate == s.quorate {
+	if _, tick := ev.(Tick); !tick && len(s.live) > MeshLimit || !s.liveDirty && quorate == s.quorate {
 		return nil
 	}
 	var effects []Effect
@@ -311,26 +325,25 @@
 		effects = append(effects, Log{Event: majorityEvent(quorate), Host: s.self.Host})
 	}
 	s.quorate = quorate
-	live := s.Live()
-	names := make([]string, len(live))
-	for i := range live {
-		names[i] = live[i].Host
+	names := make([]string, len(s.live))
+	for i, m := range s.live {
+		names[i] = m.Host
 	}
 	effects = append(effects, LiveChanged{Live: names, Quorate: quorate})
 	if s.liveDirty {
-		effects = append(effects, s.updateNeighbours(now, live))
+		effects = append(effects, s.updateNeighbours(now))
 	}
 	s.liveDirty = false
 	return effects
 }
 
-func (s *State) updateNeighbours(now time.Time, live []Member) NeighboursChanged {
+func (s *State) updateNeighbours(now time.Time) NeighboursChanged {
 	s.topology = nil
-	if len(live) > MeshLimit {
-		s.topology = newTopology(live)
+	if len(s.live) > MeshLimit {
+		s.topology = newTopology(s.live)
 		s.neighbours = s.topology.neighbours(s.self.Host)
 	} else {
-		s.neighbours = namesExcept(s.self.Host, live)
+		s.neighbours = namesExcept(s.self.Host, s.live)
 	}
 	neighbours := make([]Neighbour, len(s.neighbours))
 	for i, host := range s.neighbours {
--- a/internal/spread/cluster_test.go
+++ b/internal/spread/cluster_test.go
@@ -25,11 +25,11 @@
 	targets   []*simTarget
 	layouts   map[string]*targets.Layout // the replicated log
 	loss, dup float64
-	delay     time.Duration           // one way, at most
-	cut       func(a, b *host) bool   // links that carry nothing
-	sent      func(from *host, m any) // sees every message, if set
-	agreed    membership.AgreedList   // the replicated list
-	behind    []membership.FeedBehind // as reported by any host
+	delay     time.Duration               // one way, at most
+	cut       func(a, b *host) bool       // links that carry nothing
+	sent      func(from, to *host, m any) // sees every message, if set
+	agreed    membership.AgreedList       // the replicated list
+	behind    []membership.FeedBehind     // as reported by any host
 	proposed  []membership.ProposeMemberList
 	sticky    bool // targets announce to the first host that is up
 }
@@ -70,7 +70,8 @@
 	records  spread.Records
 	replies  map[uint64]func(any)
 	lastCall uint64
-	side     int // of a partition
+	side     int           // of a partition
+	spent    time.Duration // real time in decisions
 }
 
 // simTarget announces itself every second.
@@ -144,6 +145,13 @@
 
 func (h *host) crash() { h.up = false }
 
+// timed adds the real time that a decision takes.
+func (h *host) timed(decide func()) {
+	begin := time.Now()
+	decide()
+	h.spent += time.Since(begin)
+}
+
 func (h *host) tick(process int) {
 	if !h.up || h.process != process {
 		return
@@ -151,13 +159,14 @@
 	h.stepMembers(membership.Tick{})
 	h.stepTargets(targets.Tick{})
 	h.stepSpread(spread.Tick{})
+	h.timed(func() { h.registry.View() })
 	h.c.after(100*time.Millisecond, func() { h.tick(process) })
 }
 
 // send carries a message to another process, or not.
 func (h *host) send(to *host, m any, deliver func()) {
 	if h.c.sent != nil {
-		h.c.sent(h, m)
+		h.c.sent(h, to, m)
 	}
 	copies := 1
 	if h.c.rng.Float64() < h.c.dup {
@@ -193,7 +202,9 @@
 }
 
 func (h *host) stepMembers(ev membership.Event) {
-	for _, e := range h.members.Step(h.c.now, ev) {
+	var effects []membership.Effect
+	h.timed(func() { effects = h.members.Step(h.c.now, ev) })
+	for _, e := range effects {
 		switch e := e.(type) {
 		case membership.SendHeartbeat:
 			to := h.c.byAddress[e.Address]
@@ -237,7 +248,9 @@
 }
 
 func (h *host) stepTargets(ev targets.Event) {
-	h.targetEffects(h.registry.Step(h.c.now, ev))
+	var effects []targets.Effect
+	h.timed(func() { effects = h.registry.Step(h.c.now, ev) })
+	h.targetEffects(effects)
 }
 
 func (h *host) targetEffects(effects []targets.Effect) {
@@ -284,7 +297,9 @@
 }
 
 func (h *host) stepSpread(ev spread.Event) {
-	for _, e := range h.spread.Step(h.c.now, ev) {
+	var effects []spread.Effect
+	h.timed(func() { effects = h.spread.Step(h.c.now, ev) })
+	for _, e := range effects {
 		switch e := e.(type) {
 		case spread.Send:
 			i := slices.IndexFunc(h.c.hosts, func(o *host) bool { return o.member.Host == e.To })
@@ -369,16 +384,14 @@
 func (t *simTarget) announceNow(c *cluster) {
 	t.Seq++
 	a := t.Announcement
-	if c.sent != nil {
-		c.sent(nil, &a)
-	}
 	order := c.rng.Perm(len(c.hosts))
 	if c.sticky {
 		slices.Sort(order)
 	}
 	for _, i := range order {
 		if h := c.hosts[i]; h.up {
-			effects, _ := h.registry.Announce(c.now, a)
+			var effects []targets.Effect
+			h.timed(func() { effects, _ = h.registry.Announce(c.now, a) })
 			h.targetEffects(effects)
 			return
 		}
--- a/internal/targets/lease.go
+++ b/internal/targets/lease.go
@@ -81,33 +81,44 @@
 		r.extendOwned(now)
 	}
 	r.quorate = ev.Quorate
-	joined, left := r.hosts.update(live)
+	joined, left := r.hosts.replace(live)
 	if len(joined) == 0 && len(left) == 0 {
 		return
 	}
-	for _, e := range r.entries {
+	for _, e := range r.list {
 		r.reassign(now, e, joined, left)
 	}
 }
 
 func (r *Registry) reassign(now time.Time, e *entry, joined, left []*liveHost) {
-	was := e.owners
+	was, owners := e.owners, e.owners
 	if slices.ContainsFunc(left, was.contains) {
-		e.owners = r.hosts.owners(e.hash)
+		owners = r.hosts.owners(e.hash)
 	} else {
 		for _, h := range joined {
-			e.owners.consider(h, e.hash)
+			if h.weight(e.hash) >= e.standby {
+				owners.consider(h, e.hash)
+			}
 		}
 	}
-	if e.owners == was {
+	if owners == was {
 		return
 	}
+	e.assign(owners)
 	if !was.contains(r.self) && e.owners.contains(r.self) {
 		e.leaseAt = now.UnixNano()
 	}
 	r.updateOwned(e)
 }
 
+func (e *entry) assign(o owners) {
+	e.owners = o
+	e.standby = 0
+	if o[1] != nil {
+		e.standby = o[1].weight(e.hash)
+	}
+}
+
 // renew extends the lease and queues the renewal for the owners.
 func (r *Registry) renew(now time.Time, e *entry, rec *Record) {
 	e.heardSeq = rec.Seq
--- a/internal/targets/registry.go
+++ b/internal/targets/registry.go
@@ -43,6 +43,8 @@
 	leaseAt  int64  // start of the current lease period
 	statusAt int64  // when this host learned of rec.Status
 	owners   owners
+	standby  uint64 // weight of owners[1]; a heavier host that joins is an owner
+	position int    // in Registry.list
 }
 
 // Registry holds what the targets announced. It belongs to the control
@@ -52,6 +54,7 @@
 	hosts        hostSet
 	quorate      bool
 	entries      map[string]*entry
+	list         []*entry          // the same entries, for fast passes over all
 	owned        map[string]*entry // leases that this host owns or stands by for
 	expired      map[string]*entry
 	byAddress    map[uint64]*entry // targets that are not expired
@@ -225,9 +228,10 @@
 func (r *Registry) store(now time.Time, rec *Record) *entry {
 	e := r.entries[rec.Target]
 	if e == nil {
-		e = &entry{hash: xxhash.Sum64String(rec.Target)}
-		e.owners = r.hosts.owners(e.hash)
+		e = &entry{hash: xxhash.Sum64String(rec.Target), position: len(r.list)}
+		e.assign(r.hosts.owners(e.hash))
 		r.entries[rec.Target] = e
+		r.list = append(r.list, e)
 	} else {
 		r.unlink(now, e)
 		if rec.Incarnation != e.rec.Incarnation || rec.content != e.rec.content {
@@ -366,10 +370,9 @@
 		return
 	}
 	r.lastCleanup = now
-	for target, e := range r.expired {
+	for _, e := range r.expired {
 		if e.expiredFor(now) >= ExpiredRetain {
-			delete(r.expired, target)
-			delete(r.entries, target)
+			r.forget(e)
 		}
 	}
 	if excess := len(r.expired) - MaxExpired; excess > 0 {
@@ -387,11 +390,20 @@
 	}
 	slices.SortFunc(all, func(a, b *entry) int { return int(a.statusAt - b.statusAt) })
 	for _, e := range all[:n] {
-		delete(r.expired, e.rec.Target)
-		delete(r.entries, e.rec.Target)
+		r.forget(e)
 	}
 }
 
+func (r *Registry) forget(e *entry) {
+	delete(r.expired, e.rec.Target)
+	delete(r.entries, e.rec.Target)
+	last := len(r.list) - 1
+	r.list[e.position] = r.list[last]
+	r.list[e.position].position = e.position
+	r.list[last] = nil
+	r.list = r.list[:last]
+}
+
 func addressKey(a netip.AddrPort) uint64 {
 	var b [18]byte
 	ip := a.Addr().As16()
--- a/internal/targets/rendezvous.go
+++ b/internal/targets/rendezvous.go
@@ -8,8 +8,9 @@
 
 // liveHost is a host that may own leases.
 type liveHost struct {
-	name string
-	hash uint64
+	name   string
+	hash   uint64
+	update uint64 // last update of the set that named the host
 }
 
 // weight is the rendezvous weight of a host for a target (Thaler and
@@ -53,42 +54,37 @@
 // hostSet holds the live hosts.
 type hostSet struct {
 	byName map[string]*liveHost
-	sorted []*liveHost
+	all    []*liveHost // in no particular order
+	update uint64
 }
 
 func newHostSet(names []string) hostSet {
 	s := hostSet{byName: map[string]*liveHost{}}
-	s.update(names)
+	s.replace(names)
 	return s
 }
 
-// update replaces the set and returns the hosts that joined and left. Hosts
+// replace replaces the set and returns the hosts that joined and left. Hosts
 // that stay keep their identity.
-func (s *hostSet) update(names []string) (joined, left []*liveHost) {
-	wanted := make(map[string]bool, len(names))
+func (s *hostSet) replace(names []string) (joined, left []*liveHost) {
+	s.update++
 	for _, n := range names {
-		wanted[n] = true
-		if s.byName[n] == nil {
-			h := &liveHost{name: n, hash: xxhash.Sum64String(n)}
+		h := s.byName[n]
+		if h == nil {
+			h = &liveHost{name: n, hash: xxhash.Sum64String(n)}
 			s.byName[n] = h
+			s.all = append(s.all, h)
 			joined = append(joined, h)
 		}
+		h.update = s.update
 	}
-	for n, h := range s.byName {
-		if !wanted[n] {
-			delete(s.byName, n)
+	s.all = slices.DeleteFunc(s.all, func(h *liveHost) bool {
+		gone := h.update != s.update
+		if gone {
+			delete(s.byName, h.name)
 			left = append(left, h)
 		}
-	}
-	s.sorted = s.sorted[:0]
-	for _, h := range s.byName {
-		s.sorted = append(s.sorted, h)
-	}
-	slices.SortFunc(s.sorted, func(a, b *liveHost) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
+		return gone
 	})
 	return joined, left
 }
@@ -96,7 +92,7 @@
 // owners returns the two heaviest hosts for a target.
 func (s *hostSet) owners(target uint64) owners {
 	var o owners
-	for _, h := range s.sorted {
+	for _, h := range s.all {
 		o.consider(h, target)
 	}
 	return o
