--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -21,7 +21,7 @@
 // node is a host of a test cluster that can be killed and started again.
 type node struct {
 	*Daemon
-	t        *testing.T
+	t        testing.TB
 	settings settings.Settings
 	kill     context.CancelCauseFunc
 	ended    chan error
@@ -29,7 +29,7 @@
 
 // startCluster runs hosts in one process over loopback. The first voters of
 // them hold the log.
-func startCluster(t *testing.T, hosts, voters int) []*node {
+func startCluster(t testing.TB, hosts, voters int) []*node {
 	t.Helper()
 	var nodes []*node
 	var listeners []Listeners
@@ -107,7 +107,7 @@
 }
 
 // leader waits for a host that leads the log.
-func leader(t *testing.T, nodes []*node) *node {
+func leader(t testing.TB, nodes []*node) *node {
 	t.Helper()
 	var found *node
 	require.Eventually(t, func() bool {
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-func awaitTargets(t *testing.T, d *Daemon, n int) {
+func awaitTargets(t testing.TB, d *Daemon, n int) {
 	t.Helper()
 	require.Eventually(t, func() bool {
 		s := d.loop.Snapshot()
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -20,7 +20,7 @@
 // nothing about speed.
 const patience = 30 * time.Second
 
-type testWriter struct{ t *testing.T }
+type testWriter struct{ t testing.TB }
 
 func (w testWriter) Write(p []byte) (int, error) {
 	w.t.Logf("%s", bytes.TrimSpace(p))
@@ -28,7 +28,7 @@
 }
 
 // startTargets serves each shard of the dataset from one searcher.
-func startTargets(t *testing.T, d *Daemon, data *standin.Dataset, n int) []*standin.Target {
+func startTargets(t testing.TB, d *Daemon, data *standin.Dataset, n int) []*standin.Target {
 	t.Helper()
 	holds := make([][]string, n)
 	for i, shard := range data.Layout() {
@@ -53,7 +53,7 @@
 	return out
 }
 
-func pushGroup(t *testing.T, d *Daemon) {
+func pushGroup(t testing.TB, d *Daemon) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -84,7 +84,7 @@
 	Error struct{ Code, Message, Verdict string } `json:"error"`
 }
 
-func post(t *testing.T, d *Daemon, body string) (int, answerBody) {
+func post(t testing.TB, d *Daemon, body string) (int, answerBody) {
 	t.Helper()
 	resp, err := http.Post("http://"+d.Address("caller").String()+"/v1/query", "application/json", bytes.NewBufferString(body))
 	require.NoError(t, err)
