--- a/internal/query/policy.go
+++ b/internal/query/policy.go
@@ -43,7 +43,7 @@
 	DefaultHedgeDelay      = 50 * time.Millisecond
 	DefaultHedgePermille   = 30
 	DefaultHedgeBudget     = 0.8
-	DefaultHedgeOverMedian = 3.0
+	DefaultHedgeOverMedian = 4.0
 	DefaultRetryBackoff    = 4 * time.Millisecond
 	DefaultMaxRetryBackoff = 64 * time.Millisecond
 )
--- a/internal/query/querybench/bench.go
+++ b/internal/query/querybench/bench.go
@@ -196,7 +196,11 @@
 }
 
 func (b *bench) cancel(j *job) {
-	j.active.host.balancer.Done(b.time(), j.request.Replica, b.now-j.sentAt, nil)
+	end := Abandoned
+	if j.request.Hedge {
+		end = Superseded
+	}
+	j.active.host.balancer.Done(b.time(), j.request.Replica, b.now-j.sentAt, end)
 	b.after(b.network(), cancelled{j})
 	j.abandoned = true
 }
@@ -213,7 +217,11 @@
 		a.host.shedAt = b.now
 	}
 	if !e.job.abandoned {
-		a.host.balancer.Done(b.time(), e.job.request.Replica, b.now-e.job.sentAt, e.reply.Err)
+		end := Answered
+		if e.reply.Err != nil {
+			end = Failed
+		}
+		a.host.balancer.Done(b.time(), e.job.request.Replica, b.now-e.job.sentAt, end)
 	}
 	b.step(a, query.ReplyArrived{Reply: e.reply})
 }
--- a/internal/query/querybench/case.go
+++ b/internal/query/querybench/case.go
@@ -62,6 +62,16 @@
 	Seed       uint64
 }
 
+// warmUp is the number of queries at the start whose latencies are left out:
+// until a host has seen enough replies, it hedges after the default delay.
+// A cold start is measured as a whole.
+func (c *Case) warmUp() int {
+	if c.Fault == FaultCold {
+		return 0
+	}
+	return c.Queries / 10
+}
+
 // Values of the model that all cases share.
 const (
 	deadline      = 130 * time.Millisecond
--- a/internal/query/querybench/sections.go
+++ b/internal/query/querybench/sections.go
@@ -84,8 +84,11 @@
 		Omniscient,
 		Ours,
 		named("no bound by median", func(p *Policy) { p.OverMedian = -1 }),
+		named("3 x median", func(p *Policy) { p.OverMedian = 3 }),
 		named("2 x median", func(p *Policy) { p.OverMedian = 2 }),
 		named("no hold-back", func(p *Policy) { p.NoHoldBack = true }),
+		named("6 % budget", func(p *Policy) { p.Limits.HedgePermille = 60 }),
+		named("12 % budget", func(p *Policy) { p.Limits.HedgePermille = 120 }),
 		named("small burst", func(p *Policy) { p.SmallBurst = true }),
 		named("gate as signal", func(p *Policy) { p.GateSignal = true }),
 	}
