--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -15,10 +15,11 @@
 // after that sync. A proposal is acknowledged by Apply of its entry, never by
 // ProposalAppended.
 //
-// A journal that ran out of space reports PersistFailed. The node then
-// refuses proposals, votes and entries, keeps the unsynced changes, and emits
-// them again with the same sequence numbers on later ticks. A failed sync has
-// no event: the process must end.
+// A Persist that the journal refused, for lack of space or because its queue
+// was full, is reported with PersistFailed. The node then refuses proposals,
+// votes and entries, keeps the unsynced changes, and emits them again with the
+// same sequence numbers on later ticks. A failed sync has no event: the
+// process must end.
 //
 // # Leases
 //
--- a/internal/consensus/effects.go
+++ b/internal/consensus/effects.go
@@ -22,8 +22,8 @@
 // Persisted reports that the Persist effects up to Seq are durable.
 type Persisted struct{ Seq uint64 }
 
-// PersistFailed reports that the Persist effects from Seq on were refused for
-// lack of space. Nothing of them was written.
+// PersistFailed reports that the Persist effects from Seq on were refused, for
+// lack of space or of room in the queue. Nothing of them was written.
 type PersistFailed struct{ Seq uint64 }
 
 // ReadIndex asks for an index that a linearizable read must wait for.
