Let the voter set be changed after a lost disk

Cause: a host that lost its disk came back as a learner, and nothing could give it a vote again, so the next lost disk would have stopped all changes. Result: a test over sockets empties a voter's disk, sees the old identity without a vote, promotes the new one, and loses no change when another voter dies right after the repair.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -155,6 +155,8 @@
 		return []Effect{Resolve{Token: ev.Token, Result: c.answerPoll(now, ev.Poll)}}
 	case Submit:
 		return c.submit(now, ev)
+	case ChangeVoters:
+		return c.changeVoters(now, ev)
 	case Read:
 		return c.read(now, ev)
 	case PlanChange:
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -59,6 +59,16 @@
 	Deadline time.Time
 }
 
+// ChangeVoters asks the leader for one change of the voter set.
+type ChangeVoters struct {
+	Token    uint64
+	Op       consensus.VoterOp
+	Identity consensus.Identity
+	Deadline time.Time
+}
+
+func (ChangeVoters) isControlEvent() {}
+
 // SnapshotEncoded brings the encoded state that EncodeState asked for.
 type SnapshotEncoded struct {
 	Index uint64
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -64,6 +64,18 @@
 	return token, err == nil
 }
 
+// changeVoters asks the log for a change of its voter set. The proposer is
+// answered when the entry that carries the set is committed.
+func (c *Core) changeVoters(now time.Time, ev ChangeVoters) []Effect {
+	if c.node == nil {
+		return []Effect{Resolve{Token: ev.Token, Err: notVoter()}}
+	}
+	c.tracker.Add(ev.Token, ev.Deadline)
+	return c.consensus(now, consensus.ChangeVoters{
+		ID: strconv.FormatUint(ev.Token, 10), Op: ev.Op, Member: consensus.Member{Identity: ev.Identity},
+	})
+}
+
 // forgotten tells the membership which hosts an operator removed.
 func (c *Core) forgotten(now time.Time, change *config.Change) []Effect {
 	var out []Effect
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
@@ -32,6 +34,7 @@
 	ConfirmedAt time.Time
 	Agreed      config.Members // agreed member list
 	Hosts       []Host         // known hosts, by name
+	Voters      []Voter        // on a host with a log, by name and identity
 	Shares      connections.View
 }
 
@@ -49,6 +52,16 @@
 	LastHeard     time.Time
 }
 
+// Voter is a host that holds the replicated log. A learner receives the log
+// and has no vote.
+type Voter struct {
+	Host     string
+	Identity consensus.Identity
+	Address  string
+	Learner  bool
+	Match    uint64 // log index that the leader knows it to hold; 0 elsewhere
+}
+
 // shared notes what changed since the last published snapshot.
 type shared struct {
 	stale      bool
@@ -65,7 +78,7 @@
 	}
 	s := &Snapshot{
 		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
-		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, Agreed: c.store.Members(), Hosts: c.known, Shares: c.shares.View(now),
+		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, Agreed: c.store.Members(), Hosts: c.known, Shares: c.shares.View(now), Voters: c.voters(),
 	}
 	if old != nil && !c.shared.tableStale && old.Targets == view {
 		s.Table, s.Catalogs, s.Members = old.Table, old.Catalogs, old.Members
@@ -89,6 +102,28 @@
 	}
 }
 
+func (c *Core) voters() []Voter {
+	if c.node == nil {
+		return nil
+	}
+	s := c.node.Status()
+	match := make(map[consensus.Identity]uint64, len(s.Followers))
+	for _, f := range s.Followers {
+		match[f.Member.Identity] = f.Match
+	}
+	if s.Role == consensus.Leader {
+		match[s.Self.Identity] = s.LastIndex
+	}
+	var out []Voter
+	for i, m := range slices.Concat(s.Voters, s.Learners) {
+		out = append(out, Voter{Host: m.Name, Identity: m.Identity, Address: m.Address, Learner: i >= len(s.Voters), Match: match[m.Identity]})
+	}
+	slices.SortFunc(out, func(a, b Voter) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Identity, b.Identity))
+	})
+	return out
+}
+
 // Dump is a copy of the control state for the state dump.
 type Dump struct {
 	Now       time.Time
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -42,20 +42,24 @@
 }
 
 // submit hands an encoded command to the leader and returns the encoded
-// result. It looks for another leader only while the command certainly has
-// not been taken.
+// result.
 func (d *Daemon) submit(ctx context.Context, kind proposals.Kind, data []byte) ([]byte, error) {
-	var last error
+	return d.atLeader(ctx, func(ctx context.Context, host string) ([]byte, error) {
+		return d.submitTo(ctx, host, kind, data)
+	})
+}
+
+// atLeader calls f for the host that should lead the log. It looks for another
+// leader only while f has certainly had no effect.
+func (d *Daemon) atLeader(ctx context.Context, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
 	for try := 0; ; try++ {
-		host := d.leaderCandidate(try)
-		result, err := d.submitTo(ctx, host, kind, data)
+		result, err := f(ctx, d.leaderCandidate(try))
 		if err == nil || !retryElsewhere(err) {
 			return result, err
 		}
-		last = err
 		select {
 		case <-ctx.Done():
-			return nil, last
+			return nil, err
 		case <-time.After(submitRetryDelay):
 		}
 	}
@@ -91,12 +95,8 @@
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the address of host %q is unknown", host)
 	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(systemSubmitTimeout)
-	}
 	client := proposalsrpc.NewProposalsProtobufClient(peerlink.BaseURL(address), d.links.Client())
-	reply, err := client.Submit(ctx, &proposalsrpc.SubmitRequest{Kind: uint32(kind), Data: data, TimeoutMs: time.Until(deadline).Milliseconds()})
+	reply, err := client.Submit(ctx, &proposalsrpc.SubmitRequest{Kind: uint32(kind), Data: data, TimeoutMs: time.Until(deadlineOf(ctx)).Milliseconds()})
 	if err != nil {
 		return nil, submitError(err, host)
 	}
@@ -117,12 +117,8 @@
 }
 
 func (d *Daemon) submitHere(ctx context.Context, kind proposals.Kind, data []byte) ([]byte, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(systemSubmitTimeout)
-	}
 	result, err := d.loop.Call(ctx, func(token uint64) control.Event {
-		return control.Submit{Token: token, Kind: kind, Data: data, Deadline: deadline}
+		return control.Submit{Token: token, Kind: kind, Data: data, Deadline: deadlineOf(ctx)}
 	})
 	if err != nil {
 		return nil, err
--- a/internal/proposals/proposalsrpc/proposals.twirp.go
+++ b/internal/proposals/proposalsrpc/proposals.twirp.go
@@ -35,6 +35,9 @@
 // leader.
 type Proposals interface {
 	Submit(context.Context, *SubmitRequest) (*SubmitReply, error)
+
+	// ChangeVoters asks the leader for one change of the voter set.
+	ChangeVoters(context.Context, *ChangeVotersRequest) (*SubmitReply, error)
 }
 
 // =========================
@@ -43,7 +46,7 @@
 
 type proposalsProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -71,8 +74,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hawthornlock.proposals", "Proposals")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Submit",
+		serviceURL + "ChangeVoters",
 	}
 
 	return &proposalsProtobufClient{
@@ -129,13 +133,59 @@
 	return out, nil
 }
 
+func (c *proposalsProtobufClient) ChangeVoters(ctx context.Context, in *ChangeVotersRequest) (*SubmitReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hawthornlock.proposals")
+	ctx = ctxsetters.WithServiceName(ctx, "Proposals")
+	ctx = ctxsetters.WithMethodName(ctx, "ChangeVoters")
+	caller := c.callChangeVoters
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ChangeVotersRequest) (*SubmitReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeVotersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeVotersRequest) when calling interceptor")
+					}
+					return c.callChangeVoters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *proposalsProtobufClient) callChangeVoters(ctx context.Context, in *ChangeVotersRequest) (*SubmitReply, error) {
+	out := new(SubmitReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Proposals JSON Client
 // =====================
 
 type proposalsJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -163,8 +213,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hawthornlock.proposals", "Proposals")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Submit",
+		serviceURL + "ChangeVoters",
 	}
 
 	return &proposalsJSONClient{
@@ -221,6 +272,52 @@
 	return out, nil
 }
 
+func (c *proposalsJSONClient) ChangeVoters(ctx context.Context, in *ChangeVotersRequest) (*SubmitReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hawthornlock.proposals")
+	ctx = ctxsetters.WithServiceName(ctx, "Proposals")
+	ctx = ctxsetters.WithMethodName(ctx, "ChangeVoters")
+	caller := c.callChangeVoters
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ChangeVotersRequest) (*SubmitReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeVotersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeVotersRequest) when calling interceptor")
+					}
+					return c.callChangeVoters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *proposalsJSONClient) callChangeVoters(ctx context.Context, in *ChangeVotersRequest) (*SubmitReply, error) {
+	out := new(SubmitReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ========================
 // Proposals Server Handler
 // ========================
@@ -321,6 +418,9 @@
 	case "Submit":
 		s.serveSubmit(ctx, resp, req)
 		return
+	case "ChangeVoters":
+		s.serveChangeVoters(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -508,6 +608,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *proposalsServer) serveChangeVoters(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveChangeVotersJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveChangeVotersProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *proposalsServer) serveChangeVotersJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ChangeVoters")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ChangeVotersRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Proposals.ChangeVoters
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ChangeVotersRequest) (*SubmitReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeVotersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeVotersRequest) when calling interceptor")
+					}
+					return s.Proposals.ChangeVoters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SubmitReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitReply and nil error while calling ChangeVoters. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *proposalsServer) serveChangeVotersProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ChangeVoters")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ChangeVotersRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Proposals.ChangeVoters
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ChangeVotersRequest) (*SubmitReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ChangeVotersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ChangeVotersRequest) when calling interceptor")
+					}
+					return s.Proposals.ChangeVoters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SubmitReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitReply and nil error while calling ChangeVoters. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *proposalsServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1089,27 +1369,30 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 338 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x52, 0x4d, 0x6b, 0xea, 0x40,
-	0x14, 0x25, 0x4f, 0x9f, 0x92, 0xab, 0xbe, 0xc5, 0x2c, 0x24, 0x3c, 0x28, 0x8a, 0xfd, 0xc0, 0x55,
-	0x04, 0xbb, 0xea, 0xb2, 0xa5, 0x48, 0x37, 0x42, 0x99, 0x96, 0x2e, 0xba, 0xb1, 0x63, 0x72, 0x35,
-	0x83, 0x93, 0x4c, 0x3a, 0x73, 0xd3, 0xe2, 0x3f, 0xe9, 0xcf, 0x2d, 0x99, 0x18, 0x5b, 0xc1, 0xd2,
-	0xdd, 0x39, 0xe7, 0xde, 0x1c, 0xce, 0xc9, 0x5c, 0xb8, 0xc8, 0x8d, 0xce, 0xb5, 0x15, 0xca, 0x4e,
-	0xf6, 0xc8, 0xe4, 0xd1, 0x17, 0x09, 0x73, 0xa3, 0x49, 0xb3, 0x7e, 0x22, 0xde, 0x29, 0xd1, 0x26,
-	0x53, 0x3a, 0xda, 0x84, 0xfb, 0xe9, 0xe8, 0x09, 0x7a, 0x0f, 0xc5, 0x32, 0x95, 0xc4, 0xf1, 0xb5,
-	0x40, 0x4b, 0x8c, 0x41, 0x73, 0x23, 0xb3, 0x38, 0xf0, 0x86, 0xde, 0xb8, 0xc7, 0x1d, 0x2e, 0xb5,
-	0x58, 0x90, 0x08, 0xfe, 0x0c, 0xbd, 0x71, 0x97, 0x3b, 0xcc, 0x4e, 0x00, 0x48, 0xa6, 0xa8, 0x0b,
-	0x5a, 0xa4, 0x36, 0x68, 0x0c, 0xbd, 0x71, 0x83, 0xfb, 0x3b, 0x65, 0x6e, 0x47, 0x2f, 0xd0, 0xa9,
-	0x7d, 0x73, 0xb5, 0x65, 0x7d, 0x68, 0x19, 0xb4, 0x85, 0x22, 0xe7, 0xdb, 0xe5, 0x3b, 0xc6, 0xae,
-	0xa0, 0xbd, 0x12, 0x52, 0x15, 0x06, 0x9d, 0x79, 0x67, 0x3a, 0x08, 0x8f, 0x07, 0x0d, 0x67, 0xd5,
-	0x1a, 0xaf, 0xf7, 0x47, 0x1f, 0x1e, 0xb4, 0x77, 0x62, 0x19, 0x30, 0xd2, 0x31, 0x3a, 0x73, 0x9f,
-	0x3b, 0xcc, 0x02, 0x68, 0xa7, 0x68, 0xad, 0x58, 0x57, 0xd6, 0x3e, 0xaf, 0x69, 0x39, 0x79, 0x43,
-	0x13, 0xcb, 0x88, 0x5c, 0x6e, 0x9f, 0xd7, 0x94, 0x9d, 0xc1, 0x3f, 0x83, 0x64, 0xb6, 0x0b, 0xb1,
-	0x22, 0x34, 0x65, 0xb1, 0xa6, 0x2b, 0xd6, 0x75, 0xea, 0x75, 0x29, 0xce, 0x2d, 0x1b, 0x40, 0x47,
-	0xa1, 0x88, 0xd1, 0x2c, 0x12, 0x6d, 0x29, 0xf8, 0xeb, 0x3c, 0xa0, 0x92, 0xee, 0xb4, 0xa5, 0xa9,
-	0x00, 0xff, 0xbe, 0x0e, 0xce, 0x1e, 0xa1, 0x55, 0xfd, 0x09, 0x76, 0xfe, 0x53, 0xb7, 0x83, 0x17,
-	0xf8, 0x7f, 0xfa, 0xdb, 0x5a, 0xae, 0xb6, 0x37, 0xb3, 0xe7, 0xdb, 0xb5, 0xa4, 0xa4, 0x58, 0x86,
-	0x91, 0x4e, 0x27, 0xdf, 0x3f, 0x38, 0x24, 0x32, 0x23, 0x34, 0x99, 0x50, 0x93, 0xe3, 0x77, 0xb2,
-	0x6c, 0xb9, 0xf3, 0xb8, 0xfc, 0x0c, 0x00, 0x00, 0xff, 0xff, 0xd9, 0x2a, 0xf2, 0x52, 0x48, 0x02,
-	0x00, 0x00,
+	// 391 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x92, 0xcd, 0x0a, 0xda, 0x40,
+	0x10, 0xc7, 0x89, 0x5a, 0x6d, 0xc6, 0xe8, 0x61, 0x0b, 0x12, 0x84, 0xa2, 0xd8, 0x0f, 0x84, 0x42,
+	0x04, 0x7b, 0xea, 0xb1, 0x1f, 0x48, 0x2f, 0x42, 0xd9, 0x16, 0x0f, 0xbd, 0xe8, 0x9a, 0x8c, 0x66,
+	0x31, 0xc9, 0xa6, 0xbb, 0x93, 0x16, 0xdf, 0xa4, 0xef, 0xd3, 0x17, 0x2b, 0x59, 0x13, 0xab, 0xa0,
+	0xd8, 0xdb, 0xfc, 0xff, 0x3b, 0xf3, 0xcb, 0xcc, 0x64, 0xe0, 0x75, 0xae, 0x55, 0xae, 0x8c, 0x48,
+	0xcc, 0xec, 0x1c, 0xe9, 0x3c, 0xfc, 0x27, 0x82, 0x5c, 0x2b, 0x52, 0x6c, 0x10, 0x8b, 0x5f, 0x14,
+	0x2b, 0x9d, 0x25, 0x2a, 0x3c, 0x04, 0xe7, 0xd7, 0xc9, 0x06, 0x9e, 0x7d, 0x8c, 0x45, 0xb6, 0xc7,
+	0x95, 0x22, 0xd4, 0x86, 0xe3, 0x8f, 0x02, 0x0d, 0xb1, 0x3e, 0x34, 0x54, 0xee, 0x3b, 0x63, 0x67,
+	0xda, 0xe3, 0x0d, 0x95, 0xb3, 0x21, 0x3c, 0x95, 0x11, 0x66, 0x24, 0xe9, 0xe8, 0x37, 0xc6, 0xce,
+	0xd4, 0xe5, 0x67, 0xcd, 0x9e, 0x03, 0x90, 0x4c, 0x51, 0x15, 0xb4, 0x4e, 0x8d, 0xdf, 0x1c, 0x3b,
+	0xd3, 0x26, 0x77, 0x2b, 0x67, 0x69, 0x26, 0x2b, 0xe8, 0x7d, 0x2d, 0xb6, 0xa9, 0xa4, 0x9a, 0xcd,
+	0xa0, 0x75, 0x90, 0x59, 0x54, 0xd1, 0x6d, 0x5c, 0x7a, 0x91, 0x20, 0x61, 0xd9, 0x1e, 0xb7, 0xf1,
+	0x23, 0xee, 0x06, 0xba, 0x35, 0x37, 0x4f, 0x8e, 0x6c, 0x00, 0x6d, 0x8d, 0xa6, 0x48, 0xc8, 0x72,
+	0x3d, 0x5e, 0x29, 0xf6, 0x0e, 0x3a, 0x3b, 0x21, 0x93, 0x42, 0xa3, 0x85, 0x77, 0xe7, 0xa3, 0xe0,
+	0xf6, 0x2a, 0x82, 0xc5, 0x29, 0x8d, 0xd7, 0xf9, 0x93, 0xdf, 0x0e, 0x74, 0x2a, 0xb3, 0x6c, 0x30,
+	0x54, 0x11, 0x5a, 0xb8, 0xcb, 0x6d, 0xcc, 0x7c, 0xe8, 0xa4, 0x68, 0x8c, 0xd8, 0x63, 0xb5, 0x93,
+	0x5a, 0x96, 0x2f, 0x3f, 0x51, 0x47, 0x32, 0x24, 0xdb, 0xb7, 0xcb, 0x6b, 0xc9, 0x5e, 0x42, 0x5f,
+	0x23, 0xe9, 0xe3, 0x5a, 0xec, 0x08, 0x75, 0x39, 0x58, 0xcb, 0x0e, 0xe6, 0x59, 0xf7, 0x7d, 0x69,
+	0x2e, 0x0d, 0x1b, 0x41, 0x37, 0x41, 0x11, 0xa1, 0x5e, 0xc7, 0xca, 0x90, 0xff, 0xc4, 0x32, 0xe0,
+	0x64, 0x7d, 0x56, 0x86, 0xe6, 0x7f, 0x1c, 0x70, 0xbf, 0xd4, 0x9d, 0xb3, 0x6f, 0xd0, 0x3e, 0xad,
+	0x82, 0xbd, 0xba, 0x37, 0xdc, 0xd5, 0x2f, 0x18, 0xbe, 0x78, 0x94, 0x56, 0x6e, 0x74, 0x03, 0xde,
+	0xe5, 0x69, 0xb0, 0x37, 0xf7, 0x8a, 0x6e, 0x1c, 0xd0, 0x7f, 0x7d, 0xe1, 0xc3, 0xe2, 0xfb, 0xa7,
+	0xbd, 0xa4, 0xb8, 0xd8, 0x06, 0xa1, 0x4a, 0x67, 0x97, 0x05, 0xd7, 0x42, 0x66, 0x84, 0x3a, 0x13,
+	0xc9, 0xec, 0xf6, 0xb1, 0x6f, 0xdb, 0xf6, 0xc6, 0xdf, 0xfe, 0x0d, 0x00, 0x00, 0xff, 0xff, 0xa9,
+	0x0d, 0x07, 0x8b, 0x0d, 0x03, 0x00, 0x00,
 }
