Note draining targets on late replies

Cause: a reply to an abandoned attempt can be the first to say that its target is leaving. Change: such a reply gives DrainSeen too.

--- a/internal/query/gather.go
+++ b/internal/query/gather.go
@@ -22,15 +22,15 @@
 	r.noteVerdict(rep)
 	inFlight := a.state == attemptInFlight
 	a.state = attemptReplied
+	if !r.finished && (rep.Draining || rep.Err != nil && verdict.CodeOf(rep.Err) == CodeDraining) {
+		r.noteDraining(a.replica)
+	}
 	if !inFlight || r.finished {
 		r.counters.Late++
 		return
 	}
 	i := int(a.shard)
 	r.shards[i].inFlight--
-	if rep.Draining || rep.Err != nil && verdict.CodeOf(rep.Err) == CodeDraining {
-		r.noteDraining(a.replica)
-	}
 	reason := r.check(i, rep)
 	if reason == "" {
 		r.observe(at, a, true)
