Hand replies over through an inbox

Cause: hundreds of goroutines contended for the channel of replies and for the context that all sub-requests shared.

--- a/internal/query/queryrun/queryrun.go
+++ b/internal/query/queryrun/queryrun.go
@@ -72,8 +72,8 @@
 func (d *Driver) Wait() { d.workers.Wait() }
 
 // Do runs one query until its answer, its deadline or the end of ctx, which
-// means that the caller left. Sub-requests that are still in flight are
-// cancelled when it returns.
+// means that the caller left. The run decides what to cancel; it has cancelled
+// every sub-request in flight when Do returns.
 func (d *Driver) Do(ctx context.Context, q query.Query, group *query.Group, chooser query.Chooser) (*query.Answer, error) {
 	now := time.Now()
 	policy := group.Policy(now)
@@ -82,34 +82,27 @@
 	if catalog != nil && len(catalog.Snapshots) > 0 {
 		group.SetShards(len(catalog.Snapshots[0].Layout))
 	}
-	// The context of sub-requests outlives the caller's end, so that the run
-	// decides what to cancel, and ends when Do returns.
-	subCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
 	g := &gather{
 		driver:  d,
 		query:   q,
 		run:     query.NewRun(policy, q, catalog, chooser, group, now),
-		ctx:     subCtx,
-		replies: make(chan query.Reply, replyBuffer),
-		done:    make(chan struct{}),
+		ctx:     context.WithoutCancel(ctx),
+		inbox:   newInbox(),
 		changed: changed,
 	}
 	return g.loop(ctx, now)
 }
 
-// replyBuffer lets replies arrive while the query's goroutine applies others.
-const replyBuffer = 16
-
 // gather is one query in progress.
 type gather struct {
 	driver  *Driver
 	query   query.Query
 	run     *query.Run
-	ctx     context.Context
+	ctx     context.Context      // never ends, so that a child costs no registration with it
 	cancels []context.CancelFunc // by attempt number - 1; nil once called
-	replies chan query.Reply
-	done    chan struct{} // closed when nobody reads replies any more
+	inbox   *inbox
+	batch   []query.Reply // taken from the inbox
+	applied int           // replies of the batch that the run has seen
 	changed <-chan struct{}
 	timer   *time.Timer
 	end     *query.Finish
@@ -123,18 +116,33 @@
 		ev := g.next(ctx)
 		g.execute(g.run.Step(time.Now(), ev))
 	}
-	close(g.done)
-	g.drain()
+	g.driver.late.Add(int64(g.inbox.close() + len(g.batch) - g.applied))
 	g.report()
 	return g.end.Answer, g.end.Err
 }
 
 // next waits for the next event.
 func (g *gather) next(ctx context.Context) query.Event {
+	for {
+		if g.applied < len(g.batch) {
+			rep := g.batch[g.applied]
+			g.applied++
+			g.release(rep.Attempt)
+			return query.ReplyArrived{Reply: rep}
+		}
+		if ev := g.wait(ctx); ev != nil {
+			return ev
+		}
+	}
+}
+
+// wait waits until there is an event, and returns nil if it is in the batch of
+// replies.
+func (g *gather) wait(ctx context.Context) query.Event {
 	select {
-	case rep := <-g.replies:
-		g.release(rep.Attempt)
-		return query.ReplyArrived{Reply: rep}
+	case <-g.inbox.ready:
+		g.batch, g.applied = g.inbox.take(g.batch), 0
+		return nil
 	case <-g.timer.C:
 		return query.Tick{}
 	case <-ctx.Done():
@@ -184,26 +192,12 @@
 			rep.Attempt = req.Attempt
 		}
 		d.inFlight.Add(-1)
-		g.deliver(rep)
+		if !g.inbox.put(rep) {
+			d.late.Add(1)
+		}
 	}()
 }
 
-// deliver hands a reply to the query, or counts it as late if the query has
-// ended.
-func (g *gather) deliver(rep query.Reply) {
-	select {
-	case <-g.done:
-		g.driver.late.Add(1)
-		return
-	default:
-	}
-	select {
-	case g.replies <- rep:
-	case <-g.done:
-		g.driver.late.Add(1)
-	}
-}
-
 // release cancels the context of an attempt.
 func (g *gather) release(attempt uint32) {
 	k := int(attempt) - 1
@@ -213,19 +207,6 @@
 	}
 }
 
-// drain counts the replies that were delivered before the end of the query
-// and never read.
-func (g *gather) drain() {
-	for {
-		select {
-		case <-g.replies:
-			g.driver.late.Add(1)
-		default:
-			return
-		}
-	}
-}
-
 func (g *gather) reportDrain(seen query.DrainSeen) {
 	g.driver.cfg.Log.Log(eventDraining).Str("request_id", g.query.RequestID).Str("group", g.query.Group).
 		Str("target", seen.Target).Uint64("incarnation", seen.Incarnation).Send()
