Turn hedging off while targets shed, and follow a peer that is ahead

Cause: nothing told a group's budgets that its targets shed load, so hedges went on to add to it. With all voters dead, a host that lacked the last revision had no feed left that could bring it, and stayed stale.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -47,7 +47,7 @@
 	case membership.NeighboursChanged:
 		return c.spreadStep(now, spread.NeighboursChanged{Peers: peersOf(e.Neighbours)})
 	case membership.FeedBehind:
-		return c.follow(now, follow.PeerAhead{Revision: e.Position.Revision})
+		return c.follow(now, follow.PeerAhead{Host: e.Peer, Revision: e.Position.Revision})
 	case membership.Resync:
 		return c.spreadStep(now, spread.Resync{Peer: e.Peer})
 	case membership.ProposeMemberList:
--- a/internal/entry/entryrun/groups.go
+++ b/internal/entry/entryrun/groups.go
@@ -16,6 +16,7 @@
 	limits    routing.Limits
 	latencies *query.Group
 	balancer  *balancerun.Balancer
+	sheds     *shedMeter
 }
 
 // Groups holds the traffic state of all groups. It is safe for concurrent
@@ -50,7 +51,7 @@
 	if known != nil && known.limits == want.Limits {
 		return known
 	}
-	fresh := &group{limits: want.Limits, latencies: g.newLatencies(want.Limits)}
+	fresh := &group{limits: want.Limits, latencies: g.newLatencies(want.Limits), sheds: &shedMeter{}}
 	if known != nil {
 		fresh.balancer = known.balancer
 	} else {
--- a/internal/entry/entryrun/transport.go
+++ b/internal/entry/entryrun/transport.go
@@ -54,7 +54,10 @@
 	}
 	start := time.Now()
 	reply, err := t.search(ctx, req)
-	c.group.balancer.Release(replica, balance.Outcome{Kind: outcomeOf(ctx, err), Latency: time.Since(start)})
+	end := time.Now()
+	kind := outcomeOf(ctx, err)
+	c.group.balancer.Release(replica, balance.Outcome{Kind: kind, Latency: end.Sub(start)})
+	c.group.latencies.SetSaturated(c.group.sheds.observe(end, kind == balance.Shed))
 	if err != nil {
 		return query.Reply{Attempt: req.Attempt, Draining: verdict.CodeOf(err) == targethttp.CodeTargetDraining, Err: translate(err)}
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -178,15 +178,17 @@
 	}
 }
 
-// Guards against a feed that keeps answering while it is cut off from the
-// leader, so that a host would stay behind although a peer is ahead.
+// Guards against feeds that keep answering while they are cut off from the
+// leader, or that are dead, so that a host would stay behind although a peer
+// is ahead.
 func TestPeerAheadReplacesAFeed(t *testing.T) {
 	f := NewFollower("h", false)
 	now := time.Unix(1000, 0)
 	f.Step(now, FeedsChanged{Feeds: []FeedHost{{"v1", "a"}, {"v2", "b"}, {"v3", "c"}}})
 	require.Equal(t, []string{"v1", "v2"}, f.Feeds())
-	require.Empty(t, f.Step(now, PeerAhead{Revision: 0}))
-	effects := f.Step(now, PeerAhead{Revision: 7})
-	require.Contains(t, effects, Effect(FeedReplaced{Old: "v1", New: "v3"}))
-	require.Equal(t, []string{"v3", "v2"}, f.Feeds())
+	require.Empty(t, f.Step(now, PeerAhead{Host: "h2", Revision: 0}))
+	effects := f.Step(now, PeerAhead{Host: "h2", Revision: 7})
+	require.Contains(t, effects, Effect(FeedReplaced{Old: "v1", New: "h2"}))
+	require.Equal(t, []string{"h2", "v2"}, f.Feeds())
+	require.Contains(t, effects, Effect(SendPoll{To: "h2", Poll: Poll{From: "h", Seq: 3}}))
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -65,7 +65,7 @@
 	case FeedsChanged:
 		return f.feedsChanged(now, ev.Feeds)
 	case PeerAhead:
-		return f.peerAhead(now, ev.Revision)
+		return f.peerAhead(now, ev)
 	}
 	return nil
 }
@@ -207,18 +207,27 @@
 	return []Effect{FeedReplaced{Old: old.Host, New: h.Host}}
 }
 
-// peerAhead replaces one feed when a peer has a newer revision, because both
-// feeds may be cut off from the leader while they still answer.
-func (f *Follower) peerAhead(now time.Time, revision uint64) []Effect {
-	if revision <= f.revision || len(f.feeds) == 0 {
+// peerAhead puts a peer that has a newer revision in the place of the feed
+// that answered least recently.
+func (f *Follower) peerAhead(now time.Time, ev PeerAhead) []Effect {
+	if ev.Revision <= f.revision || f.hasLog || ev.Host == f.self {
 		return nil
 	}
+	if slices.Contains(f.Feeds(), ev.Host) {
+		return f.poll(now)
+	}
+	fresh := newFeedState(now, FeedHost{Host: ev.Host})
+	if len(f.feeds) < activeFeeds {
+		f.feeds = append(f.feeds, fresh)
+		return f.poll(now)
+	}
 	oldest := 0
 	for i, s := range f.feeds {
 		if s.lastSeen.Before(f.feeds[oldest].lastSeen) {
 			oldest = i
 		}
 	}
-	out := f.replace(now, oldest)
+	out := []Effect{FeedReplaced{Old: f.feeds[oldest].host.Host, New: ev.Host}}
+	f.feeds[oldest] = fresh
 	return append(out, f.poll(now)...)
 }
--- a/internal/follow/messages.go
+++ b/internal/follow/messages.go
@@ -71,8 +71,12 @@
 type FeedsChanged struct{ Feeds []FeedHost }
 
 // PeerAhead says that a peer has had a newer revision for a while, so that
-// the present feeds may be cut off.
-type PeerAhead struct{ Revision uint64 }
+// the present feeds may be cut off or gone. The peer becomes a feed itself:
+// when all voters are dead, no other host may have the revision.
+type PeerAhead struct {
+	Host     string
+	Revision uint64
+}
 
 // FeedHost is a host that can be a feed.
 type FeedHost struct {
