Check the requirements under failure with a matrix of faults and steps

Cause: the invariants of several control cores together were checked only by the tests of single slices.

--- /dev/null
+++ b/internal/faultmatrix/host_test.go
@@ -0,0 +1,278 @@
+package faultmatrix
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/connections"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
+	"github.com/hawthornlock/hawthornlock/internal/proposals"
+	"github.com/hawthornlock/hawthornlock/internal/spread"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+)
+
+// callback takes the outcome of a call into a core.
+type callback func(result any, err error)
+
+// host is a host whose process and disk come and go.
+type host struct {
+	w       *world
+	name    string
+	domain  string
+	address netip.AddrPort
+	voter   bool
+	disk    *disk
+
+	up          bool
+	paused      bool
+	inbox       []func()
+	incarnation uint64
+	core        *control.Core
+	node        *consensus.Node
+	snapshot    *control.Snapshot
+	waiting     map[uint64]callback
+	inFlight    int
+	interrupted int
+	stopped     bool // the process ended by a graceful stop
+
+	served      uint64    // highest revision with which the gate was open
+	revision    uint64    // of this process
+	connectedAt time.Time // since when the host has not been connected, at the latest
+	pool        pool
+}
+
+// running reports whether the process makes progress.
+func (h *host) running() bool { return h.up && !h.paused }
+
+func (h *host) start() {
+	require.False(h.w.t, h.up, h.name)
+	w := h.w
+	h.incarnation = uint64(w.now.UnixNano())
+	h.up, h.paused, h.inbox, h.stopped = true, false, nil, false
+	h.waiting = map[uint64]callback{}
+	h.revision, h.inFlight = 0, 0
+	h.pool.restart(w.now)
+	if h.voter {
+		node, err := consensus.New(h.nodeOptions(), h.disk.state())
+		require.NoError(w.t, err)
+		h.node = node
+	}
+	roles := membership.RoleEntry
+	if h.voter {
+		roles |= membership.RoleVoter
+	}
+	h.core = control.NewCore(control.Options{
+		Self: h.name, Staleness: 3 * time.Second, Voters: w.feeds(), Seeds: w.seeds(h),
+		Member: membership.Member{
+			Host: h.name, Incarnation: h.incarnation, PeerAddress: h.address,
+			Region: "r", FailureDomain: h.domain, Roles: roles,
+		},
+		Shares: connections.Config{}, Node: h.node, Codec: controlcodec.Codec{},
+		Lifecycle: lifecycle.Options{BalancerLag: balancerLag, ShutdownTimeout: 10 * time.Second, HandoverTimeout: 5 * time.Second},
+	}, w.now)
+	h.execute(h.core.Start(w.now))
+	h.publish()
+	h.tick(h.incarnation)
+}
+
+func (h *host) nodeOptions() consensus.Options {
+	o := consensus.Options{
+		Self: consensus.Member{Identity: h.disk.identity, Name: h.name, Address: h.address.String()},
+		Rand: rand.New(rand.NewPCG(h.incarnation, uint64(h.address.Port()))),
+	}
+	for _, v := range h.w.voters() {
+		o.Initial = append(o.Initial, consensus.Member{Name: v.name, Address: v.address.String()})
+	}
+	return o
+}
+
+// tick lets time pass at the host until its process ends.
+func (h *host) tick(incarnation uint64) {
+	h.w.after(2*control.TickInterval, func() {
+		if !h.up || h.incarnation != incarnation {
+			return
+		}
+		if !h.paused {
+			h.step(control.Tick{InFlight: h.inFlight})
+			h.pool.step(h)
+		}
+		h.tick(incarnation)
+	})
+}
+
+func (h *host) step(ev control.Event) {
+	if !h.up {
+		return
+	}
+	h.execute(h.core.Step(h.w.now, ev))
+	if h.up {
+		h.publish()
+	}
+}
+
+func (h *host) publish() { h.snapshot = h.core.Snapshot(h.w.now) }
+
+// call steps the core with an event that has an outcome.
+func (h *host) call(build func(token uint64) control.Event, done callback) {
+	h.w.token++
+	token := h.w.token
+	h.waiting[token] = done
+	h.step(build(token))
+}
+
+func (h *host) crash() {
+	h.up = false
+	h.disk.crash()
+	h.pool.crash(h.w.now)
+}
+
+func (h *host) pause() { h.paused = true }
+
+func (h *host) resume() {
+	h.paused = false
+	inbox := h.inbox
+	h.inbox = nil
+	for _, f := range inbox {
+		h.w.after(0, func() { h.w.arrive(h, f) })
+	}
+}
+
+func (h *host) stop() {
+	h.step(control.LifecycleEvent{Event: lifecycle.StopRequested{InFlight: h.inFlight}})
+}
+
+// later runs f after d if the same process still runs.
+func (h *host) later(d time.Duration, f func()) {
+	incarnation := h.incarnation
+	h.w.after(d, func() {
+		if h.incarnation == incarnation {
+			h.w.arrive(h, f)
+		}
+	})
+}
+
+func (h *host) execute(effects []control.Effect) {
+	for _, e := range effects {
+		h.carryOut(e)
+	}
+}
+
+func (h *host) carryOut(e control.Effect) {
+	w := h.w
+	switch e := e.(type) {
+	case control.Resolve:
+		if done := h.waiting[e.Token]; done != nil {
+			delete(h.waiting, e.Token)
+			done(e.Result, e.Err)
+		}
+	case control.Persist:
+		h.persist(e.Change)
+	case control.SendConsensus:
+		if to := w.byAddress[e.Send.To.Address]; to != nil {
+			w.send(h, to, func() {
+				to.step(control.ConsensusEvent{Event: consensus.MessageReceived{Message: e.Send.Message}})
+			})
+		}
+	case control.SendPoll:
+		h.ask(w.byName[e.To], func(token uint64) control.Event { return control.PollReceived{Token: token, Poll: e.Poll} },
+			func(r any) control.Event {
+				return control.FollowEvent{Event: follow.UpdateReceived{Update: r.(follow.Update)}}
+			})
+	case control.SendUpdate:
+		to := w.byName[e.To]
+		w.send(h, to, func() { to.step(control.FollowEvent{Event: follow.UpdateReceived{Update: e.Update}}) })
+	case control.SendHeartbeat:
+		h.ask(w.byAddress[e.Address.String()], func(token uint64) control.Event {
+			return control.HeartbeatReceived{Token: token, Heartbeat: e.Heartbeat}
+		}, func(r any) control.Event { return control.HeartbeatAnswered{Heartbeat: r.(membership.Heartbeat)} })
+	case control.SendExchange:
+		h.ask(w.byName[e.To], func(token uint64) control.Event { return control.ExchangeReceived{Token: token, Request: e.Request} },
+			func(r any) control.Event {
+				return control.SpreadEvent{Event: spread.Answered{Response: r.(spread.Response)}}
+			})
+	case control.ForwardRenewals:
+		h.forward(e)
+	case control.ProposeChange:
+		data, err := controlcodec.EncodeChange(w.now, e.Change)
+		require.NoError(w.t, err)
+		h.submit(proposals.KindChange, data, 5*time.Second, func(any, error) {})
+	case control.ProposeOrder:
+		data, err := controlcodec.EncodeOrder(w.now, e.Command)
+		require.NoError(w.t, err)
+		h.submit(proposals.KindOrder, data, 5*time.Second, func(any, error) {})
+	case control.EncodeState:
+		data, err := controlcodec.EncodeState(e.State)
+		require.NoError(w.t, err)
+		h.later(5*time.Millisecond, func() { h.step(control.SnapshotEncoded{Index: e.Index, Data: data}) })
+	case control.CloseTraffic:
+		h.later(20*time.Millisecond, func() {
+			h.pool.close()
+			h.step(control.TrafficClosed{})
+		})
+	case control.SyncJournal:
+		h.later(5*time.Millisecond, func() { h.step(control.LifecycleEvent{Event: lifecycle.Synced{}}) })
+	case control.Exit:
+		h.up, h.stopped = false, true
+		h.interrupted += e.Interrupted + h.inFlight
+		h.pool.crash(w.now)
+	case control.Fail:
+		require.NoError(w.t, e.Err, "%s failed", h.name)
+	}
+}
+
+// ask sends a request to another host and takes its reply.
+func (h *host) ask(to *host, request func(token uint64) control.Event, reply func(any) control.Event) {
+	if to == nil {
+		return
+	}
+	incarnation := h.incarnation
+	h.w.send(h, to, func() {
+		to.call(request, func(result any, _ error) {
+			h.w.send(to, h, func() {
+				if h.incarnation == incarnation {
+					h.step(reply(result))
+				}
+			})
+		})
+	})
+}
+
+func (h *host) persist(p consensus.Persist) {
+	if !h.disk.submit(p) {
+		h.later(time.Millisecond, func() { h.step(control.ConsensusEvent{Event: consensus.PersistFailed{Seq: p.Seq}}) })
+		return
+	}
+	d := h.disk
+	h.later(d.slow, func() {
+		d.sync(p.Seq)
+		h.step(control.ConsensusEvent{Event: consensus.Persisted{Seq: p.Seq}})
+	})
+}
+
+func (h *host) forward(e control.ForwardRenewals) {
+	to := h.w.byName[e.To]
+	answered := false
+	h.w.send(h, to, func() {
+		to.step(control.TargetsEvent{Event: targets.RenewalsReceived{From: h.name, Renewals: e.Renewals}})
+		h.w.send(to, h, func() { answered = true })
+	})
+	h.later(time.Second, func() {
+		if !answered {
+			h.step(control.TargetsEvent{Event: targets.RenewalsFailed{To: e.To, Renewals: e.Renewals}})
+		}
+	})
+}
+
+// group returns a change that creates a group.
+func group(id, operator string, base uint64) config.Change {
+	return config.Change{ID: id, Author: operator, Team: "names", Base: base, Ops: []config.Op{putGroup(id)}}
+}
