Let a new leader confirm only after its own first entry is applied

Cause: a leader confirmed its configuration as soon as it held the lease and had applied its commit index. A new leader that restarted holds accepted changes in its log but does not know yet that they are committed, so while the disk of another voter was full it and that voter served the older revision for as long as that lasted. Ruled out: the read path, which waits for the first entry of the term, and the lease itself, which was held. Change: the node reports whether it has applied an entry of its term, and the leader's confirmation waits for it. Before: TestNewLeaderConfirmsOnlyWhatIsCommitted failed with 'h0 serves revision 4 without change accepted, accepted 4.02s ago as revision 5'. After: it passes.

--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -16,6 +16,9 @@
 	Snapshot    uint64 // index of the latest snapshot
 	LeaseExpiry time.Time
 	LeaseHeld   bool
+	// TermApplied says that this leader has applied an entry of its own term.
+	// Before that it may lack entries that an earlier leader committed.
+	TermApplied bool
 	StorageFull bool
 	Voters      []Member
 	Learners    []Member
@@ -55,6 +58,7 @@
 	}
 	s.LeaseExpiry = n.leaseExpiry()
 	s.LeaseHeld = n.leaseHeld()
+	s.TermApplied = n.applied >= n.leading.termStart
 	for _, p := range n.followers() {
 		s.Followers = append(s.Followers, FollowerStatus{
 			Member: p.member, Match: p.match, LastActive: p.active, Snapshot: p.state == snapshotting,
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -208,10 +208,11 @@
 }
 
 // confirmAsLeader takes the leader's own lease as the confirmation of the
-// configuration that it has applied.
+// configuration that it has applied. A new leader has all accepted changes in
+// its log, but it knows that they are committed only with its own first entry.
 func (c *Core) confirmAsLeader(now time.Time) []Effect {
 	s := c.node.Status()
-	if s.Role != consensus.Leader || !s.LeaseHeld || s.Applied < s.Commit {
+	if s.Role != consensus.Leader || !s.LeaseHeld || !s.TermApplied || s.Applied < s.Commit {
 		return nil
 	}
 	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
