Count majorities of earlier member lists until they know their successor

Cause: a change was reported as accepted once a majority of the present member list had seen it. Hosts that had not learned of a shorter list could be a majority of the longer one and confirm an older configuration to each other: with five hosts of which two were cut off, the leader agreed on the other three, and the third one then joined the two that were cut off. Also, the position that hosts must have seen carried the term of the last confirmation here and not of the log entry, so that a host which had seen an older revision in a newer term counted. Ruled out: the connection shares, which every member of the new list must acknowledge. Change: the core keeps each replaced list until a majority of it has seen the revision that replaced it, and holds the answers to proposers until then. Hosts that an operator forgot are left out. Positions carry the term of the entry. Before: TestMajoritiesOfSuccessiveListsMeet failed with 'h2 serves revision 4 without change shorter, accepted 4.02s ago as revision 6'. After: it passes.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -82,7 +82,8 @@
 	leader    consensus.Member
 	encoding  bool // a snapshot is being encoded
 
-	unseen []unseenChange
+	unseen  []unseenChange
+	earlier []earlierList
 
 	shared   shared
 	snapshot *Snapshot // last published
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -69,6 +69,7 @@
 	var out []Effect
 	for _, op := range change.Ops {
 		if f, ok := op.(config.ForgetHost); ok {
+			c.forgetInLists(f.Host)
 			out = append(out, c.membership(now, membership.HostForgotten{Host: f.Host})...)
 		}
 	}
@@ -99,7 +100,7 @@
 		out = append(out, effects...)
 		resolved := c.tracker.Applied(e.Index, e.Term, result)
 		if r, ok := result.(config.Result); ok && r.Outcome == config.Accepted {
-			c.holdUntilSeen(now, resolved)
+			c.holdUntilSeen(now, e.Term, resolved)
 			continue
 		}
 		out = append(out, resolveAll(resolved)...)
@@ -122,7 +123,9 @@
 	}
 	switch cmd.Kind {
 	case proposals.KindChange:
+		old := c.store.Members()
 		result := c.store.Apply(e.Index, cmd.At, *cmd.Change)
+		c.listReplaced(old, e.Term)
 		if result.Outcome != config.Accepted || result.Resend {
 			return result, nil, nil
 		}
--- a/internal/control/unseen.go
+++ b/internal/control/unseen.go
@@ -24,18 +24,19 @@
 // to each other.
 type unseenChange struct {
 	resolve  proposals.Resolve
-	revision uint64
+	position membership.Position // the term is that of the log entry
 	deadline time.Time
 }
 
-func (c *Core) holdUntilSeen(now time.Time, resolved []proposals.Resolve) {
+func (c *Core) holdUntilSeen(now time.Time, term uint64, resolved []proposals.Resolve) {
 	for _, r := range resolved {
 		if r.Outcome.Err != nil {
 			// The outcome of an entry whose place another one took needs no host.
 			c.unseen = append(c.unseen, unseenChange{resolve: r, deadline: now})
 			continue
 		}
-		c.unseen = append(c.unseen, unseenChange{resolve: r, revision: c.store.Revision(), deadline: now.Add(seenTimeout)})
+		position := membership.Position{Term: term, Revision: c.store.Revision()}
+		c.unseen = append(c.unseen, unseenChange{resolve: r, position: position, deadline: now.Add(seenTimeout)})
 	}
 }
 
@@ -43,15 +44,16 @@
 // time is up.
 func (c *Core) releaseSeen(now time.Time) []Effect {
 	var out []Effect
+	settled := c.listsSettled()
 	rest := c.unseen[:0]
 	for _, u := range c.unseen {
-		seen := c.members.MajoritySaw(membership.Position{Term: c.confirmed.Term, Revision: u.revision}) || c.store.Members().Epoch == 0
+		seen := settled && c.members.MajoritySaw(u.position) || c.store.Members().Epoch == 0
 		switch {
 		case u.resolve.Outcome.Err != nil || seen:
 			out = append(out, resolveAll([]proposals.Resolve{u.resolve})...)
 		case !now.Before(u.deadline):
 			u.resolve.Outcome = proposals.Outcome{Err: verdict.New(verdict.MayHaveRun, codeNotSeen,
-				"the change is in the log as revision %d or earlier, but too few hosts are known to have seen it; send it again to ask", u.revision)}
+				"the change is in the log as revision %d or earlier, but too few hosts are known to have seen it; send it again to ask", u.position.Revision)}
 			out = append(out, resolveAll([]proposals.Resolve{u.resolve})...)
 		default:
 			rest = append(rest, u)
--- /dev/null
+++ b/internal/faultmatrix/lists_test.go
@@ -0,0 +1,36 @@
+package faultmatrix
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against two majorities that don't meet because they belong to two
+// successive member lists: a change accepted under a shorter list while a
+// majority of the longer one knows neither.
+func TestMajoritiesOfSuccessiveListsMeet(t *testing.T) {
+	w := startedWorld(t, "successive lists", 5)
+	leader := w.leader()
+	stays := w.other(leader)
+	var leaves *host
+	for _, v := range w.voters() {
+		if v != leader && v != stays {
+			leaves = v
+		}
+	}
+	w.split(w.hosts[3], w.hosts[4])
+	last := leader.node.Status().LastIndex
+	for leader.node.Status().LastIndex == last {
+		w.run(100 * time.Microsecond)
+	}
+	w.split(leader, stays)
+	w.until(10*time.Second, "the shorter list is in force", func() bool { return len(leader.snapshot.Agreed.Hosts) < 5 })
+	w.push(leader, group("shorter", "an", leader.snapshot.Revision))
+	w.run(20 * time.Second)
+	require.Less(t, len(leader.snapshot.Agreed.Hosts), 5)
+	require.Len(t, leaves.snapshot.Agreed.Hosts, 5)
+	heal(w, nil)
+	w.settle()
+}
--- a/internal/membership/freshness.go
+++ b/internal/membership/freshness.go
@@ -209,6 +209,33 @@
 	return saw > len(s.agreed.Hosts)/2
 }
 
+// MajorityOfSaw reports whether a majority of a sorted list other than the
+// agreed one is known to have seen a configuration. Reports of relays count members of the
+// agreed list only, so that those outside the other list count as if they were
+// the ones that saw it.
+func (s *State) MajorityOfSaw(hosts []string, p Position) bool {
+	saw := 0
+	if s.topology != nil {
+		for _, r := range s.bestReports(s.lastTick) {
+			if r.Epoch == s.agreed.Epoch && r.Seen.Compare(p) >= 0 {
+				saw += int(r.SawNewest)
+			}
+		}
+		for _, h := range s.agreed.Hosts {
+			if _, ok := slices.BinarySearch(hosts, h); !ok {
+				saw--
+			}
+		}
+		return saw > len(hosts)/2
+	}
+	for _, h := range hosts {
+		if s.seenAt(h).Compare(p) >= 0 {
+			saw++
+		}
+	}
+	return saw > len(hosts)/2
+}
+
 func (s *State) seenAt(host string) Position {
 	if host == s.self.Host {
 		return s.seen
