Give a host that lost its disk its vote back

Cause: a host that lost its disk joined as a learner for good. Nothing removed the lost identity or promoted the learner, so the second lost disk ended the majority of the log, however long after the first. Ruled out: the consensus package, whose voter changes work; nobody asked for them. Change: the leader removes the identity of a lost disk once it has been silent for 2 s and the learner of the same host holds what is committed, and then promotes the learner. Before: TestSecondDiskLostAfterRepair failed with 'all hosts serve again: not within 1m0s' after the second lost disk. After: all three disks are lost in turn and every change is kept.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -85,6 +85,8 @@
 	unseen  []unseenChange
 	earlier []earlierList
 
+	repairedAt time.Time
+
 	shared   shared
 	snapshot *Snapshot // last published
 }
@@ -181,6 +183,7 @@
 	if c.node != nil {
 		out = append(out, c.consensus(now, consensus.Tick{})...)
 		out = append(out, c.confirmAsLeader(now)...)
+		out = append(out, c.repairVoters(now)...)
 	}
 	out = append(out, c.membership(now, membership.Tick{})...)
 	out = append(out, c.spreadStep(now, spread.Tick{})...)
