--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -86,6 +86,9 @@
 	catalogs *catalogs
 	changed  map[string]bool // targets that changed since the last snapshot
 
+	earlier    []earlierList
+	repairedAt time.Time // last step of a repair of the voters
+
 	shared   shared
 	snapshot *Snapshot // last published
 }
@@ -186,6 +189,7 @@
 	if c.node != nil {
 		out = append(out, c.consensus(now, consensus.Tick{})...)
 		out = append(out, c.confirmAsLeader(now)...)
+		out = append(out, c.repairVoters(now)...)
 	}
 	out = append(out, c.membership(now, membership.Tick{})...)
 	out = append(out, c.spreadStep(now, spread.Tick{})...)
@@ -214,10 +218,11 @@
 }
 
 // confirmAsLeader takes the leader's own lease as the confirmation of the
-// configuration that it has applied.
+// configuration that it has applied. A new leader has all accepted changes in
+// its log, but it knows that they are committed only with its own first entry.
 func (c *Core) confirmAsLeader(now time.Time) []Effect {
 	s := c.node.Status()
-	if s.Role != consensus.Leader || !s.LeaseHeld || s.Applied < s.Commit {
+	if s.Role != consensus.Leader || !s.LeaseHeld || !s.TermApplied || s.Applied < s.Commit {
 		return nil
 	}
 	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
