--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,7 +94,7 @@
 	fs.StringVar(&r.targetListen, "target-listen", "127.0.0.1:7402", "IP:port for targets' announcements")
 	fs.StringVar(&r.adminListen, "admin-listen", "127.0.0.1:7403", "IP:port for administration, metrics and state")
 	fs.StringVar(&r.peerIn, "peer-listen", "127.0.0.1:7404", "IP:port for other hosts")
-	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token on each line; without it the admin listener must be on loopback")
+	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "least severe events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves a configuration that nothing confirms, 1s to 4s")
 	fs.Float64Var(&r.MaxClockDrift, "max-clock-drift", 0.05, "share by which the clock rates of two hosts may differ, 0 to 0.2")
