Let operators end the drain of a host

Cause: the daemon could resume a drained host, but no endpoint or command reached it, and the doc comments, the help text and event 7004 called a drain a shutdown. A drain of an unknown host was answered with status 503, so the tool asked all other hosts and reported that none gave an answer.

Change: POST /v1/admin/hosts/{host}/resume, Client.ResumeHost and hawthornlock host resume; event 7006. The texts say that a drained host refuses new work and stays up. The code unknown_host has status 404.

Result: go test -race ./internal/cli ./internal/config/confighttp passes with new cases for resume by the admin team, by another team, from a web page and of an unknown host.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -63,7 +63,8 @@
 func (c *cluster) State() confighttp.State {
 	return confighttp.State{Host: "h1", Revision: c.store.Revision()}
 }
-func (c *cluster) DrainHost(context.Context, string) error { return nil }
+func (c *cluster) DrainHost(context.Context, string) error  { return nil }
+func (c *cluster) ResumeHost(context.Context, string) error { return nil }
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{store: config.NewStore(), state: t.TempDir(), now: time.Date(2026, 12, 4, 1, 0, 0, 0, time.UTC)}
@@ -149,6 +150,8 @@
 		{"host members", 0, "h1"},
 		{"host state", 0, "revision in force"},
 		{"host drain h1", 0, "drains"},
+		{"host resume h1", 0, "takes new work again"},
+		{"host resume", 2, "usage:"},
 		{"host forget h9", 3, "is not a member"},
 		{"group delete a", 3, `used by selector "s"`},
 		{"group put b -owner blue -match site=2 -base 1", 0, "revision 5"},
--- a/internal/cli/hosts.go
+++ b/internal/cli/hosts.go
@@ -86,11 +86,17 @@
 			run: func(ctx context.Context, c *common, _ []string) error { return c.hostMembers(ctx) },
 		},
 		{
-			name: "drain", args: "HOST", short: "Start the graceful shutdown of a host",
-			long:     "The host refuses new work, ends what is in progress, and exits.",
+			name: "drain", args: "HOST", short: "Make a host refuse new work and stay up",
+			long:     "Readiness turns false at once. After the load balancer's lag the host refuses\nnew work, ends what is in progress, and stays up until it is resumed or stopped.\nIt keeps its vote. To stop a host, send SIGTERM to its process.",
 			examples: []string{"hawthornlock host drain binh-duong-2"}, minArgs: 1, maxArgs: 1,
 			run: func(ctx context.Context, c *common, args []string) error { return c.drainHost(ctx, args[0]) },
 		},
+		{
+			name: "resume", args: "HOST", short: "End the drain of a host",
+			long:     "The host takes new work again. A host that is stopping or not drained stays as it is.",
+			examples: []string{"hawthornlock host resume binh-duong-2"}, minArgs: 1, maxArgs: 1,
+			run: func(ctx context.Context, c *common, args []string) error { return c.resumeHost(ctx, args[0]) },
+		},
 		{
 			name: "forget", args: "HOST", short: "Remove a host that will not return from the member list",
 			long:     "Needed when so many hosts are lost for good that the others no longer are a\nmajority. A host that is only unreachable must not be forgotten.",
@@ -158,6 +164,19 @@
 		return err
 	}
 	return c.print(confighttp.Name{Name: host}, func(w io.Writer) {
-		fmt.Fprintf(w, "Host %s drains. Follow it with: hawthornlock host members\n", host)
+		fmt.Fprintf(w, "Host %s drains and stays up. Follow it with: hawthornlock host members\nEnd the drain with: hawthornlock host resume %s\n", host, host)
+	})
+}
+
+func (c *common) resumeHost(ctx context.Context, host string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	if err := client.ResumeHost(ctx, host); err != nil {
+		return err
+	}
+	return c.print(confighttp.Name{Name: host}, func(w io.Writer) {
+		fmt.Fprintf(w, "Host %s takes new work again. Check it with: hawthornlock host members\n", host)
 	})
 }
--- a/internal/config/confighttp/backend.go
+++ b/internal/config/confighttp/backend.go
@@ -28,8 +28,10 @@
 	Targets() []Target
 	Hosts() []Host
 	State() State
-	// DrainHost starts the graceful shutdown of a host.
+	// DrainHost makes a host refuse new work and stay up.
 	DrainHost(ctx context.Context, host string) error
+	// ResumeHost ends the drain of a host.
+	ResumeHost(ctx context.Context, host string) error
 }
 
 // Target is a target as this host sees it.
--- a/internal/config/confighttp/client.go
+++ b/internal/config/confighttp/client.go
@@ -22,7 +22,7 @@
 
 // Client calls the administration API. It tries the addresses in order until
 // a host answers with anything but a failure. That is safe for pushes, which
-// are idempotent by their ID, and for drains.
+// are idempotent by their ID, and for drains and resumes.
 type Client struct {
 	Addresses []string // IP and port
 	Token     string
@@ -118,11 +118,16 @@
 	return out, c.do(ctx, http.MethodGet, "/state", nil, &out)
 }
 
-// DrainHost starts the graceful shutdown of a host.
+// DrainHost makes a host refuse new work and stay up.
 func (c *Client) DrainHost(ctx context.Context, host string) error {
 	return c.do(ctx, http.MethodPost, "/hosts/"+url.PathEscape(host)+"/drain", struct{}{}, &Name{})
 }
 
+// ResumeHost ends the drain of a host.
+func (c *Client) ResumeHost(ctx context.Context, host string) error {
+	return c.do(ctx, http.MethodPost, "/hosts/"+url.PathEscape(host)+"/resume", struct{}{}, &Name{})
+}
+
 // do sends a request to one host after another. The last error counts, and
 // its verdict covers the earlier attempts.
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
--- a/internal/config/confighttp/events.go
+++ b/internal/config/confighttp/events.go
@@ -20,9 +20,12 @@
 		"a request had no token, a wrong one, or one of another team",
 		"check the token of the operator; many of these from one address may be an attempt to guess one")
 	eventDrain = eventlog.Define(7004, zerolog.InfoLevel, "host drain requested",
-		"an operator asked for the graceful shutdown of a host",
-		"none; hawthornlock host members shows when the host is gone")
+		"an operator asked a host to refuse new work and stay up",
+		"none; hawthornlock host resume ends the drain")
 	eventMalformed = eventlog.Define(7005, zerolog.InfoLevel, "administration request malformed",
 		"a request could not be read, had an unknown field or was too large",
 		"correct the request; it did not run")
+	eventResume = eventlog.Define(7006, zerolog.InfoLevel, "host resume requested",
+		"an operator ended the drain of a host",
+		"none; readiness is true again once the host serves")
 )
--- a/internal/config/confighttp/handlers.go
+++ b/internal/config/confighttp/handlers.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -232,19 +233,30 @@
 	writeJSON(c.w, http.StatusOK, Hosts{Hosts: append([]Host{}, s.Backend.Hosts()...)})
 }
 
-// drainHost is for the admin team: a host serves all teams.
 func (s *server) drainHost(c call) {
+	s.changeHost(c, "drain", eventDrain, s.Backend.DrainHost)
+}
+
+func (s *server) resumeHost(c call) {
+	s.changeHost(c, "resume", eventResume, s.Backend.ResumeHost)
+}
+
+// changeHost is for the admin team: a host serves all teams.
+func (s *server) changeHost(c call, verb string, ev eventlog.Event, change func(context.Context, string) error) {
 	host := pathVar(c.r, "host")
 	if !s.decode(c, &struct{}{}) {
 		return
 	}
 	if c.team != config.AdminTeam {
 		s.Log.Log(eventUnauthorized).Str("remote", c.r.RemoteAddr).Str("path", c.r.URL.Path).Str("team", c.team).Send()
-		writeError(c.w, http.StatusForbidden, ErrorDetail{Code: codeForbidden, Verdict: verdict.NotRun, Message: "only team \"admin\" may drain a host"})
+		writeError(c.w, http.StatusForbidden, ErrorDetail{
+			Code: codeForbidden, Verdict: verdict.NotRun,
+			Message: fmt.Sprintf("only team %q may %s a host", config.AdminTeam, verb),
+		})
 		return
 	}
-	s.Log.Log(eventDrain).Str("target_host", host).Str("team", c.team).Send()
-	if err := s.Backend.DrainHost(c.r.Context(), host); err != nil {
+	s.Log.Log(ev).Str("target_host", host).Str("team", c.team).Send()
+	if err := change(c.r.Context(), host); err != nil {
 		writeFailure(c.w, err, "")
 		return
 	}
--- a/internal/config/confighttp/server.go
+++ b/internal/config/confighttp/server.go
@@ -37,6 +37,10 @@
 	codeNotFound     verdict.Code = "not_found"
 	codeTooLarge     verdict.Code = "body_too_large"
 	codeMediaType    verdict.Code = "unsupported_media_type"
+
+	// CodeUnknownHost is the code of a drain or resume of a host that the
+	// asked host has never heard of.
+	CodeUnknownHost verdict.Code = "unknown_host"
 )
 
 // Options configure the administration API.
@@ -86,6 +90,7 @@
 	handle(http.MethodGet, "/targets/{target}", s.targetWhy)
 	handle(http.MethodGet, "/hosts", s.hosts)
 	handle(http.MethodPost, "/hosts/{host}/drain", s.drainHost)
+	handle(http.MethodPost, "/hosts/{host}/resume", s.resumeHost)
 	handle(http.MethodGet, "/state", s.state)
 	return root
 }
@@ -186,7 +191,7 @@
 	}
 	status := http.StatusServiceUnavailable
 	switch {
-	case d.Code == codeNotFound:
+	case d.Code == codeNotFound, d.Code == CodeUnknownHost:
 		status = http.StatusNotFound
 	case errors.Is(err, context.DeadlineExceeded):
 		status, d.Code = http.StatusGatewayTimeout, verdict.CodeDeadlineExceeded
--- a/internal/config/confighttp/server_test.go
+++ b/internal/config/confighttp/server_test.go
@@ -68,6 +68,14 @@
 	return nil
 }
 
+func (f *fakeBackend) ResumeHost(_ context.Context, host string) error {
+	if host != f.drained {
+		return verdict.New(verdict.NotRun, CodeUnknownHost, "host %q is not known", host)
+	}
+	f.drained = ""
+	return nil
+}
+
 type fixture struct {
 	*fakeBackend
 	client *Client
@@ -143,6 +151,9 @@
 	require.True(t, why.Groups[0].Member)
 	require.NoError(t, f.client.DrainHost(ctx, "h1"))
 	require.Equal(t, "h1", f.drained)
+	require.ErrorContains(t, f.client.ResumeHost(ctx, "h2"), "unknown_host, not_run")
+	require.NoError(t, f.client.ResumeHost(ctx, "h1"))
+	require.Empty(t, f.drained)
 	hosts, err := f.client.Hosts(ctx)
 	require.NoError(t, err)
 	require.Len(t, hosts.Hosts, 1)
@@ -222,6 +233,9 @@
 		{"another team", "red " + redToken, "/changes", json, `{"team":"blue",` + good[1:], []string{auth, "Bearer " + redToken}, 403, "forbidden"},
 		{"system team", "admin " + adminToken, "/changes", json, `{"team":"system",` + good[1:], []string{auth, "Bearer " + adminToken}, 403, "forbidden"},
 		{"drain by a team", "red " + redToken, "/hosts/h1/drain", json, "{}", []string{auth, "Bearer " + redToken}, 403, "forbidden"},
+		{"resume from a web page", "", "/hosts/h1/resume", "text/plain", "{}", nil, 415, "unsupported_media_type"},
+		{"resume by a team", "red " + redToken, "/hosts/h1/resume", json, "{}", []string{auth, "Bearer " + redToken}, 403, "forbidden"},
+		{"resume of an unknown host", "", "/hosts/h9/resume", json, "{}", nil, 404, "unknown_host"},
 		{"forget by a team", "red " + redToken, "/changes", json, `{"author":"an","base":0,"ops":[{"forget_host":{"name":"x"}}]}`, []string{auth, "Bearer " + redToken}, 403, "not_owner"},
 	}
 	for _, tt := range tests {
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -164,13 +164,11 @@
 func (b backend) lifecycleOf(host string) (lifecyclerpc.Lifecycle, error) {
 	address, ok := b.d.directory.lookup(host)
 	if !ok {
-		return nil, verdict.New(verdict.NotRun, codeUnknownHost, "host %q is not known", host)
+		return nil, verdict.New(verdict.NotRun, confighttp.CodeUnknownHost, "host %q is not known", host)
 	}
 	return lifecyclerpc.NewLifecycleProtobufClient(peerlink.BaseURL(address), b.d.links.Client()), nil
 }
 
-const codeUnknownHost verdict.Code = "unknown_host"
-
 // unreached gives a failed call to a host its verdict.
 func unreached(err error, host string) error {
 	switch {
