Report the answer of a host rather than the host that was not reached

Cause: with several addresses the tool showed the error of the last host it asked. With a host down, a refusal by the other two was hidden behind "connection refused". -timeout 0s was reported as "no host was asked" with exit code 3, and an address without a port as a host that may not be reached.

Change: the last answer of a host counts. A timeout that is not above zero and an address that is not host:port are usage errors, exit code 2.

--- a/internal/cli/caller.go
+++ b/internal/cli/caller.go
@@ -97,8 +97,11 @@
 			return nil, errors.Wrap(err, "encode request")
 		}
 	}
-	var err error = usagef("no host is given; set -caller-addr or HAWTHORNLOCK_CALLER_ADDR")
-	for _, addr := range splitList(addrs) {
+	hosts, err := addresses("-caller-addr", addrs)
+	if err != nil {
+		return nil, err
+	}
+	for _, addr := range hosts {
 		var reply json.RawMessage
 		reply, err = c.callOne(ctx, method, "http://"+addr+path, body)
 		var op *net.OpError
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,7 +7,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -177,11 +179,32 @@
 		}
 		token = strings.TrimSpace(string(text))
 	}
-	addrs := splitList(c.addr)
+	addrs, err := addresses("-addr", c.addr)
+	if err != nil {
+		return nil, err
+	}
 	share := c.timeout / time.Duration(max(1, len(addrs))) // a host that hangs leaves time for the next
 	return &confighttp.Client{Addresses: addrs, Token: token, HTTP: confighttp.NewHTTPClient(share)}, nil
 }
 
+// addresses returns the addresses that a flag lists.
+func addresses(flagName, text string) ([]string, error) {
+	addrs := splitList(text)
+	if len(addrs) == 0 {
+		return nil, usagef("%s names no host", flagName)
+	}
+	for _, addr := range addrs {
+		host, port, err := net.SplitHostPort(addr)
+		if err == nil {
+			_, err = strconv.ParseUint(port, 10, 16)
+		}
+		if err != nil || host == "" {
+			return nil, usagef("%s %q is not a host's IP address and port, such as %s", flagName, addr, defaultAdminAddress)
+		}
+	}
+	return addrs, nil
+}
+
 func splitList(s string) []string {
 	var out []string
 	for _, p := range strings.Split(s, ",") {
@@ -226,6 +249,9 @@
 			if c.output != "table" && c.output != "json" {
 				return usagef("-o %s is neither table nor json", c.output)
 			}
+			if c.timeout <= 0 {
+				return usagef("-timeout %s is not above zero", c.timeout)
+			}
 			ctx, cancel := context.WithTimeout(ctx, c.timeout+s.grace)
 			defer cancel()
 			return s.run(ctx, c, positional)
--- a/internal/config/confighttp/client.go
+++ b/internal/config/confighttp/client.go
@@ -128,8 +128,9 @@
 	return c.do(ctx, http.MethodPost, "/hosts/"+url.PathEscape(host)+"/resume", struct{}{}, &Name{})
 }
 
-// do sends a request to one host after another. The last error counts, and
-// its verdict covers the earlier attempts.
+// do sends a request to one host after another. The last answer of a host
+// counts, or the last failure to reach one if none answered, and the verdict
+// covers all attempts.
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
 	var body []byte
 	if in != nil {
@@ -147,11 +148,14 @@
 		if ctx.Err() != nil {
 			break
 		}
-		err = c.try(ctx, method, "http://"+addr+"/v1/admin"+path, body, out)
-		if !shouldTryNext(err) {
-			return err
+		latest := c.try(ctx, method, "http://"+addr+"/v1/admin"+path, body, out)
+		if !shouldTryNext(latest) {
+			return latest
+		}
+		attempts = verdict.Join(attempts, errVerdict(latest))
+		if isAnswer(latest) || !isAnswer(err) {
+			err = latest
 		}
-		attempts = verdict.Join(attempts, errVerdict(err))
 	}
 	if err == nil {
 		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeDeadlineExceeded, "no host was asked")
@@ -208,6 +212,13 @@
 	return err != nil
 }
 
+// isAnswer reports whether an error is a reply of a host. It says more of the
+// system than a host that was not reached.
+func isAnswer(err error) bool {
+	var remote *RemoteError
+	return errors.As(err, &remote)
+}
+
 func errVerdict(err error) verdict.Verdict {
 	var remote *RemoteError
 	if errors.As(err, &remote) {
--- a/internal/config/confighttp/server_test.go
+++ b/internal/config/confighttp/server_test.go
@@ -306,7 +306,8 @@
 }
 
 // Guards against a client that reports not_run for a change that a host it
-// asked first may have accepted, or may_have_run when none was reached.
+// asked first may have accepted, or may_have_run when none was reached, and
+// against a message that hides the answer of a host.
 func TestClientJoinsVerdictsOfAllHosts(t *testing.T) {
 	f := newFixture(t, "")
 	good := f.client.Addresses[0]
@@ -320,4 +321,5 @@
 	f.client.Addresses = []string{good, closedAddress(t)}
 	_, err = f.client.Push(t.Context(), groupChange(1, "a", "red", "2"))
 	require.Equal(t, verdict.MayHaveRun, VerdictOf(err))
+	require.ErrorContains(t, err, "unexpected EOF") // not the host that was not reached after it
 }
