--- a/internal/config/confighttp/server.go
+++ b/internal/config/confighttp/server.go
@@ -23,8 +23,10 @@
 const (
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes = 1 << 20
-	// DefaultProposeTimeout is how long a push waits for its outcome.
-	DefaultProposeTimeout = 5 * time.Second
+	// DefaultProposeTimeout is how long a push waits for its outcome. It is
+	// below a third of the tool's timeout of 10 s, so that each of three hosts
+	// gives its verdict before the tool goes on to the next one.
+	DefaultProposeTimeout = 3 * time.Second
 
 	defaultHistory = 50
 	maxHistory     = 1000
@@ -69,12 +71,8 @@
 	}
 	s := &server{Options: o}
 	root := mux.NewRouter().UseEncodedPath()
-	root.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, http.StatusNotFound, ErrorDetail{Code: codeNotFound, Verdict: verdict.NotRun, Message: "no such path: " + r.URL.Path})
-	})
-	root.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, http.StatusMethodNotAllowed, ErrorDetail{Code: verdict.CodeInvalidRequest, Verdict: verdict.NotRun, Message: r.Method + " is not allowed on " + r.URL.Path})
-	})
+	root.NotFoundHandler = http.HandlerFunc(NotFound)
+	root.MethodNotAllowedHandler = http.HandlerFunc(MethodNotAllowed)
 	admin := root.PathPrefix("/v1/admin").Subrouter()
 	handle := func(method, path string, h func(call)) {
 		admin.Handle(path, s.authorized(h)).Methods(method)
@@ -95,6 +93,16 @@
 	return root
 }
 
+// NotFound answers a request for a path that does not exist.
+func NotFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, http.StatusNotFound, ErrorDetail{Code: codeNotFound, Verdict: verdict.NotRun, Message: "no such path: " + r.URL.Path})
+}
+
+// MethodNotAllowed answers a request with a method that its path does not have.
+func MethodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	writeError(w, http.StatusMethodNotAllowed, ErrorDetail{Code: verdict.CodeInvalidRequest, Verdict: verdict.NotRun, Message: r.Method + " is not allowed on " + r.URL.Path})
+}
+
 // authorized finds the team of a request. Without tokens everyone acts as the
 // admin team, and the request must have been sent to a loopback address: a
 // web page that resolves its own name to 127.0.0.1 must not reach the API.
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -20,6 +20,8 @@
 
 func (d *Daemon) adminRouter() http.Handler {
 	r := mux.NewRouter()
+	r.NotFoundHandler = http.HandlerFunc(confighttp.NotFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(confighttp.MethodNotAllowed)
 	r.Handle("/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", d.readyz).Methods(http.MethodGet)
--- a/internal/daemon/reads.go
+++ b/internal/daemon/reads.go
@@ -19,18 +19,30 @@
 // readTimeout bounds a read at one host.
 const readTimeout = time.Second
 
+// readPatience bounds a read at all hosts. An election takes one to two
+// seconds, so a read that meets one is answered by the new leader.
+const readPatience = 3 * time.Second
+
 // read asks the leader a question about the replicated state. remote asks the
 // host at a base URL and returns the decoded answer.
 func (d *Daemon) read(ctx context.Context, q control.Query, remote func(ctx context.Context, baseURL string) (any, error)) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, readPatience)
+	defer cancel()
 	var last error
-	for try := range 2 * len(d.settings.Voters) {
+	for try := 0; ; try++ {
 		result, err := d.readAt(ctx, d.leaderCandidate(try), q, remote)
 		if err == nil {
 			return result, nil
 		}
-		last = err
+		if last == nil || ctx.Err() == nil {
+			last = err // a read cut off by the end of patience says less than the one before
+		}
+		select {
+		case <-ctx.Done():
+			return nil, last
+		case <-time.After(submitRetryDelay):
+		}
 	}
-	return nil, last
 }
 
 func (d *Daemon) readAt(ctx context.Context, host string, q control.Query, remote func(ctx context.Context, baseURL string) (any, error)) (any, error) {
--- a/internal/entry/entryhttp/http.go
+++ b/internal/entry/entryhttp/http.go
@@ -26,8 +26,11 @@
 // whose every byte is escaped.
 const maxBodyBytes = 6*entry.MaxOrderBodyBytes + 64<<10
 
-// codeBodyTooLarge is the code of a refusal with status 413.
-const codeBodyTooLarge verdict.Code = "body_too_large"
+// Codes of refusals by this interface.
+const (
+	codeBodyTooLarge verdict.Code = "body_too_large"
+	codeNotFound     verdict.Code = "not_found"
+)
 
 // RequestIDHeader carries the request ID of a caller and of the reply.
 const RequestIDHeader = "X-Request-Id"
@@ -63,12 +66,24 @@
 func NewRouter(cfg Config) http.Handler {
 	h := &handler{cfg}
 	r := mux.NewRouter()
+	r.NotFoundHandler = http.HandlerFunc(notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
 	r.HandleFunc("/v1/query", h.query).Methods(http.MethodPost)
 	r.HandleFunc("/v1/orders", h.order).Methods(http.MethodPost)
 	r.HandleFunc("/v1/orders/{request_id}", h.lookUpOrder).Methods(http.MethodGet)
 	return r
 }
 
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusNotFound, errorMessage{errorBody{Code: codeNotFound, Message: "no such path: " + r.URL.Path, Verdict: verdict.NotRun}})
+}
+
+func methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusMethodNotAllowed, errorMessage{errorBody{
+		Code: verdict.CodeInvalidRequest, Message: r.Method + " is not allowed on " + r.URL.Path, Verdict: verdict.NotRun,
+	}})
+}
+
 type originMessage struct {
 	RequestID string            `json:"request_id"`
 	Team      string            `json:"team"`
@@ -178,6 +193,11 @@
 
 func (h *handler) lookUpOrder(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["request_id"]
+	// A mistyped ID must not be answered with "no order ran".
+	if _, err := orders.IssuedAt(id); err != nil {
+		writeError(w, id, err)
+		return
+	}
 	result, err := h.Orders.LookUpOrder(r.Context(), id)
 	h.writeOrder(w, id, result, err)
 }
