Say what a starting host waits for

Cause: after a stop of all hosts at once, all three stayed in phase starting for 35 s after the last change of the member list, and /readyz said only "it is starting". The wait is the silence timeout after which connections of unknown earlier members to targets are certainly closed.

Change: the reason names what is missing: a confirmed configuration, a place in the member list, or the end of earlier processes' connections.

--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -21,6 +21,7 @@
 	s := startSystem(t)
 	an, binh := s.operator(t, "an"), s.operator(t, "binh")
 	for _, h := range s {
+		awaitReady(t, h)
 		an.eventually("3 (epoch", "host state -addr %s", h.admin())
 	}
 	targets := startTargets(t, s, "showroom-app", 3)
@@ -45,6 +46,19 @@
 	}
 }
 
+// awaitReady waits until a host is ready. Guards against a start that does not
+// say what it waits for.
+func awaitReady(t *testing.T, h *host) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		code, text := status(t, http.MethodGet, h.url("/readyz"), "", "")
+		if code != http.StatusOK {
+			require.Contains(t, text, "it is starting: ")
+		}
+		return code == http.StatusOK
+	}, patience, lookAgain)
+}
+
 // Guards against example files of the deployments that a new user can't push.
 func pushDeployments(t *testing.T, o *operator) {
 	for i, deployment := range []string{"hoa-sen", "tenjin"} {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -429,9 +429,23 @@
 	return out
 }
 
-func (c *Core) gate() entry.Gate {
+func (c *Core) gate(now time.Time) entry.Gate {
 	if !c.life.Accepting() {
-		return entry.Gate{Reason: "it is " + c.life.Phase().String()}
+		return entry.Gate{Reason: "it is " + c.life.Phase().String() + c.startObstacle(now)}
 	}
 	return entry.Gate{Accepting: true, Evidence: c.members.Evidence()}
 }
+
+// startObstacle says what a host that has just started waits for.
+func (c *Core) startObstacle(now time.Time) string {
+	switch {
+	case c.life.Phase() != lifecycle.Starting || c.canServe(now):
+		return ""
+	case c.members.Freshness(now) == membership.Stale:
+		return ": its configuration is not confirmed yet"
+	case c.shares.View(now).Phase() == connections.NotMember:
+		return ": it is not in the agreed member list yet"
+	default:
+		return ": connections of earlier processes to targets may still be open"
+	}
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -60,7 +60,7 @@
 // Snapshot returns the present snapshot. It builds a new one only if
 // something changed.
 func (c *Core) Snapshot(now time.Time) *Snapshot {
-	view, gate := c.registry.View(), c.gate()
+	view, gate := c.registry.View(), c.gate(now)
 	old := c.snapshot
 	if old != nil && !c.shared.stale && !c.shared.tableStale && old.Targets == view && old.Gate == gate {
 		return old
@@ -164,7 +164,7 @@
 
 func (c *Core) dump(now time.Time) Dump {
 	d := Dump{
-		Now: now, Revision: c.store.Revision(), Confirmed: c.confirmed.At, Phase: c.life.Phase(), Gate: c.gate(),
+		Now: now, Revision: c.store.Revision(), Confirmed: c.confirmed.At, Phase: c.life.Phase(), Gate: c.gate(now),
 		Feeds: c.follower.Feeds(), Followers: c.feed.Followers(), Pending: c.tracker.Len(),
 		Targets: c.registry.View().Len(), Members: c.store.Members(), Freshness: c.members.Freshness(now).String(),
 		Shares: c.shares.View(now).Phase().String(), Live: c.members.Live(),
