Show readiness and freshness of hosts as they are

Cause: host members listed a starting host under DRAINING; host state said "configuration confirmed no" of a drained host whose configuration was confirmed; target why ended with "last seen ."; a starting host about to serve gave no reason on /readyz.

Change: column READY, freshness from the evidence alone, no empty time, a reason in every case. A test compares the page with the codes in the source.

--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -50,13 +50,15 @@
 // say what it waits for.
 func awaitReady(t *testing.T, h *host) {
 	t.Helper()
+	var unexplained []string
 	require.Eventually(t, func() bool {
 		code, text := status(t, http.MethodGet, h.url("/readyz"), "", "")
-		if code != http.StatusOK {
-			require.Contains(t, text, "it is starting: ")
+		if code != http.StatusOK && !strings.Contains(text, "it is starting: ") {
+			unexplained = append(unexplained, text)
 		}
 		return code == http.StatusOK
 	}, patience, lookAgain)
+	require.Empty(t, unexplained)
 }
 
 // Guards against example files of the deployments that a new user can't push.
@@ -156,6 +158,7 @@
 	o.eventually("3 of 3 shards", query)
 	require.Contains(t, o.ok("target list -group showroom-app"), "showroom-app-2")
 	why := o.ok("target why showroom-app-0")
+	require.Contains(t, why, "is ready.\n")
 	require.Contains(t, why, "has app=showroom-app")
 	require.Contains(t, why, "the group requires app=pack-stock")
 	o.fails(notRun, "has not announced itself", "target why nobody")
@@ -198,7 +201,9 @@
 	const query = "query -caller-addr %s -team showroom -labels app=showroom-app -min-coverage 1 latin"
 	o.ok("host drain %s -addr %s", h.settings.Host, s[0].admin())
 	o.eventually("drained", "host state -addr %s", h.admin())
+	require.Contains(t, o.ok("host state -addr %s", h.admin()), "configuration confirmed  yes")
 	o.fails(notRun, "not_ready", query, h.settings.CallerListen)
+	require.Eventually(t, func() bool { return ready(o, h) == "no" }, patience, lookAgain)
 	code, text := status(t, http.MethodGet, h.url("/readyz"), "", "")
 	require.Equal(t, http.StatusServiceUnavailable, code)
 	require.Contains(t, text, "drained")
@@ -208,11 +213,23 @@
 	o.ok("host drain %s", h.settings.Host) // a repeat changes nothing
 	o.ok("host resume %s -addr %s", h.settings.Host, s[2].admin())
 	o.eventually("serving", "host state -addr %s", h.admin())
+	require.Eventually(t, func() bool { return ready(o, h) == "yes" }, patience, lookAgain)
 	o.eventually("3 of 3 shards", query, h.settings.CallerListen)
 	o.fails(notRun, "unknown_host", "host drain nobody")
 	o.fails(notRun, "unknown_host", "host resume nobody")
 }
 
+// ready returns the column READY of a host in the list that the first host
+// gives.
+func ready(o *operator, h *host) string {
+	for line := range strings.Lines(o.ok("host members")) {
+		if cells := strings.Fields(line); cells[0] == h.settings.Host {
+			return cells[5]
+		}
+	}
+	return ""
+}
+
 // Guards against an accepted change that is lost or a system that stops with
 // its leader, and against a wait that hides the host that lags.
 func killLeader(t *testing.T, s system, o *operator) {
--- /dev/null
+++ b/internal/acceptance/page_test.go
@@ -0,0 +1,44 @@
+package acceptance
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var codeDefinition = regexp.MustCompile(`(?i)code\w*\s+(?:verdict\.)?Code\s*=\s*"([a-z_]+)"`)
+
+// internalCodes never leave a process: voter changes have no command, and the
+// other ones are reasons between slices.
+var internalCodes = map[string]bool{
+	"invalid_voter_change": true, "voter_change_in_progress": true, "stale_epoch": true, "stale_entry": true,
+	"draining": true, "wrong_snapshot": true,
+}
+
+// Guards against a code that an operator meets and the operations page does
+// not explain.
+func TestOperationsPageNamesEveryCode(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	found := 0
+	require.NoError(t, filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range codeDefinition.FindAllStringSubmatch(string(text), -1) {
+			found++
+			if !internalCodes[m[1]] {
+				assert.Contains(t, string(page), "`"+m[1]+"`", path)
+			}
+		}
+		return err
+	}))
+	require.Greater(t, found, 60)
+}
--- a/internal/cli/hosts.go
+++ b/internal/cli/hosts.go
@@ -61,7 +61,11 @@
 	}
 	return c.print(why, func(w io.Writer) {
 		x := why.Target
-		fmt.Fprintf(w, "Target %s at %s in %s is %s, last seen %s.\n", x.Target, x.Address, x.FailureDomain, x.State, timeText(x.LastSeen))
+		fmt.Fprintf(w, "Target %s at %s in %s is %s", x.Target, x.Address, x.FailureDomain, x.State)
+		if !x.LastSeen.IsZero() {
+			fmt.Fprintf(w, ", last seen %s", timeText(x.LastSeen))
+		}
+		fmt.Fprintln(w, ".")
 		fmt.Fprintf(w, "Labels: %s\n", labelText(x.Labels))
 		for _, r := range x.NoWork {
 			fmt.Fprintf(w, "Receives no new work: %s\n", r)
@@ -146,9 +150,9 @@
 		return readError{err}
 	}
 	return c.print(hosts, func(w io.Writer) {
-		t := newTable(w, "HOST", "FAILURE DOMAIN", "ROLES", "MEMBER", "LIVE", "DRAINING", "LEADER", "REVISION", "LAST HEARD")
+		t := newTable(w, "HOST", "FAILURE DOMAIN", "ROLES", "MEMBER", "LIVE", "READY", "LEADER", "REVISION", "LAST HEARD")
 		for _, h := range hosts.Hosts {
-			t.row(h.Host, h.FailureDomain, strings.Join(h.Roles, ","), yesNo(h.Member), yesNo(h.Live), yesNo(h.Draining),
+			t.row(h.Host, h.FailureDomain, strings.Join(h.Roles, ","), yesNo(h.Member), yesNo(h.Live), yesNo(h.Live && !h.Draining),
 				yesNo(h.Leader), strconv.FormatUint(h.Revision, 10), timeText(h.LastHeard))
 		}
 		_ = t.w.Flush()
--- a/internal/config/confighttp/backend.go
+++ b/internal/config/confighttp/backend.go
@@ -82,7 +82,7 @@
 	Incarnation   uint64    `json:"incarnation"`
 	Member        bool      `json:"member"` // in the agreed member list
 	Live          bool      `json:"live"`
-	Draining      bool      `json:"draining"`
+	Draining      bool      `json:"draining"` // live and not ready: it starts, drains or stops
 	Leader        bool      `json:"leader"`
 	Revision      uint64    `json:"revision"` // in force there
 	LastHeard     time.Time `json:"last_heard"`
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -431,7 +431,7 @@
 
 func (c *Core) gate(now time.Time) entry.Gate {
 	if !c.life.Accepting() {
-		return entry.Gate{Reason: "it is " + c.life.Phase().String() + c.startObstacle(now)}
+		return entry.Gate{Reason: "it is " + c.life.Phase().String() + c.startObstacle(now), Evidence: c.members.Evidence()}
 	}
 	return entry.Gate{Accepting: true, Evidence: c.members.Evidence()}
 }
@@ -439,8 +439,10 @@
 // startObstacle says what a host that has just started waits for.
 func (c *Core) startObstacle(now time.Time) string {
 	switch {
-	case c.life.Phase() != lifecycle.Starting || c.canServe(now):
+	case c.life.Phase() != lifecycle.Starting:
 		return ""
+	case c.canServe(now):
+		return ": it will be ready in a moment"
 	case c.members.Freshness(now) == membership.Stale:
 		return ": its configuration is not confirmed yet"
 	case c.shares.View(now).Phase() == connections.NotMember:
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -12,6 +12,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle/lifecyclerpc"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -111,7 +112,7 @@
 	st := confighttp.State{
 		Host: b.d.settings.Host, Region: b.d.settings.Region, FailureDomain: b.d.settings.FailureDomain,
 		Ready: s.Ready, Revision: s.Revision, Term: s.Term, Leader: s.Leader.Name, Phase: s.Phase.String(),
-		Fresh: s.Gate.Check(time.Now()) == nil, ConfirmedAt: s.ConfirmedAt,
+		Fresh: s.Gate.Evidence.Freshness(time.Now()) != membership.Stale, ConfirmedAt: s.ConfirmedAt,
 		MemberEpoch: s.Agreed.Epoch, Members: s.Agreed.Hosts, Targets: s.Targets.Len(),
 	}
 	for _, r := range b.d.settings.Roles {
