--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,15 +1,18 @@
 package journal
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -277,6 +280,26 @@
 	}
 }
 
+// Guards against a log line that says a torn write was cut off from a journal
+// whose start is refused and whose files are kept.
+func TestRefusedStartReportsNoTornWrite(t *testing.T) {
+	w := newWorkload(rand.New(rand.NewPCG(9, 1)), 40)
+	fs := newMemFS()
+	j, _, done, err := open(fs, "d")
+	require.NoError(t, err)
+	_, err = write(t, j, done, w.requests, 1)
+	require.NoError(t, err)
+	tail := filepath.Join("d", segmentName(j.segments[len(j.segments)-1].number))
+	require.NoError(t, j.Close())
+	fs.files[tail].data[segmentHeaderSize+12] ^= 0x40
+	var log bytes.Buffer
+	_, _, err = Open(Options{Dir: "d", FS: fs, Log: eventlog.New(&log, zerolog.InfoLevel, "h"), Completed: func(Completion) {}})
+	var corrupt *CorruptError
+	require.ErrorAs(t, err, &corrupt)
+	require.Contains(t, log.String(), `"event":4103`)
+	require.NotContains(t, log.String(), `"event":4102`)
+}
+
 // Guards against two processes that write to one data directory.
 func TestDirectoryIsLocked(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "data")
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -230,13 +230,18 @@
 	if !last {
 		return j.dir.corrupt(name, end, problem)
 	}
-	recovered.TruncatedBytes = int64(len(b) - end)
-	j.opts.Log.Log(EventTornTail).Str("file", j.dir.join(name)).Int("offset", end).Int("bytes", len(b)-end).Send()
 	if end <= segmentHeaderSize {
-		return j.removeTornStart(b, name, number, problem)
+		err = j.removeTornStart(b, name, number, problem)
+	} else {
+		j.segments = append(j.segments, s)
+		err = j.cutTail(b, name, number, end, problem)
 	}
-	j.segments = append(j.segments, s)
-	return j.cutTail(b, name, number, end, problem)
+	if err != nil {
+		return err
+	}
+	recovered.TruncatedBytes = int64(len(b) - end)
+	j.opts.Log.Log(EventTornTail).Str("file", j.dir.join(name)).Int("offset", end).Int("bytes", len(b)-end).Send()
+	return nil
 }
 
 // cutTail removes a torn write at the end of the last segment.
