--- a/internal/config/confighttp/backend.go
+++ b/internal/config/confighttp/backend.go
@@ -28,8 +28,10 @@
 	Targets() []Target
 	Hosts() []Host
 	State() State
-	// DrainHost starts the graceful shutdown of a host.
+	// DrainHost makes a host refuse new work and stay up.
 	DrainHost(ctx context.Context, host string) error
+	// ResumeHost ends the drain of a host.
+	ResumeHost(ctx context.Context, host string) error
 }
 
 // Target is a target as this host sees it.
@@ -80,7 +82,7 @@
 	Incarnation   uint64    `json:"incarnation"`
 	Member        bool      `json:"member"` // in the agreed member list
 	Live          bool      `json:"live"`
-	Draining      bool      `json:"draining"`
+	Draining      bool      `json:"draining"` // live and not ready: it starts, drains or stops
 	Leader        bool      `json:"leader"`
 	Revision      uint64    `json:"revision"` // in force there
 	LastHeard     time.Time `json:"last_heard"`
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -12,6 +12,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle/lifecyclerpc"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -111,7 +112,7 @@
 	st := confighttp.State{
 		Host: b.d.settings.Host, Region: b.d.settings.Region, FailureDomain: b.d.settings.FailureDomain,
 		Ready: s.Ready, Revision: s.Revision, Term: s.Term, Leader: s.Leader.Name, Phase: s.Phase.String(),
-		Fresh: s.Gate.Check(time.Now()) == nil, ConfirmedAt: s.ConfirmedAt,
+		Fresh: s.Gate.Evidence.Freshness(time.Now()) != membership.Stale, ConfirmedAt: s.ConfirmedAt,
 		MemberEpoch: s.Agreed.Epoch, Members: s.Agreed.Hosts, Targets: s.Targets.Len(),
 	}
 	for _, r := range b.d.settings.Roles {
@@ -164,13 +165,11 @@
 func (b backend) lifecycleOf(host string) (lifecyclerpc.Lifecycle, error) {
 	address, ok := b.d.directory.lookup(host)
 	if !ok {
-		return nil, verdict.New(verdict.NotRun, codeUnknownHost, "host %q is not known", host)
+		return nil, verdict.New(verdict.NotRun, confighttp.CodeUnknownHost, "host %q is not known", host)
 	}
 	return lifecyclerpc.NewLifecycleProtobufClient(peerlink.BaseURL(address), b.d.links.Client()), nil
 }
 
-const codeUnknownHost verdict.Code = "unknown_host"
-
 // unreached gives a failed call to a host its verdict.
 func unreached(err error, host string) error {
 	switch {
