Date the majority's confirmation of shares by its evidence

Cause: a host whose list only a majority of hosts confirmed dated the confirmation 2 s back at any time, while the evidence may be up to 3 s old. A host that was cut off just before a newer list kept its connections for up to a second after the others had taken its share. Ruled out: the evidence itself. A newer list is a newer revision, so a majority of which none knows a newer one has not acknowledged it. Change: the confirmation carries the time of the evidence. A reserve of connections hides the excess at larger limits, so the test uses limits of 5 to 9.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -162,10 +162,7 @@
 // members knows nothing newer.
 func (c *Core) confirmShares(now time.Time) []Effect {
 	epoch := c.store.Members().Epoch
-	at := c.confirmed.At
-	if c.members.Freshness(now) == membership.ConfirmedByMajority {
-		at = latest(at, now.Add(-membership.MajorityWindow))
-	}
+	at := latest(c.confirmed.At, c.members.MajorityAt(now))
 	if at.IsZero() {
 		return nil
 	}
--- a/internal/faultmatrix/invariants_test.go
+++ b/internal/faultmatrix/invariants_test.go
@@ -142,10 +142,10 @@
 	for _, h := range w.hosts {
 		sum += h.pool.counted(w.now)
 	}
-	if sum > connectionLimit {
+	if sum > w.limit {
 		for _, h := range w.hosts {
 			w.note("%s holds %d, counted %d, shares of epoch %d", h.name, h.pool.held, h.pool.counted(w.now), h.snapshot.Shares.Epoch())
 		}
-		w.fail("the hosts hold %d connections of %d", sum, connectionLimit)
+		w.fail("the hosts hold %d connections of %d", sum, w.limit)
 	}
 }
--- a/internal/faultmatrix/shares_test.go
+++ b/internal/faultmatrix/shares_test.go
@@ -17,17 +17,19 @@
 	for i := range 10 {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
-			w := startedWorld(t, "list replaced", 5)
+			w := newWorld(t, "list replaced", 5)
 			w.busy = connections.DefaultDrainTimeout
-			w.run(20*time.Second + time.Duration(i)*50*time.Millisecond)
+			w.limit = 5 + i%5 // too few for a reserve, which would hide an excess
+			w.serve()
+			w.run(20 * time.Second)
 			lost, stays := w.hosts[4], w.hosts[3]
-			old := w.leader()
-			next := w.other(old)
-			old.crash()
-			next.crash()
-			w.run(5 * time.Second)
-			old.start()
-			next.start()
+			for _, a := range w.voters() {
+				for _, b := range w.voters() {
+					w.net.cut[[2]string{a.name, b.name}] = a != b
+				}
+			}
+			w.run(5*time.Second + time.Duration(i)*50*time.Millisecond)
+			heal(w, nil)
 			w.until(10*time.Second, "another leader", func() bool { return w.leader() != nil })
 			leader := w.leader()
 			forget := w.push(leader, config.Change{
--- a/internal/faultmatrix/traffic_test.go
+++ b/internal/faultmatrix/traffic_test.go
@@ -9,7 +9,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 )
 
-// connectionLimit is that of the target whose connections are counted.
+// connectionLimit is that of the targets, unless a test sets another one.
 const connectionLimit = 30
 
 // busyTime is how long requests keep connections above a share open.
@@ -41,7 +41,7 @@
 
 func (p *pool) step(h *host) {
 	view := h.snapshot.Shares
-	share := view.Share("t0", connectionLimit).Connections
+	share := view.Share("t0", h.w.limit).Connections
 	now := h.w.now
 	switch {
 	case p.closed:
@@ -134,7 +134,7 @@
 
 func (t *target) announcement() targets.Announcement {
 	return targets.Announcement{
-		Target: t.name, Incarnation: 1, Seq: t.seq, FailureDomain: "d0", ConnectionLimit: connectionLimit, Phase: t.phase,
+		Target: t.name, Incarnation: 1, Seq: t.seq, FailureDomain: "d0", ConnectionLimit: t.w.limit, Phase: t.phase,
 		Address:        netip.AddrPortFrom(netip.MustParseAddr("10.0.1.1"), t.port),
 		Labels:         map[string]string{"app": "names"},
 		Searchers:      []targets.Searcher{{Name: "s0", Slots: 2, Holds: []targets.Holding{{IndexSnapshot: "v1", Shards: []string{"a", "b"}}}}},
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -44,6 +44,7 @@
 	orders  map[string]*order
 	fences  uint64        // of the claims made so far
 	busy    time.Duration // for which requests keep a connection open
+	limit   int           // connections that each target allows
 	history []string
 }
 
@@ -52,7 +53,7 @@
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
 		net:    network{delay: time.Millisecond, jitter: 2 * time.Millisecond, cut: map[[2]string]bool{}},
-		byName: map[string]*host{}, byAddress: map[string]*host{}, leaders: map[uint64]string{}, orders: map[string]*order{}, busy: busyTime,
+		byName: map[string]*host{}, byAddress: map[string]*host{}, leaders: map[uint64]string{}, orders: map[string]*order{}, busy: busyTime, limit: connectionLimit,
 	}
 	for i := range size {
 		h := &host{
@@ -71,6 +72,12 @@
 // startedWorld returns a world whose hosts serve one group of two targets.
 func startedWorld(t testing.TB, name string, size int) *world {
 	w := newWorld(t, name, size)
+	w.serve()
+	return w
+}
+
+// serve starts the hosts and waits until they serve a group of two targets.
+func (w *world) serve() {
 	for _, h := range w.hosts {
 		h.start()
 	}
@@ -83,14 +90,13 @@
 	p := w.push(w.hosts[0], group("names", "an", 0))
 	w.until(20*time.Second, "all hosts serve", func() bool {
 		for _, h := range w.hosts {
-			if !h.serving() || len(h.snapshot.Agreed.Hosts) != size || h.snapshot.Catalogs["names"] == nil || len(h.snapshot.Members["names"]) != 2 {
+			if !h.serving() || len(h.snapshot.Agreed.Hosts) != len(w.hosts) || h.snapshot.Catalogs["names"] == nil || len(h.snapshot.Members["names"]) != 2 {
 				return false
 			}
 		}
 		return p.accepted()
 	})
 	w.run(2 * time.Second)
-	return w
 }
 
 func (w *world) voters() []*host { return w.hosts[:3] }
--- a/internal/membership/freshness.go
+++ b/internal/membership/freshness.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// MajorityAt returns the latest time at which a majority of the agreed list
+// knew neither a newer configuration nor a newer list, or the zero time if the
+// configuration is not confirmed by a majority.
+func (s *State) MajorityAt(now time.Time) time.Time {
+	e := s.evidence
+	if now.Sub(e.tickAt) > PauseBound || !now.Before(e.majorityUntil) {
+		return time.Time{}
+	}
+	return e.majorityUntil.Add(-s.settings.Staleness)
+}
+
 // HearsMajority reports whether the host hears from a majority of the agreed
 // member list. A leader must accept changes only while it does. Before the
 // first agreed list it holds, so that this list can be accepted.
