--- a/internal/faultmatrix/lists_test.go
+++ b/internal/faultmatrix/lists_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
 )
 
 // Guards against two majorities that don't meet because they belong to two
@@ -34,3 +36,24 @@
 	heal(w, nil)
 	w.settle()
 }
+
+// Guards against changes that stay blocked after an operator has removed a
+// lost majority of hosts.
+func TestForgottenMajorityBlocksNothing(t *testing.T) {
+	w := startedWorld(t, "forget", 5)
+	lost := []*host{w.hosts[2], w.hosts[3], w.hosts[4]}
+	for _, h := range lost {
+		h.crash()
+	}
+	w.run(6 * time.Second)
+	for _, h := range lost {
+		p := w.push(w.hosts[0], config.Change{
+			ID: "forget-" + h.name, Author: "an", Team: config.AdminTeam, Base: w.hosts[0].snapshot.Revision,
+			Ops: []config.Op{config.ForgetHost{Host: h.name}},
+		})
+		p.contested = true // it makes no group to look for
+		w.run(5 * time.Second)
+	}
+	p := w.push(w.hosts[1], group("after", "an", w.hosts[1].snapshot.Revision))
+	w.until(5*time.Second, "a change is accepted again", p.accepted)
+}
--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -85,8 +87,8 @@
 
 // ordersEnd checks that a resend of each order learns the truth.
 func ordersEnd(w *world, _ *host) {
-	for _, o := range w.orders {
-		w.submitOrder(w.hosts[3], o, false)
+	for _, id := range slices.Sorted(maps.Keys(w.orders)) {
+		w.submitOrder(w.hosts[3], w.orders[id], false)
 	}
 	w.run(orderDeadline + time.Second)
 	for _, o := range w.orders {
