Let admission follow what a group's targets can do

Cause: the lower bound of a group's adaptive limit was its guaranteed share of the host. A host with one group let 204 queries in whatever its targets could do; at 130 % load these shed most of the work, and answers lacked shards. A query that had waited also started with too little time to be complete. Ruled out: the replica choice, which does as well as the bench's stand-in. Change: the limit starts at 32 and may fall to 2; a query that waited needs twice the mean duration to start; the bench runs the host's own replica choice and admission.

--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -17,6 +17,11 @@
 		if r == nil {
 			return
 		}
+		if r.arrived.Before(now) && r.deadline.Sub(now) < r.group.need(q.cfg.MinRunTime) {
+			q.remove(r)
+			q.refuse(r.id, tooLate().WithRetryAfter(r.group.retryAfter()))
+			continue
+		}
 		heap.Remove(&q.waiting, r.index)
 		r.group.start(now, r)
 		q.running++
--- a/internal/admission/group.go
+++ b/internal/admission/group.go
@@ -13,6 +13,7 @@
 
 // request is a query that waits (startedAt zero) or is in progress.
 type request struct {
+	arrived   time.Time
 	id        uint64
 	group     *group
 	caller    *caller
@@ -164,6 +165,14 @@
 	return wait
 }
 
+// reserve is the multiple of the mean duration that a query which waited must
+// have left. One that starts with less tends to end without some shards, and
+// its sub-requests take slots from queries that would be complete.
+const reserve = 2
+
+// need is the time that a query must have left to start after a wait.
+func (g *group) need(least time.Duration) time.Duration { return max(least, reserve*g.duration) }
+
 func (g *group) drainTime(queries, slots int) time.Duration {
 	return g.duration * time.Duration(queries) / time.Duration(max(slots, 1))
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -184,13 +184,13 @@
 		return
 	}
 	g.lastArrival = now
-	r := &request{id: ev.ID, group: g, deadline: ev.Deadline}
+	r := &request{id: ev.ID, group: g, arrived: now, deadline: ev.Deadline}
 	q.enqueue(r, callerKey{team: ev.Team, caller: ev.Caller})
 	q.dispatch(now)
 	if !r.startedAt.IsZero() {
 		return
 	}
-	if wait := g.expectedWait(r.caller); now.Add(wait + q.cfg.MinRunTime).After(r.deadline) {
+	if wait := g.expectedWait(r.caller); now.Add(wait + g.need(q.cfg.MinRunTime)).After(r.deadline) {
 		q.remove(r)
 		q.refuse(r.id, verdict.New(verdict.NotRun, CodeOverloaded, "the expected wait of %v passes the deadline", wait).
 			WithRetryAfter(g.retryAfter()))
@@ -256,6 +256,15 @@
 	return verdict.New(verdict.NotRun, verdict.CodeDeadlineExceeded, "too little time is left to run the query")
 }
 
+// Bounds of a group's adaptive limit. The guaranteed share is room on this
+// host and says nothing of what the group's targets can do, so the limit may
+// fall below it: with the share as lower bound, targets at 130 % load shed
+// most of what they were sent and goodput was 0.2 to 0.8 of what they can do.
+const (
+	firstLimit  = 32
+	lowestLimit = 2
+)
+
 func (q *Queue) configure(now time.Time, groups []routing.Group) {
 	old := q.groups
 	q.groups = make(map[string]*group, len(groups))
@@ -269,9 +278,9 @@
 		g := old[cfg.Name]
 		if g == nil {
 			g = newGroup(cfg.Name)
-			g.limit = concurrency.NewLimit(q.cfg.Concurrency, guaranteed, q.cfg.Concurrency)
+			g.limit = concurrency.NewLimit(min(firstLimit, q.cfg.Concurrency), lowestLimit, q.cfg.Concurrency)
 		}
-		g.limit.SetBounds(guaranteed, q.cfg.Concurrency)
+		g.limit.SetBounds(lowestLimit, q.cfg.Concurrency)
 		g.guaranteed = guaranteed
 		g.priority = cfg.Priority
 		g.limits = q.cfg.limitsOf(cfg.Limits)
--- a/internal/query/querybench/bench.go
+++ b/internal/query/querybench/bench.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/query"
@@ -47,6 +48,7 @@
 	wakeAt         time.Time
 	reallyAnswered []bool // shards that a searcher really answered
 	over           bool
+	overloaded     bool // ended without shards that were shed or too late
 }
 
 // Run runs one case.
@@ -104,8 +106,8 @@
 }
 
 func (b *bench) newHost(n uint64) *host {
-	h := &host{catalog: b.catalog, gate: newFixedGate(b.c.Shape, b.c.Hosts)}
 	p := &b.c.Policy
+	h := &host{catalog: b.catalog, gate: p.gate(b)}
 	h.balancer = p.balancer(b, rand.New(rand.NewPCG(b.c.Seed, 100+n)))
 	h.group = query.NewGroup(p.base(), p.Limits)
 	if !p.SmallBurst {
@@ -240,6 +242,7 @@
 
 func (b *bench) finish(a *active, f query.Finish) {
 	a.over = true
+	a.overloaded = overloaded(f)
 	h := a.host
 	for i := range h.active {
 		if h.active[i] == a {
@@ -258,6 +261,17 @@
 	}
 }
 
+// overloaded reports what a host tells its admission: that targets shed the
+// query's work or that it ran into its deadline.
+func overloaded(f query.Finish) bool {
+	if f.Err != nil {
+		return verdict.CodeOf(f.Err) == verdict.CodeDeadlineExceeded
+	}
+	return slices.ContainsFunc(f.Answer.Coverage.Missing, func(m query.MissingShard) bool {
+		return m.Reason == query.ReasonShed || m.Reason == query.ReasonTimeout
+	})
+}
+
 // hash is a reproducible random number for a query and one more number.
 func (b *bench) hash(queryID, n, salt int) uint64 {
 	x := b.c.Seed*0x9e3779b97f4a7c15 + uint64(queryID)<<24 + uint64(n)<<4 + uint64(salt)
--- a/internal/query/querybench/policy.go
+++ b/internal/query/querybench/policy.go
@@ -17,6 +17,7 @@
 	chooseReported
 	chooseAffinity
 	chooseShared
+	chooseHost
 )
 
 // Policy is a way to run queries that a case measures.
@@ -32,6 +33,7 @@
 	Caching    bool    // targets cache
 	Overflow   int     // in flight at which affinity overflows
 	choice     chooserKind
+	HostGate   bool // the admission of package admission
 }
 
 // noLimit is a budget that never refuses.
@@ -90,6 +92,8 @@
 		return omniscient{b}
 	case chooseShared:
 		return sharedQueues{b}
+	case chooseHost:
+		return newHostBalancer(rng, b.c.Hosts)
 	case chooseReported:
 		c := newTwoChoices(rng, len(b.searchers))
 		c.reports = b.reports()
@@ -99,6 +103,13 @@
 	}
 }
 
+func (p *Policy) gate(b *bench) Gate {
+	if p.HostGate {
+		return newHostGate(b.time())
+	}
+	return newFixedGate(b.c.Shape, b.c.Hosts)
+}
+
 // chooser returns the chooser of one query.
 func (p *Policy) chooser(b *bench, a *active) query.Chooser {
 	if p.choice == chooseAffinity {
--- a/internal/query/querybench/sections.go
+++ b/internal/query/querybench/sections.go
@@ -32,7 +32,7 @@
 	for _, stragglers := range []float64{0.01, 0.05} {
 		wide.add(Case{Shape: Wide, Load: usualLoad, Stragglers: stragglers, Queries: scale.Wide}, compared...)
 	}
-	return append(out, wide, faults(scale), gap(scale), variants(scale), caching(scale))
+	return append(out, wide, faults(scale), gap(scale), variants(scale), hostParts(scale), caching(scale))
 }
 
 func faults(scale Scale) section {
@@ -102,6 +102,22 @@
 	return s
 }
 
+// hostParts puts the host's own replica choice and admission in the place of
+// the bench's stand-ins.
+func hostParts(scale Scale) section {
+	choice, gate, both := Ours, Ours, Ours
+	choice.Name, choice.choice = "host's choice", chooseHost
+	gate.Name, gate.HostGate = "host's admission", true
+	both.Name, both.choice, both.HostGate = "host's choice and admission", chooseHost, true
+	s := section{title: "The host's own replica choice and admission"}
+	for _, shape := range Shapes {
+		for _, load := range []float64{usualLoad, overload} {
+			s.add(Case{Shape: shape, Load: load, Stragglers: 0.01, Queries: scale.Queries}, Omniscient, Ours, choice, gate, both)
+		}
+	}
+	return s
+}
+
 // caching compares affinity for targets that cache with choice by load.
 func caching(scale Scale) section {
 	two := Ours
