Show the voters and let an operator remove one

Cause: a voter whose host does not return under its name kept its vote for good, and nothing showed which data directories vote.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -316,6 +316,7 @@
 			a.group("change", "Push changes and follow what becomes of them", changeSpecs(a)...),
 			a.command("", querySpec(a)),
 			a.group("order", "Place an order and ask for its outcome", orderSpecs(a)...),
+			a.group("voter", "Show and remove the hosts that hold the log", voterSpecs(a)...),
 			a.group("host", "Show, drain, resume and forget hosts", hostSpecs(a)...),
 			a.command("", explainSpec(a)),
 			a.command("", versionSpec(a)),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -65,6 +65,16 @@
 }
 func (c *cluster) DrainHost(context.Context, string) error  { return nil }
 func (c *cluster) ResumeHost(context.Context, string) error { return nil }
+func (c *cluster) Voters() ([]confighttp.Voter, error) {
+	return []confighttp.Voter{{Host: "h1", Identity: "id1"}, {Host: "h2", Identity: "id2", Learner: true}}, nil
+}
+
+func (c *cluster) RemoveVoter(_ context.Context, id string) error {
+	if id != "id1" {
+		return verdict.New(verdict.NotRun, "invalid_voter_change", "identity %q is not a voter", id)
+	}
+	return nil
+}
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{store: config.NewStore(), state: t.TempDir(), now: time.Date(2026, 12, 4, 1, 0, 0, 0, time.UTC)}
@@ -152,6 +162,10 @@
 		{"host drain h1", 0, "drains"},
 		{"host resume h1", 0, "takes new work again"},
 		{"host resume", 2, "usage:"},
+		{"voter list", 0, "id2"},
+		{"voter remove id1", 0, "has no vote any more"},
+		{"voter remove id9", 3, "is not a voter"},
+		{"voter remove", 2, "usage:"},
 		{"host forget h9", 3, "is not a member"},
 		{"group delete a", 3, `used by selector "s"`},
 		{"group put b -owner blue -match site=2 -base 1", 0, "revision 5"},
--- a/internal/config/confighttp/backend.go
+++ b/internal/config/confighttp/backend.go
@@ -32,6 +32,11 @@
 	DrainHost(ctx context.Context, host string) error
 	// ResumeHost ends the drain of a host.
 	ResumeHost(ctx context.Context, host string) error
+	// Voters returns the hosts that hold the replicated log. A host without a
+	// log refuses.
+	Voters() ([]Voter, error)
+	// RemoveVoter takes the vote of an identity away for good.
+	RemoveVoter(ctx context.Context, identity string) error
 }
 
 // Target is a target as this host sees it.
@@ -88,6 +93,20 @@
 	LastHeard     time.Time `json:"last_heard"`
 }
 
+// Voter is a host that holds the replicated log.
+type Voter struct {
+	Host     string `json:"host"`
+	Identity string `json:"identity"` // of its data directory
+	Address  string `json:"address"`
+	Learner  bool   `json:"learner"`         // it receives the log and has no vote yet
+	Match    uint64 `json:"match,omitempty"` // log index it holds, as far as the leader that answers knows
+}
+
+// Voters lists the hosts that hold the replicated log.
+type Voters struct {
+	Voters []Voter `json:"voters"`
+}
+
 // Hosts lists the known hosts.
 type Hosts struct {
 	Hosts []Host `json:"hosts"`
--- a/internal/config/confighttp/client.go
+++ b/internal/config/confighttp/client.go
@@ -123,6 +123,18 @@
 	return c.do(ctx, http.MethodPost, "/hosts/"+url.PathEscape(host)+"/drain", struct{}{}, &Name{})
 }
 
+// Voters returns the hosts that hold the replicated log.
+func (c *Client) Voters(ctx context.Context) (Voters, error) {
+	var out Voters
+	err := c.do(ctx, http.MethodGet, "/voters", nil, &out)
+	return out, err
+}
+
+// RemoveVoter takes the vote of an identity away for good.
+func (c *Client) RemoveVoter(ctx context.Context, identity string) error {
+	return c.do(ctx, http.MethodPost, "/voters/"+url.PathEscape(identity)+"/remove", struct{}{}, &Name{})
+}
+
 // ResumeHost ends the drain of a host.
 func (c *Client) ResumeHost(ctx context.Context, host string) error {
 	return c.do(ctx, http.MethodPost, "/hosts/"+url.PathEscape(host)+"/resume", struct{}{}, &Name{})
--- a/internal/config/confighttp/events.go
+++ b/internal/config/confighttp/events.go
@@ -28,4 +28,7 @@
 	eventResume = eventlog.Define(7006, zerolog.InfoLevel, "host resume requested",
 		"an operator ended the drain of a host",
 		"none; readiness is true again once the host serves")
+	eventRemoveVoter = eventlog.Define(7007, zerolog.WarnLevel, "voter removal requested",
+		"an operator asked to take the vote of an identity away",
+		"none if it was intended; hawthornlock voter list shows what is left")
 )
--- a/internal/config/confighttp/handlers.go
+++ b/internal/config/confighttp/handlers.go
@@ -234,16 +234,17 @@
 }
 
 func (s *server) drainHost(c call) {
-	s.changeHost(c, "drain", eventDrain, s.Backend.DrainHost)
+	s.changeNamed(c, "host", "drain a host", eventDrain, s.Backend.DrainHost)
 }
 
 func (s *server) resumeHost(c call) {
-	s.changeHost(c, "resume", eventResume, s.Backend.ResumeHost)
+	s.changeNamed(c, "host", "resume a host", eventResume, s.Backend.ResumeHost)
 }
 
-// changeHost is for the admin team: a host serves all teams.
-func (s *server) changeHost(c call, verb string, ev eventlog.Event, change func(context.Context, string) error) {
-	host := pathVar(c.r, "host")
+// changeNamed changes what the path names under key. It is for the admin team,
+// because a host serves all teams.
+func (s *server) changeNamed(c call, key, what string, ev eventlog.Event, change func(context.Context, string) error) {
+	name := pathVar(c.r, key)
 	if !s.decode(c, &struct{}{}) {
 		return
 	}
@@ -251,16 +252,31 @@
 		s.Log.Log(eventUnauthorized).Str("remote", c.r.RemoteAddr).Str("path", c.r.URL.Path).Str("team", c.team).Send()
 		writeError(c.w, http.StatusForbidden, ErrorDetail{
 			Code: codeForbidden, Verdict: verdict.NotRun,
-			Message: fmt.Sprintf("only team %q may %s a host", config.AdminTeam, verb),
+			Message: fmt.Sprintf("only team %q may %s", config.AdminTeam, what),
 		})
 		return
 	}
-	s.Log.Log(ev).Str("target_host", host).Str("team", c.team).Send()
-	if err := change(c.r.Context(), host); err != nil {
+	s.Log.Log(ev).Str(key, name).Str("team", c.team).Send()
+	ctx, cancel := context.WithTimeout(c.r.Context(), s.ProposeTimeout)
+	defer cancel()
+	if err := change(ctx, name); err != nil {
+		writeFailure(c.w, err, "")
+		return
+	}
+	writeJSON(c.w, http.StatusAccepted, Name{Name: name})
+}
+
+func (s *server) voters(c call) {
+	voters, err := s.Backend.Voters()
+	if err != nil {
 		writeFailure(c.w, err, "")
 		return
 	}
-	writeJSON(c.w, http.StatusAccepted, Name{Name: host})
+	writeJSON(c.w, http.StatusOK, Voters{Voters: append([]Voter{}, voters...)})
+}
+
+func (s *server) removeVoter(c call) {
+	s.changeNamed(c, "identity", "remove a voter", eventRemoveVoter, s.Backend.RemoveVoter)
 }
 
 func (s *server) state(c call) {
--- a/internal/config/confighttp/server.go
+++ b/internal/config/confighttp/server.go
@@ -89,6 +89,8 @@
 	handle(http.MethodGet, "/hosts", s.hosts)
 	handle(http.MethodPost, "/hosts/{host}/drain", s.drainHost)
 	handle(http.MethodPost, "/hosts/{host}/resume", s.resumeHost)
+	handle(http.MethodGet, "/voters", s.voters)
+	handle(http.MethodPost, "/voters/{identity}/remove", s.removeVoter)
 	handle(http.MethodGet, "/state", s.state)
 	return root
 }
--- a/internal/config/confighttp/server_test.go
+++ b/internal/config/confighttp/server_test.go
@@ -34,6 +34,7 @@
 	store   *config.Store
 	lost    error
 	drained string
+	removed string
 }
 
 func (f *fakeBackend) Propose(_ context.Context, c config.Change) (config.Result, error) {
@@ -68,6 +69,13 @@
 	return nil
 }
 
+func (f *fakeBackend) Voters() ([]Voter, error) { return []Voter{{Host: "h1", Identity: "id1"}}, nil }
+
+func (f *fakeBackend) RemoveVoter(_ context.Context, id string) error {
+	f.removed = id
+	return nil
+}
+
 func (f *fakeBackend) ResumeHost(_ context.Context, host string) error {
 	if host != f.drained {
 		return verdict.New(verdict.NotRun, CodeUnknownHost, "host %q is not known", host)
@@ -149,6 +157,11 @@
 	why, err := f.client.TargetWhy(ctx, "t/1")
 	require.NoError(t, err)
 	require.True(t, why.Groups[0].Member)
+	voters, err := f.client.Voters(ctx)
+	require.NoError(t, err)
+	require.Equal(t, []Voter{{Host: "h1", Identity: "id1"}}, voters.Voters)
+	require.NoError(t, f.client.RemoveVoter(ctx, "id1"))
+	require.Equal(t, "id1", f.removed)
 	require.NoError(t, f.client.DrainHost(ctx, "h1"))
 	require.Equal(t, "h1", f.drained)
 	require.ErrorContains(t, f.client.ResumeHost(ctx, "h2"), "unknown_host, not_run")
@@ -234,6 +247,7 @@
 		{"system team", "admin " + adminToken, "/changes", json, `{"team":"system",` + good[1:], []string{auth, "Bearer " + adminToken}, 403, "forbidden"},
 		{"drain by a team", "red " + redToken, "/hosts/h1/drain", json, "{}", []string{auth, "Bearer " + redToken}, 403, "forbidden"},
 		{"resume from a web page", "", "/hosts/h1/resume", "text/plain", "{}", nil, 415, "unsupported_media_type"},
+		{"voter removal by a team", "red " + redToken, "/voters/id1/remove", json, "{}", []string{auth, "Bearer " + redToken}, 403, "forbidden"},
 		{"resume by a team", "red " + redToken, "/hosts/h1/resume", json, "{}", []string{auth, "Bearer " + redToken}, 403, "forbidden"},
 		{"resume of an unknown host", "", "/hosts/h9/resume", json, "{}", nil, 404, "unknown_host"},
 		{"forget by a team", "red " + redToken, "/changes", json, `{"author":"an","base":0,"ops":[{"forget_host":{"name":"x"}}]}`, []string{auth, "Bearer " + redToken}, 403, "not_owner"},
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -4,11 +4,13 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/balance"
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle/lifecyclerpc"
@@ -162,6 +164,31 @@
 	return unreached(err, host)
 }
 
+// Voters returns the hosts that hold the replicated log.
+func (b backend) Voters() ([]confighttp.Voter, error) {
+	if b.d.journal == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host holds no replicated log; ask one of %s", b.d.voterNames())
+	}
+	var out []confighttp.Voter
+	for _, v := range b.d.loop.Snapshot().Voters {
+		out = append(out, confighttp.Voter{Host: v.Host, Identity: string(v.Identity), Address: v.Address, Learner: v.Learner, Match: v.Match})
+	}
+	return out, nil
+}
+
+// RemoveVoter takes the vote of an identity away for good.
+func (b backend) RemoveVoter(ctx context.Context, identity string) error {
+	return b.d.ChangeVoters(ctx, consensus.Remove, consensus.Identity(identity))
+}
+
+func (d *Daemon) voterNames() string {
+	names := make([]string, len(d.settings.Voters))
+	for i, v := range d.settings.Voters {
+		names[i] = v.Host
+	}
+	return strings.Join(names, ", ")
+}
+
 func (b backend) lifecycleOf(host string) (lifecyclerpc.Lifecycle, error) {
 	address, ok := b.d.directory.lookup(host)
 	if !ok {
