Send again to a learner that is still empty

Cause: a leader sends again what was lost when a member answers a heartbeat. A node without a cluster answers none, so a host that lost its disk stayed empty for good if the leader's first message to it was lost. Ruled out: answering heartbeats without a cluster, because the answer would count for the lease of a leader whose voter is still empty. Change: the leader takes a repeated Join of a member as the sign to send again. Before: TestLearnerOutlivesALostFirstMessage failed with 'all hosts serve again: not within 1m0s'. After: it passes.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -91,7 +91,15 @@
 	if known && n.leader.Identity == "" {
 		n.sendSeed(j.Member, 0)
 	}
-	if known || n.role != Leader {
+	if n.role != Leader {
+		return
+	}
+	if known {
+		// It is still empty, so what was sent to it may be lost. An empty node
+		// answers no heartbeats, whose answers make a leader send again.
+		if p := n.leading.progress[j.Member.Identity]; p != nil {
+			n.resend(p)
+		}
 		return
 	}
 	// A refused Join is repeated by its sender.
--- a/internal/faultmatrix/repair_test.go
+++ b/internal/faultmatrix/repair_test.go
@@ -20,3 +20,18 @@
 		w.until(10*time.Second, "a change is accepted", p.accepted)
 	}
 }
+
+// Guards against a host without a disk that stays empty because the first
+// message of the leader to it was lost.
+func TestLearnerOutlivesALostFirstMessage(t *testing.T) {
+	w := startedWorld(t, "first message", 5)
+	leader := w.leader()
+	h := w.other(leader)
+	loseDisk(w, h)
+	w.net.cut[[2]string{leader.name, h.name}] = true
+	h.start()
+	w.until(10*time.Second, "the host is a learner", func() bool { return len(leader.node.Status().Learners) == 1 })
+	w.run(200 * time.Millisecond)
+	heal(w, nil)
+	w.settle()
+}
--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -87,6 +87,7 @@
 
 // ordersEnd checks that a resend of each order learns the truth.
 func ordersEnd(w *world, _ *host) {
+	w.until(settleTime, "the host serves", w.hosts[3].serving)
 	for _, id := range slices.Sorted(maps.Keys(w.orders)) {
 		w.submitOrder(w.hosts[3], w.orders[id], false)
 	}
