--- a/internal/control/controlcodec/codec.go
+++ b/internal/control/controlcodec/codec.go
@@ -96,7 +96,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return appendPart(appendPart([]byte{Version}, data), ledger), nil
+	out := appendPart(appendPart([]byte{Version}, data), ledger)
+	return appendPart(out, encodeLists(s.Lists)), nil
 }
 
 func appendPart(out, data []byte) []byte {
@@ -128,6 +129,10 @@
 	if err != nil {
 		return control.ReplicatedState{}, err
 	}
+	listsPart, rest, err := cutPart(rest)
+	if err != nil {
+		return control.ReplicatedState{}, err
+	}
 	if len(rest) != 0 {
 		return control.ReplicatedState{}, ErrMalformed
 	}
@@ -136,5 +141,9 @@
 		return control.ReplicatedState{}, err
 	}
 	ledger, err := orderscodec.DecodeState(ledgerPart)
-	return control.ReplicatedState{Config: cfg, Orders: ledger}, err
+	if err != nil {
+		return control.ReplicatedState{}, err
+	}
+	lists, err := decodeLists(listsPart)
+	return control.ReplicatedState{Config: cfg, Orders: ledger, Lists: lists}, err
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -52,6 +52,7 @@
 type ReplicatedState struct {
 	Config config.State
 	Orders orders.State
+	Lists  []EarlierList // earlier member lists that may not know their successor
 }
 
 // compactAfter is the number of log entries after which the log is replaced by
@@ -86,7 +87,7 @@
 	catalogs *catalogs
 	changed  map[string]bool // targets that changed since the last snapshot
 
-	earlier    []earlierList
+	earlier    []EarlierList
 	repairedAt time.Time // last step of a repair of the voters
 
 	shared   shared
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -208,6 +208,7 @@
 		}
 		c.store = config.Restore(state.Config)
 		c.ledger = orders.Restore(state.Orders)
+		c.earlier = copyLists(state.Lists)
 		c.feed.Reset()
 	}
 	out := resolveAll(c.tracker.Restored(s.Index))
@@ -222,5 +223,5 @@
 		return nil
 	}
 	c.encoding = true
-	return []Effect{EncodeState{Index: s.Applied, State: ReplicatedState{Config: c.store.State(), Orders: c.ledger.State()}}}
+	return []Effect{EncodeState{Index: s.Applied, State: ReplicatedState{Config: c.store.State(), Orders: c.ledger.State(), Lists: copyLists(c.earlier)}}}
 }
