Separate the measurements that take minutes

Cause: make bench has to end within five minutes, and the slopes of the capacity page take longer. Result: none to measure.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Targets: build, test, lint, generate, demo, bench, bench-quick, docs.
+# Targets: build, test, lint, generate, demo, bench, bench-quick, bench-scale, docs.
 GO ?= go
 BIN := bin
 PKGS := ./...
 
-.PHONY: build test lint race generate check-generated linkage demo bench bench-quick docs
+.PHONY: build test lint race generate check-generated linkage demo bench bench-quick bench-scale docs
 
 build:
 	@mkdir -p $(BIN)
@@ -31,10 +31,16 @@
 
 test: lint race linkage check-generated
 
-# Policies of the data path on virtual time, then the Go benchmarks.
+# Policies of the data path on virtual time, then the Go benchmarks that take
+# seconds.
 bench:
 	$(GO) run ./cmd/hawthornbench
-	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+	$(GO) test -short -run '^$$' -bench . -benchmem ./internal/...
+
+# The slopes of docs/CAPACITY.md that take minutes.
+bench-scale:
+	$(GO) test -run '^$$' -bench 'ControlCost|Exchange|Memory' -benchtime 1x -timeout 40m ./internal/spread
+	$(GO) test -run '^$$' -bench IdleHosts -benchtime 1x ./internal/daemon
 
 # Small versions of the same cases. Two runs print the same.
 bench-quick:
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -66,6 +66,9 @@
 // that only control each other, as the number of hosts grows. All hosts share
 // one process.
 func BenchmarkIdleHosts(b *testing.B) {
+	if testing.Short() {
+		b.Skip("takes a minute; part of make bench-scale")
+	}
 	for _, hosts := range []int{3, 6, 12, 24} {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			nodes := startCluster(b, hosts, 3)
--- a/internal/spread/cost_test.go
+++ b/internal/spread/cost_test.go
@@ -211,6 +211,9 @@
 // decide-us is the time in decisions and codec-us the time in encoding and
 // decoding.
 func BenchmarkControlCost(b *testing.B) {
+	if testing.Short() {
+		b.Skip("takes minutes; part of make bench-scale")
+	}
 	overhead := httpOverhead(b, true)
 	for _, hosts := range []int{3, 6, 12, 24, 48, 200} {
 		for _, searchers := range []int{100, 1_000, 10_000} {
@@ -309,6 +312,9 @@
 // BenchmarkMemory measures the heap of one host that knows all targets and
 // hosts of the design scale.
 func BenchmarkMemory(b *testing.B) {
+	if testing.Short() {
+		b.Skip("takes minutes; part of make bench-scale")
+	}
 	const hosts, searchers = 8_100, 110_000
 	c := newCluster(1)
 	for range searchers / 2 {
