Use a group's default deadline, and drop what nothing fills

Cause: a group's default_timeout_ms was accepted and had no effect; the administration API listed a lease owner and a time last seen that were never set; messages of other hosts had no bound in some services. Change: the default applies after routing; the two fields are gone; every message of a host is bounded by 64 MiB; the tool says that a new order ID is new, so that a dead quorum gives not_run.

--- a/internal/cli/caller.go
+++ b/internal/cli/caller.go
@@ -69,6 +69,7 @@
 	Group     string            `json:"group,omitempty"`
 	Body      string            `json:"body"`
 	TimeoutMS int64             `json:"timeout_ms"`
+	First     bool              `json:"first_attempt,omitempty"` // the ID is new
 }
 
 // callerFlags are the flags of commands that act as a caller.
@@ -236,14 +237,15 @@
 	if err != nil {
 		return err
 	}
-	if id == "" {
+	first := id == ""
+	if first {
 		id = orders.NewRequestID(c.app.Now(), c.app.Random())
 	} else if _, err := orders.IssuedAt(id); err != nil {
 		return usageError{err}
 	}
 	fmt.Fprintf(c.app.Stderr, "Request ID %s\n", id)
 	raw, err := c.call(ctx, f.addr, http.MethodPost, "/v1/orders", orderRequest{
-		RequestID: id, Team: f.team, Labels: labels, Group: f.group, Body: body, TimeoutMS: c.timeout.Milliseconds(),
+		RequestID: id, Team: f.team, Labels: labels, Group: f.group, Body: body, TimeoutMS: c.timeout.Milliseconds(), First: first,
 	})
 	if err != nil {
 		if confighttp.VerdictOf(err) == verdict.MayHaveRun {
--- a/internal/cli/hosts.go
+++ b/internal/cli/hosts.go
@@ -38,10 +38,10 @@
 		return readError{err}
 	}
 	return c.print(targets, func(w io.Writer) {
-		t := newTable(w, "TARGET", "ADDRESS", "FAILURE DOMAIN", "STATE", "GROUPS", "SEARCHERS", "SLOTS", "LAST SEEN", "NO WORK BECAUSE")
+		t := newTable(w, "TARGET", "ADDRESS", "FAILURE DOMAIN", "STATE", "GROUPS", "SEARCHERS", "SLOTS", "NO WORK BECAUSE")
 		for _, x := range targets.Targets {
 			t.row(x.Target, x.Address, x.FailureDomain, x.State, strings.Join(x.Groups, ","), strconv.Itoa(x.Searchers),
-				strconv.Itoa(x.Slots), timeText(x.LastSeen), strings.Join(x.NoWork, ", "))
+				strconv.Itoa(x.Slots), strings.Join(x.NoWork, ", "))
 		}
 		_ = t.w.Flush()
 		if len(targets.Targets) == 0 {
@@ -62,9 +62,6 @@
 	return c.print(why, func(w io.Writer) {
 		x := why.Target
 		fmt.Fprintf(w, "Target %s at %s in %s is %s", x.Target, x.Address, x.FailureDomain, x.State)
-		if !x.LastSeen.IsZero() {
-			fmt.Fprintf(w, ", last seen %s", timeText(x.LastSeen))
-		}
 		fmt.Fprintln(w, ".")
 		fmt.Fprintf(w, "Labels: %s\n", labelText(x.Labels))
 		for _, r := range x.NoWork {
--- a/internal/config/confighttp/backend.go
+++ b/internal/config/confighttp/backend.go
@@ -47,8 +47,6 @@
 	Labels        map[string]string `json:"labels"`
 	State         string            `json:"state"` // ready, draining or cold
 	Incarnation   uint64            `json:"incarnation"`
-	LastSeen      time.Time         `json:"last_seen"`
-	LeaseOwner    string            `json:"lease_owner,omitempty"`
 	Searchers     int               `json:"searchers"`
 	Slots         int               `json:"slots"`
 	Snapshots     []string          `json:"index_snapshots,omitempty"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,9 +154,9 @@
 	d.driver = queryrun.New(queryrun.Config{
 		Transport: entryrun.NewTransport(client, d.groups), Catalogs: d.loop, Log: d.log, OnDrain: d.drainSeen, Seed: d.settings.Seed,
 	})
-	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight, d.metrics)
+	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight, d.metrics, d.timeouts())
 	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, d.incarnation)
-	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics)
+	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics, d.timeouts())
 	d.servers = make(map[string]*http.Server)
 	for name := range d.listeners {
 		d.servers[name] = &http.Server{Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout}
@@ -213,7 +213,7 @@
 		return entryhttp.NewRouter(entryhttp.Config{
 			Queries:  d.queries,
 			Orders:   d.orders,
-			Timeouts: entry.Timeouts{Default: d.settings.DefaultTimeout, Max: d.settings.MaxTimeout},
+			Timeouts: d.timeouts(),
 			NewID:    d.newRequestID,
 		})
 	case "target":
@@ -227,6 +227,10 @@
 	}
 }
 
+func (d *Daemon) timeouts() entry.Timeouts {
+	return entry.Timeouts{Default: d.settings.DefaultTimeout, Max: d.settings.MaxTimeout}
+}
+
 // newRequestID makes an ID that is unique among hosts and restarts.
 func (d *Daemon) newRequestID() string {
 	return fmt.Sprintf("%s-%x-%x", d.settings.Host, d.settings.Seed, d.requests.Add(1))
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -21,6 +21,10 @@
 	"github.com/hawthornlock/hawthornlock/internal/targets/targetsrpc"
 )
 
+// maxPeerBody bounds a message of another host. The largest is the whole state
+// of the configuration.
+const maxPeerBody = 64 << 20
+
 // peerRouter serves the other hosts.
 func (d *Daemon) peerRouter() http.Handler {
 	r := mux.NewRouter()
@@ -40,7 +44,7 @@
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
-	return r
+	return http.MaxBytesHandler(r, maxPeerBody)
 }
 
 type followService struct{ d *Daemon }
--- a/internal/entry/entryrun/orders.go
+++ b/internal/entry/entryrun/orders.go
@@ -29,11 +29,12 @@
 	groups    *Groups
 	inFlight  *InFlight
 	observer  Observer
+	timeouts  entry.Timeouts
 }
 
 // NewOrders returns the service that runs orders with driver.
-func NewOrders(s Snapshots, driver *ordersrun.Driver, client *targethttp.Client, groups *Groups, inFlight *InFlight, o Observer) *Orders {
-	return &Orders{snapshots: s, driver: driver, client: client, groups: groups, inFlight: inFlight, observer: o}
+func NewOrders(s Snapshots, driver *ordersrun.Driver, client *targethttp.Client, groups *Groups, inFlight *InFlight, o Observer, t entry.Timeouts) *Orders {
+	return &Orders{snapshots: s, driver: driver, client: client, groups: groups, inFlight: inFlight, observer: o, timeouts: t}
 }
 
 // Order runs one order at most once.
@@ -63,7 +64,7 @@
 	}
 	req := orders.Request{
 		ID: o.RequestID, Content: orders.HashContent(o.Team, o.Labels, o.Group, o.Body),
-		Deadline: now.Add(o.Timeout), First: o.First,
+		Deadline: now.Add(s.timeouts.Of(o.Timeout, group.Limits)), First: o.First,
 	}
 	result, err := s.driver.Run(ctx, req, func(ctx context.Context) orders.TargetReplied {
 		return s.dispatch(ctx, group, o)
--- a/internal/entry/entryrun/queries.go
+++ b/internal/entry/entryrun/queries.go
@@ -33,11 +33,12 @@
 	admission *admissionrun.Gate
 	inFlight  *InFlight
 	observer  Observer
+	timeouts  entry.Timeouts
 }
 
 // NewQueries returns the service that runs queries with driver.
-func NewQueries(s Snapshots, driver *queryrun.Driver, groups *Groups, gate *admissionrun.Gate, inFlight *InFlight, o Observer) *Queries {
-	return &Queries{snapshots: s, driver: driver, groups: groups, admission: gate, inFlight: inFlight, observer: o}
+func NewQueries(s Snapshots, driver *queryrun.Driver, groups *Groups, gate *admissionrun.Gate, inFlight *InFlight, o Observer, t entry.Timeouts) *Queries {
+	return &Queries{snapshots: s, driver: driver, groups: groups, admission: gate, inFlight: inFlight, observer: o, timeouts: t}
 }
 
 // Query runs one query.
@@ -60,7 +61,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	deadline := now.Add(q.Timeout)
+	deadline := now.Add(s.timeouts.Of(q.Timeout, target.Limits))
 	waitCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	leave, err := s.admission.Enter(waitCtx, admissionrun.Query{Group: target.Name, Team: q.Team, Caller: q.Caller})
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -42,7 +42,7 @@
 	Origin
 	Terms       string
 	K           int
-	Timeout     time.Duration // zero for the default
+	Timeout     time.Duration // zero for the default, see Timeouts.Of
 	MinCoverage float64
 }
 
@@ -56,10 +56,22 @@
 
 // Timeouts bound what a caller may ask for.
 type Timeouts struct {
-	Default time.Duration
+	Default time.Duration // of a request that names none, in a group that sets none
 	Max     time.Duration
 }
 
+// Of returns the timeout of a request for a group, whose limits may set a
+// default of its own.
+func (t Timeouts) Of(asked time.Duration, l routing.Limits) time.Duration {
+	if asked > 0 {
+		return asked
+	}
+	if l.DefaultTimeoutMSec > 0 {
+		return min(t.Max, time.Duration(l.DefaultTimeoutMSec)*time.Millisecond)
+	}
+	return t.Default
+}
+
 func (o *Origin) validate() error {
 	switch {
 	case len(o.RequestID) > MaxNameBytes:
@@ -79,7 +91,7 @@
 	return nil
 }
 
-// Validate checks the query and fills in the default timeout.
+// Validate checks the query.
 func (q *QueryRequest) Validate(t Timeouts) error {
 	if err := q.validate(); err != nil {
 		return err
@@ -92,10 +104,10 @@
 	case math.IsNaN(q.MinCoverage) || q.MinCoverage < 0 || q.MinCoverage > 1:
 		return invalid("min_coverage %v is outside 0..1", q.MinCoverage)
 	}
-	return checkTimeout(&q.Timeout, t)
+	return checkTimeout(q.Timeout, t)
 }
 
-// Validate checks the order and fills in the default timeout.
+// Validate checks the order.
 func (o *OrderRequest) Validate(t Timeouts) error {
 	if err := o.validate(); err != nil {
 		return err
@@ -106,15 +118,12 @@
 	case len(o.Body) > MaxOrderBodyBytes:
 		return invalid("body is longer than %d bytes", MaxOrderBodyBytes)
 	}
-	return checkTimeout(&o.Timeout, t)
+	return checkTimeout(o.Timeout, t)
 }
 
-func checkTimeout(timeout *time.Duration, t Timeouts) error {
-	if *timeout == 0 {
-		*timeout = t.Default
-	}
-	if *timeout < minTimeout || *timeout > t.Max {
-		return verdict.New(verdict.NotRun, CodeImpossibleTimeout, "timeout %s is outside %s..%s", *timeout, minTimeout, t.Max)
+func checkTimeout(asked time.Duration, t Timeouts) error {
+	if asked != 0 && (asked < minTimeout || asked > t.Max) {
+		return verdict.New(verdict.NotRun, CodeImpossibleTimeout, "timeout %s is outside %s..%s", asked, minTimeout, t.Max)
 	}
 	return nil
 }
