--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/connections"
+	"github.com/hawthornlock/hawthornlock/internal/consensus"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// confirmAsLeader takes the leader's own lease as the confirmation of the
+// configuration that it has applied. A new leader has all accepted changes in
+// its log, but it knows that they are committed only with its own first entry.
+func (c *Core) confirmAsLeader(now time.Time) []Effect {
+	s := c.node.Status()
+	if s.Role != consensus.Leader || !s.LeaseHeld || !s.TermApplied || s.Applied < s.Commit {
+		return nil
+	}
+	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
+}
+
+func (c *Core) confirm(now time.Time, e follow.Confirmed) []Effect {
+	if e.Term < c.confirmed.Term || e.Term == c.confirmed.Term && e.At.Before(c.confirmed.At) {
+		return nil
+	}
+	c.confirmed = follow.Confirmation(e)
+	out := c.membership(now, membership.ConfigApplied{Position: c.position()})
+	return append(out, c.membership(now, membership.LeaderConfirmed{
+		Position: membership.Position{Term: e.Term, Revision: e.Revision}, At: e.At,
+	})...)
+}
+
+// position is the configuration in force here.
+func (c *Core) position() membership.Position {
+	return membership.Position{Term: c.confirmed.Term, Revision: c.store.Revision()}
+}
+
+func (c *Core) answerPoll(now time.Time, p follow.Poll) follow.Update {
+	return c.feed.Answer(now, p, c.confirmed, c.store.Revision(), c.followerState)
+}
+
+// followerState is the configuration without the records of past changes,
+// which only hosts with a log need.
+func (c *Core) followerState() config.State {
+	s := c.store.State()
+	s.Records = nil
+	s.RecordStart = s.Revision
+	s.History = nil
+	s.HistoryFrom = s.Revision
+	return s
+}
+
+func (c *Core) follow(now time.Time, ev follow.Event) []Effect {
+	c.follower.SetRevision(c.store.Revision())
+	var out []Effect
+	for _, e := range c.follower.Step(now, ev) {
+		switch e := e.(type) {
+		case follow.SendPoll:
+			out = append(out, SendPoll{To: e.To, Poll: e.Poll})
+		case follow.Apply:
+			out = append(out, c.applyFollowed(now, e.Changes)...)
+		case follow.Restore:
+			c.store = config.Restore(e.State)
+			c.feed.Reset()
+			out = append(out, c.configChanged(now)...)
+		case follow.Confirmed:
+			out = append(out, c.confirm(now, e)...)
+		case follow.FeedReplaced:
+			out = append(out, Log{Event: EventFeedReplaced, Fields: []Field{{"old", e.Old}, {"new", e.New}}})
+		}
+	}
+	return out
+}
+
+// applyFollowed puts changes in force that the log has already accepted. The
+// base is set to the present revision because this host keeps no history to
+// compare an older base with.
+func (c *Core) applyFollowed(now time.Time, changes []follow.Accepted) []Effect {
+	var out []Effect
+	for _, a := range changes {
+		change := a.Change
+		change.Base = c.store.Revision()
+		r := c.store.Apply(c.store.Index()+1, a.At, change)
+		if r.Outcome != config.Accepted || r.Revision != a.Revision {
+			return append(out, Fail{Err: verdict.New(verdict.Ran, verdict.CodeInternal,
+				"change %q was accepted as revision %d but not here: %s", change.ID, a.Revision, r.Message)})
+		}
+		out = append(out, c.publishAccepted(now, a)...)
+	}
+	return append(out, c.configChanged(now)...)
+}
+
+func (c *Core) publishAccepted(now time.Time, a follow.Accepted) []Effect {
+	var out []Effect
+	for _, p := range c.feed.Accepted(now, c.confirmed.Term, a) {
+		out = append(out, SendUpdate{To: p.To, Update: p.Update})
+	}
+	return out
+}
+
+// configChanged passes what changed in the configuration to other slices.
+func (c *Core) configChanged(now time.Time) []Effect {
+	c.shared.tableStale = true
+	var out []Effect
+	if !c.confirmed.At.IsZero() {
+		out = append(out, c.membership(now, membership.ConfigApplied{Position: c.position()})...)
+	}
+	out = append(out, c.membersAgreed(now)...)
+	for _, l := range c.store.Layouts() {
+		layout := targets.NewLayout(l.IndexSnapshot, l.Generation, l.Shards)
+		out = append(out, c.targetEffects(now, c.registry.Step(now, targets.LayoutRestored{Layout: layout}))...)
+	}
+	return out
+}
+
+// membersAgreed passes the agreed member list to the slices that count on it.
+func (c *Core) membersAgreed(now time.Time) []Effect {
+	m := c.store.Members()
+	if m.Epoch == 0 || m.Epoch == c.members.AgreedList().Epoch {
+		return nil
+	}
+	out := c.membership(now, membership.AgreedListApplied{List: membership.AgreedList{Epoch: m.Epoch, Hosts: m.Hosts, Base: m.Base}})
+	return append(out, c.sharesStep(now, connections.Members{Epoch: m.Epoch, Hosts: m.Hosts})...)
+}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -20,9 +21,15 @@
 // takes to be refuted.
 const claimantTimeout = 30 * time.Second
 
-// hostsInterval is the time between two renewals of the snapshot's hosts.
+// hostsInterval is the time between two renewals of the snapshot's hosts for
+// each hundred of them, so that the cost a second does not grow. A host that
+// comes or goes renews them at once.
 const hostsInterval = time.Second
 
+func (c *Core) hostsDue(now time.Time) bool {
+	return now.Sub(c.hostsAt) >= hostsInterval*time.Duration(1+len(c.known)/100)
+}
+
 // members steps the membership and handles its effects.
 func (c *Core) membership(now time.Time, ev membership.Event) []Effect {
 	var out []Effect
@@ -203,9 +210,21 @@
 		})
 	}
 	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Host, b.Host) })
+	c.forgetUnknown(out)
 	return out
 }
 
+// forgetUnknown drops what was noted of hosts that the membership no longer
+// knows. Replaced hosts bring new names, so the notes would grow for ever.
+func (c *Core) forgetUnknown(known []Host) {
+	names := make(map[string]bool, len(known))
+	for _, h := range known {
+		names[h.Host] = true
+	}
+	maps.DeleteFunc(c.revisions, func(host string, _ uint64) bool { return !names[host] })
+	maps.DeleteFunc(c.heardAt, func(host string, _ time.Time) bool { return !names[host] })
+}
+
 func (c *Core) isReady(host string) bool {
 	if host == c.opts.Self {
 		return c.life.Ready()
