--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,7 +156,7 @@
 	})
 	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight, d.metrics, d.timeouts())
 	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, d.incarnation)
-	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics, d.timeouts())
+	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics, d.timeouts(), d.log)
 	d.servers = make(map[string]*http.Server)
 	for name := range d.listeners {
 		d.servers[name] = &http.Server{Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout}
--- a/internal/entry/entryrun/orders.go
+++ b/internal/entry/entryrun/orders.go
@@ -9,6 +9,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
 	"github.com/hawthornlock/hawthornlock/internal/entry/entryhttp"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrun"
 	"github.com/hawthornlock/hawthornlock/internal/query"
@@ -30,11 +31,12 @@
 	inFlight  *InFlight
 	observer  Observer
 	timeouts  entry.Timeouts
+	log       *eventlog.Logger
 }
 
 // NewOrders returns the service that runs orders with driver.
-func NewOrders(s Snapshots, driver *ordersrun.Driver, client *targethttp.Client, groups *Groups, inFlight *InFlight, o Observer, t entry.Timeouts) *Orders {
-	return &Orders{snapshots: s, driver: driver, client: client, groups: groups, inFlight: inFlight, observer: o, timeouts: t}
+func NewOrders(s Snapshots, driver *ordersrun.Driver, client *targethttp.Client, groups *Groups, inFlight *InFlight, o Observer, t entry.Timeouts, log *eventlog.Logger) *Orders {
+	return &Orders{snapshots: s, driver: driver, client: client, groups: groups, inFlight: inFlight, observer: o, timeouts: t, log: log}
 }
 
 // Order runs one order at most once.
@@ -44,11 +46,20 @@
 	v := verdict.Ran
 	if err != nil {
 		v = verdict.Of(err)
+		s.logFailure(o.RequestID, v, err)
 	}
 	s.observer.ObserveOrder(v, err)
 	return result, err
 }
 
+func (s *Orders) logFailure(requestID string, v verdict.Verdict, err error) {
+	event := eventOrderUnknown
+	if v == verdict.NotRun {
+		event = eventOrderRefused
+	}
+	s.log.Log(event).Str("request_id", requestID).Str("code", string(verdict.CodeOf(err))).Err(err).Send()
+}
+
 func (s *Orders) run(ctx context.Context, o entry.OrderRequest) (*entryhttp.OrderResult, error) {
 	now := time.Now()
 	snapshot := s.snapshots.Snapshot()
