Write the last answers before a graceful stop ends the process

Cause: a request counted as ended when its answer was made, and the stop closed the connections at once, so the bytes of an answer could be cut off. Change: a graceful stop shuts the callers' server down before it closes it. Result: a test stops a host with eight queries in progress and gets eight whole answers.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -93,7 +94,7 @@
 
 // crash ends the host without any of the steps of a graceful stop.
 func (n *node) crash() {
-	n.kill(errStopped)
+	n.kill(errors.New("crashed by the test"))
 	<-n.ended
 	n.ended = nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -306,7 +306,17 @@
 	d.cancel(err)
 }
 
+// flushTimeout bounds the wait for the last answers to be written. All
+// requests have ended by then; only their bytes may still be on the way.
+const flushTimeout = 2 * time.Second
+
 func (d *Daemon) close() {
+	if errors.Is(context.Cause(d.ctx), errStopped) {
+		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		// What is not written in time is cut off by Close.
+		_ = d.servers["caller"].Shutdown(ctx)
+	}
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -28,7 +28,7 @@
 }
 
 // startTargets serves each shard of the dataset from one searcher.
-func startTargets(t testing.TB, d *Daemon, data *standin.Dataset, n int) []*standin.Target {
+func startTargets(t testing.TB, d *Daemon, data *standin.Dataset, n int, change ...func(*standin.Config)) []*standin.Target {
 	t.Helper()
 	holds := make([][]string, n)
 	for i, shard := range data.Layout() {
@@ -36,13 +36,17 @@
 	}
 	var out []*standin.Target
 	for i := range n {
-		target, err := standin.Start(standin.Config{
+		cfg := standin.Config{
 			Name: fmt.Sprintf("target-%d", i), FailureDomain: fmt.Sprintf("fd%d", i%3), Labels: map[string]string{"app": "names"},
 			ConnectionLimit: 30, QueueLength: 1000,
 			Searchers: []standin.Searcher{{Name: "s0", Slots: 2, Holds: map[string][]string{"v1": holds[i]}}},
 			Snapshots: []standin.Snapshot{{Name: "v1", Generation: 1, Data: data}},
 			Seed:      uint64(i),
-		})
+		}
+		for _, f := range change {
+			f(&cfg)
+		}
+		target, err := standin.Start(cfg)
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = target.Close() })
 		ctx, cancel := context.WithCancel(context.Background())
@@ -86,12 +90,20 @@
 
 func post(t testing.TB, d *Daemon, body string) (int, answerBody) {
 	t.Helper()
-	resp, err := http.Post("http://"+d.Address("caller").String()+"/v1/query", "application/json", bytes.NewBufferString(body))
+	status, a, err := tryPost(d, body)
 	require.NoError(t, err)
+	return status, a
+}
+
+func tryPost(d *Daemon, body string) (int, answerBody, error) {
+	resp, err := http.Post("http://"+d.Address("caller").String()+"/v1/query", "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		return 0, answerBody{}, err
+	}
 	defer resp.Body.Close()
 	var a answerBody
-	require.NoError(t, json.NewDecoder(resp.Body).Decode(&a))
-	return resp.StatusCode, a
+	err = json.NewDecoder(resp.Body).Decode(&a)
+	return resp.StatusCode, a, err
 }
 
 func requireScan(t *testing.T, want []standin.Match, a answerBody) {
@@ -155,3 +167,35 @@
 		require.NotEmpty(t, a.Error.Message)
 	}
 }
+
+// Guards against a planned stop that cuts off a query in progress or the bytes
+// of its answer, and against one that still takes new work.
+func TestStopEndsQueriesInProgress(t *testing.T) {
+	n := startCluster(t, 1, 1)[0]
+	data := standin.NewDataset("v1-", 4)
+	startTargets(t, n.Daemon, data, 4, func(c *standin.Config) { c.ServiceTime = 500 * time.Millisecond })
+	pushGroup(t, n.Daemon)
+	awaitTargets(t, n.Daemon, 4)
+	type result struct {
+		answer answerBody
+		err    error
+	}
+	answers := make(chan result, 8)
+	for range cap(answers) {
+		go func() {
+			_, a, err := tryPost(n.Daemon, leafQuery)
+			answers <- result{a, err}
+		}()
+	}
+	require.Eventually(t, func() bool { return n.inFlight.Count() == cap(answers) }, patience, time.Millisecond)
+	n.Stop()
+	require.NoError(t, <-n.ended)
+	n.ended = nil
+	for range cap(answers) {
+		r := <-answers
+		require.NoError(t, r.err)
+		require.Empty(t, r.answer.Error.Code)
+		require.Empty(t, r.answer.Coverage.Missing)
+		requireScan(t, data.FullScan("latin letter", 50), r.answer)
+	}
+}
