Make three tests fail when the fault that they name returns

Cause: taking a fix away left its tests green in two places. That a group's default deadline is used after routing was checked in part only.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -310,12 +310,17 @@
 // requests have ended by then; only their bytes may still be on the way.
 const flushTimeout = 2 * time.Second
 
+// flush waits until a server has written its answers. What is not written in
+// time is cut off when the server is closed.
+func flush(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = s.Shutdown(ctx)
+}
+
 func (d *Daemon) close() {
 	if errors.Is(context.Cause(d.ctx), errStopped) {
-		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
-		defer cancel()
-		// What is not written in time is cut off by Close.
-		_ = d.servers["caller"].Shutdown(ctx)
+		flush(d.servers["caller"])
 	}
 	for _, s := range d.servers {
 		_ = s.Close()
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -144,6 +144,26 @@
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.Equal(t, "coverage_below_minimum", a.Error.Code)
 	require.Empty(t, a.Hits)
+
+	// A query without a deadline of its own gets the group's. Within 1 ms no
+	// sub-request can answer.
+	pushGroupLimits(t, d, routing.Limits{DefaultTimeoutMSec: 1})
+	require.Eventually(t, func() bool {
+		_, a := post(t, d, `{"team":"names","terms":"latin letter","k":50}`)
+		return a.Error.Code == "deadline_exceeded" && a.Error.Verdict == "not_run"
+	}, patience, 50*time.Millisecond)
+}
+
+func pushGroupLimits(t testing.TB, d *Daemon, l routing.Limits) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	result, err := d.Propose(ctx, config.Change{
+		ID: "limits", Author: "an", Team: "names", Base: d.loop.Snapshot().Revision,
+		Ops: []config.Op{config.PutGroup{Group: routing.Group{Name: "names", Team: "names", Match: routing.Labels{"app": "names"}, Limits: l}}},
+	})
+	require.NoError(t, err)
+	require.NoError(t, result.Err())
 }
 
 // Guards against bad input that is answered with anything but a typed refusal
