Forward requests to searchers with hedging under a shared budget

Change: package forward decides as pure code (choice, hedge, retry, budget, merge); forwardrun drives it over pooled HTTP/1.1 connections that accept only whole answers to their own request.

--- /dev/null
+++ b/internal/forward/forwardrun/engine.go
@@ -0,0 +1,335 @@
+package forwardrun
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Config configures an engine.
+type Config struct {
+	Wire          Wire
+	FailureDomain string
+	Budget        forward.BudgetLimits
+	Seed          uint64
+	Log           *eventlog.Logger
+}
+
+// dialTimeout bounds the wait for a connection to a searcher. A packet that is
+// dropped by a full queue of new connections is sent again after a second.
+const dialTimeout = 900 * time.Millisecond
+
+// Engine carries calls to searchers. It is safe for concurrent use.
+type Engine struct {
+	config Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	dialer net.Dialer
+
+	mu       sync.RWMutex
+	services map[string]*service
+	hosts    int
+
+	routesMu sync.Mutex
+	routes   map[string]*routeState
+	stats    Stats
+}
+
+// Stats are totals since the start.
+type Stats struct {
+	Calls, Attempts, Hedges, Retries, Dials, DialFailures, Lost, Rejected atomic.Int64
+}
+
+// routeState is what the engine keeps of a route across its versions.
+type routeState struct {
+	timing   *forward.Timing
+	splitter forward.Splitter
+}
+
+// New returns an engine without searchers.
+func New(config Config) *Engine {
+	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), hosts: 1}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return e
+}
+
+// Stats returns the totals.
+func (e *Engine) Stats() *Stats { return &e.stats }
+
+// SetHosts sets the number of hosts that share budgets and connections.
+func (e *Engine) SetHosts(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hosts = max(n, 1)
+	for _, s := range e.services {
+		s.setHosts(e.hosts)
+	}
+}
+
+// SetSearchers replaces the searchers of all services.
+func (e *Engine) SetSearchers(offers map[string][]forward.Offer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, list := range offers {
+		s := e.services[name]
+		if s == nil {
+			s = newService(e, name)
+			s.setHosts(e.hosts)
+			e.services[name] = s
+		}
+		s.replace(list)
+	}
+	for name, s := range e.services {
+		if _, ok := offers[name]; !ok {
+			s.replace(nil)
+		}
+	}
+}
+
+func (e *Engine) service(name string) *service {
+	e.mu.RLock()
+	s := e.services[name]
+	e.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s = e.services[name]; s == nil {
+		s = newService(e, name)
+		s.setHosts(e.hosts)
+		e.services[name] = s
+	}
+	return s
+}
+
+// maxRouteStates bounds what is kept of routes that plans no longer name.
+const maxRouteStates = 20_000
+
+func (e *Engine) route(name string) *routeState {
+	e.routesMu.Lock()
+	defer e.routesMu.Unlock()
+	r := e.routes[name]
+	if r == nil {
+		if len(e.routes) >= maxRouteStates {
+			clear(e.routes)
+		}
+		r = &routeState{timing: forward.NewTiming()}
+		e.routes[name] = r
+	}
+	return r
+}
+
+// servicesOf returns the services that answer a call: all shards of a gathered
+// route, or the one that the split chooses.
+func (e *Engine) servicesOf(r *routeplan.Route, state *routeState) []string {
+	if r.Gather != nil {
+		return r.Gather.Services
+	}
+	if len(r.Splits) == 1 {
+		return []string{r.Splits[0].Service}
+	}
+	e.routesMu.Lock()
+	defer e.routesMu.Unlock()
+	return []string{r.Splits[state.splitter.Next(r.Splits)].Service}
+}
+
+// Close gives up all connections.
+func (e *Engine) Close() {
+	e.cancel()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.services {
+		s.replace(nil)
+	}
+}
+
+// maintainInterval is the time between two looks for searchers without a
+// connection.
+const maintainInterval = time.Second
+
+// Maintain keeps a connection open to every searcher until ctx ends, so that a
+// request does not wait for a new one.
+func (e *Engine) Maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.mu.RLock()
+			for _, s := range e.services {
+				s.warm()
+			}
+			e.mu.RUnlock()
+		}
+	}
+}
+
+// event is what happened to a run.
+type event struct {
+	sending *sending // an attempt that ended
+	result  forward.Result
+	freed   int // leg whose service may have room, if sending is nil
+}
+
+// runner drives one run. Its environment methods are called on its goroutine.
+type runner struct {
+	engine *Engine
+	call   *Call
+	route  *routeState
+	events chan event
+	open   []*sending
+	took   map[*forward.Attempt]*Reply
+	rng    *rand.Rand
+	ended  atomic.Bool // the run needs no more events
+	timing struct{ usual, hedge time.Duration }
+}
+
+// maxAttemptsPerLeg bounds the events of a leg, so that an event never blocks
+// its sender: attempts and their notices of room.
+const maxAttemptsPerLeg = 16
+
+// Do carries a call out. An error carries the verdict; an Answer with replies
+// beside it holds the searcher's own failure.
+func (e *Engine) Do(ctx context.Context, call *Call) (*Answer, *verdict.Error) {
+	e.stats.Calls.Add(1)
+	state := e.route(call.Route.Name)
+	services := e.servicesOf(call.Route, state)
+	now := time.Now()
+	for _, name := range services {
+		e.service(name).request(now)
+	}
+	r := &runner{
+		engine: e, call: call, route: state, events: make(chan event, maxAttemptsPerLeg*len(services)),
+		took: make(map[*forward.Attempt]*Reply, len(services)),
+		rng:  rand.New(rand.NewPCG(e.config.Seed, uint64(e.stats.Calls.Load()))),
+	}
+	e.routesMu.Lock()
+	r.timing.usual, r.timing.hedge = state.timing.Usual(), state.timing.HedgeAfter(call.Route.Objective)
+	e.routesMu.Unlock()
+	run := forward.NewRun(r, call.Route, services, call.Arrived, call.Deadline)
+	return r.drive(ctx, run, now)
+}
+
+func (r *runner) drive(ctx context.Context, run *forward.Run, now time.Time) (*Answer, *verdict.Error) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	defer r.ended.Store(true)
+	effects := run.Start(now)
+	for {
+		if o, done := r.execute(effects); done {
+			answer, err := r.answer(run, o)
+			return answer, err
+		}
+		now = time.Now()
+		timer.Reset(max(run.Next(now).Sub(now), 0))
+		select {
+		case <-ctx.Done():
+			return r.abandon(run)
+		case ev := <-r.events:
+			effects = r.take(run, ev)
+		case <-timer.C:
+			effects = run.Tick(time.Now())
+		}
+	}
+}
+
+// CodeCallerGone is the code of a call whose caller left.
+const CodeCallerGone verdict.Code = "caller_gone"
+
+// abandon drops all attempts in progress, since nobody waits for them.
+func (r *runner) abandon(run *forward.Run) (*Answer, *verdict.Error) {
+	for _, s := range r.open {
+		s.abandon()
+	}
+	return &Answer{Attempts: records(run, time.Now())}, verdict.New(verdict.MayHaveRun, CodeCallerGone, "the caller closed its connection")
+}
+
+// take hands an event to the run.
+func (r *runner) take(run *forward.Run, ev event) []forward.Effect {
+	now := time.Now()
+	if ev.sending == nil {
+		return run.Freed(now, ev.freed)
+	}
+	i := slices.Index(r.open, ev.sending)
+	if i >= 0 {
+		r.open = slices.Delete(r.open, i, i+1)
+	}
+	if ev.sending.reply != nil {
+		r.took[ev.sending.Attempt] = ev.sending.reply
+	}
+	if ev.result == forward.Good {
+		r.engine.routesMu.Lock()
+		r.route.timing.Observe(now.Sub(ev.sending.Began))
+		r.engine.routesMu.Unlock()
+	}
+	return run.Ended(now, ev.sending.Attempt, ev.result)
+}
+
+// execute carries out effects and returns the outcome once there is one.
+func (r *runner) execute(effects []forward.Effect) (forward.Outcome, bool) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case forward.Send:
+			r.send(e.Attempt)
+		case forward.AwaitRoom:
+			r.engine.service(e.Service).await(r, e.Leg)
+		case forward.Finish:
+			return e.Outcome, true
+		}
+	}
+	return forward.Outcome{}, false
+}
+
+func (r *runner) send(a *forward.Attempt) {
+	st := &r.engine.stats
+	st.Attempts.Add(1)
+	s := &sending{Attempt: a, call: r.call}
+	r.open = append(r.open, s)
+	svc := r.engine.service(a.Service)
+	usual := r.timing.usual
+	s.done = func(s *sending, result forward.Result) {
+		switch result {
+		case forward.Lost:
+			st.Lost.Add(1)
+		case forward.Rejected:
+			st.Rejected.Add(1)
+		}
+		svc.ended(s, usual, result)
+		r.events <- event{sending: s, result: result}
+	}
+	if a.Number > 0 {
+		st.Retries.Add(1)
+	}
+	svc.send(s)
+}
+
+// answer gathers the replies of an outcome.
+func (r *runner) answer(run *forward.Run, o forward.Outcome) (*Answer, *verdict.Error) {
+	a := &Answer{Missing: o.Missing, Attempts: records(run, time.Now())}
+	for _, attempt := range o.Replies {
+		a.Replies = append(a.Replies, r.took[attempt])
+	}
+	return a, o.Err
+}
+
+// Begin implements forward.Environment.
+func (r *runner) Begin(now time.Time, name string, ask forward.Ask) (*forward.Searcher, bool) {
+	c := forward.Choice{FailureDomain: r.engine.config.FailureDomain, Usual: r.timing.usual}
+	return r.engine.service(name).begin(now, c, ask, r.rng)
+}
+
+// HedgeAfter implements forward.Environment.
+func (r *runner) HedgeAfter() time.Duration { return r.timing.hedge }
--- /dev/null
+++ b/internal/forward/group.go
@@ -0,0 +1,153 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Group holds the searchers of one service.
+type Group struct {
+	Service   string
+	searchers []*Searcher
+	budget    Budget
+}
+
+// NewGroup returns a group without searchers.
+func NewGroup(service string, limits BudgetLimits) *Group {
+	return &Group{Service: service, budget: NewBudget(limits)}
+}
+
+// Budget returns the budget of further attempts at this service.
+func (g *Group) Budget() *Budget { return &g.budget }
+
+// Searchers returns the searchers. The caller must not modify the result.
+func (g *Group) Searchers() []*Searcher { return g.searchers }
+
+// Offer is a searcher that may be asked, as the target registry knows it.
+type Offer struct {
+	Identity
+	Slots    int
+	Cold     bool
+	Capacity int // requests in progress that this host may have there
+}
+
+// Replace sets the searchers. What is known of those that stay is kept.
+func (g *Group) Replace(offers []Offer) {
+	old := g.searchers
+	g.searchers = make([]*Searcher, 0, len(offers))
+	for _, o := range offers {
+		i := slices.IndexFunc(old, func(s *Searcher) bool { return s.Identity == o.Identity })
+		var s *Searcher
+		if i >= 0 {
+			s = old[i]
+		} else {
+			s = &Searcher{Identity: o.Identity}
+		}
+		s.Slots, s.Cold, s.capacity = max(o.Slots, 1), o.Cold, max(o.Capacity, 1)
+		g.searchers = append(g.searchers, s)
+	}
+}
+
+// Choice weighs what a choice takes into account besides the searchers.
+type Choice struct {
+	FailureDomain string        // of this host
+	Usual         time.Duration // usual time of an attempt on the route
+	Tried         []*Searcher   // asked for this request before
+	Again         bool          // a searcher that was tried may be asked again
+}
+
+// Times that a choice adds to a searcher's expected time.
+const (
+	// farPenalty is the round trip to another failure domain, and the price of
+	// the bytes that go there.
+	farPenalty = 4 * time.Millisecond
+	// failurePenalty is the time that a failed attempt costs.
+	failurePenalty = 60 * time.Millisecond
+	// stallFactor is how many usual times an attempt waits before its searcher
+	// counts as stalled.
+	stallFactor = 3
+)
+
+// Choose returns the searcher with the least expected time, or nil. Busy
+// reports that only the bound on requests in progress kept it from one.
+//
+// It answers two loads: searchers of one shard that differ in speed or pause
+// for longer than the objective allows, and searchers that fail while their
+// health check passes.
+func (g *Group) Choose(now time.Time, c Choice, rng *rand.Rand) (chosen *Searcher, busy bool) {
+	var best, ejected *Searcher
+	var bestTime time.Duration
+	offset := 0
+	if len(g.searchers) > 1 {
+		offset = rng.IntN(len(g.searchers)) // equal searchers take turns
+	}
+	for i := range g.searchers {
+		s := g.searchers[(i+offset)%len(g.searchers)]
+		if !c.Again && slices.Contains(c.Tried, s) {
+			continue
+		}
+		if s.inFlight >= s.capacity {
+			busy = true
+			continue
+		}
+		if now.Before(s.ejected) {
+			if ejected == nil || s.ejected.Before(ejected.ejected) {
+				ejected = s
+			}
+			continue
+		}
+		if t := s.expected(now, c); best == nil || t < bestTime {
+			best, bestTime = s, t
+		}
+	}
+	switch {
+	case best != nil:
+		return best, false
+	case ejected != nil && !busy:
+		// All that are left failed lately; one of them may be back.
+		return ejected, false
+	}
+	return nil, busy
+}
+
+// expected returns the time that an attempt is expected to take.
+func (s *Searcher) expected(now time.Time, c Choice) time.Duration {
+	usual := max(c.Usual, time.Millisecond)
+	work := time.Duration(s.slownessAt(now) * float64(usual))
+	t := work + work*time.Duration(s.inFlight)/time.Duration(s.Slots)
+	if s.FailureDomain != c.FailureDomain {
+		t += farPenalty
+	}
+	if wait := s.longestWait(now); wait > stallFactor*work {
+		t += wait
+	}
+	return t + time.Duration(decay(s.failures, 0, s.failuresT, now)*float64(failurePenalty))
+}
+
+// Reachable returns how many searchers are not left alone after failures.
+func (g *Group) Reachable(now time.Time) int {
+	n := 0
+	for _, s := range g.searchers {
+		if !now.Before(s.ejected) {
+			n++
+		}
+	}
+	return n
+}
+
+// Begin chooses a searcher for a run and notes the attempt as begun there.
+func (g *Group) Begin(now time.Time, c Choice, ask Ask, rng *rand.Rand) (s *Searcher, busy bool) {
+	c.Tried, c.Again = ask.Tried, ask.Again
+	s, busy = g.Choose(now, c, rng)
+	if s == nil || ask.Extra && !g.budget.Spend(now) {
+		return nil, busy
+	}
+	s.begin(now)
+	return s, false
+}
+
+// End notes the result of an attempt that began at a time.
+func (g *Group) End(now, began time.Time, s *Searcher, usual time.Duration, r Result) {
+	s.observe(now, began, usual, r)
+}
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,485 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Codes of the failures of this package.
+const (
+	CodeNoSearcher  verdict.Code = "no_searcher"
+	CodeOverloaded  verdict.Code = "searchers_overloaded"
+	CodeFewShards   verdict.Code = "too_few_shards"
+	CodeLostAttempt verdict.Code = "attempt_lost"
+)
+
+// Result is what became of one attempt.
+type Result uint8
+
+// Results of an attempt.
+const (
+	Good           Result = iota // the searcher's whole, successful answer
+	SearcherFailed               // the searcher's whole answer, which reports a failure; it ran
+	Rejected                     // the searcher stated that the request did not run
+	Misdirected                  // another searcher is at the address; the request did not run
+	Unsent                       // the request did not reach the searcher
+	Lost                         // sent, and no usable answer came; it may have run
+	Abandoned                    // given up by this host; it may have run
+)
+
+var resultNames = [...]string{"good", "searcher_failed", "rejected", "misdirected", "unsent", "lost", "abandoned"}
+
+// String returns the result as logs show it.
+func (r Result) String() string { return resultNames[r] }
+
+// Verdict says whether an attempt with this result may have run.
+func (r Result) Verdict() verdict.Verdict {
+	switch r {
+	case Good, SearcherFailed:
+		return verdict.Ran
+	case Rejected, Misdirected, Unsent:
+		return verdict.NotRun
+	default:
+		return verdict.MayHaveRun
+	}
+}
+
+// Attempt is one sending of a request to a searcher.
+type Attempt struct {
+	Leg      int
+	Number   int // among the attempts of the leg, from 0
+	Service  string
+	Searcher *Searcher
+	Began    time.Time
+	Open     bool
+	Result   Result // once it is no longer open
+}
+
+// leg is the part of a run that one service answers.
+type leg struct {
+	service   string
+	attempts  []*Attempt
+	good      *Attempt
+	failed    *Attempt  // a searcher's own failure, for callers of a single service
+	notBefore time.Time // of the next attempt, after a rejection
+	hedgeNext time.Time // earliest time of the next hedge, after none was possible
+	waiting   bool      // for room at a searcher
+	dead      bool      // nothing more can be tried
+}
+
+// maxTries bounds the attempts of a leg, also those that did not run.
+const maxTries = 5
+
+// rejectPause is the wait before a searcher that rejected a request is asked
+// again. It doubles with every attempt.
+const rejectPause = 8 * time.Millisecond
+
+// Environment is what a run needs to know of its host.
+type Environment interface {
+	// Begin chooses the searcher to ask next, notes the attempt as begun there,
+	// and draws it from the service's budget if it is an extra arrival. Busy
+	// reports that all suitable searchers have as many requests in progress as
+	// this host may have there.
+	Begin(now time.Time, service string, ask Ask) (s *Searcher, busy bool)
+	// HedgeAfter is how long an attempt may take before another searcher is
+	// asked as well.
+	HedgeAfter() time.Duration
+}
+
+// Ask says what a run wants of the next searcher.
+type Ask struct {
+	Tried []*Searcher // asked before
+	Again bool        // one of them may be asked again
+	Extra bool        // an earlier attempt may have reached a searcher
+}
+
+// Run is one caller's request on its way to the searchers. One goroutine owns
+// it.
+//
+// Invariants: at most one reply of each leg is used. A request that is not
+// idempotent is sent again only after every earlier attempt has proved that it
+// did not run. At most MaxAttempts attempts of a leg may run.
+type Run struct {
+	env      Environment
+	route    *routeplan.Route
+	legs     []*leg
+	deadline time.Time
+	cutoff   time.Time     // from which an answer without all shards is given
+	hedge    time.Duration // wait before another searcher is asked as well
+	good     int
+	finished bool
+	effects  []Effect
+}
+
+// Effect is an output of a run.
+type Effect interface{ isForwardEffect() }
+
+// Send asks for an attempt to be sent.
+type Send struct{ Attempt *Attempt }
+
+// AwaitRoom asks for Freed when a searcher of the service has room.
+type AwaitRoom struct {
+	Leg     int
+	Service string
+}
+
+// Finish ends the run.
+type Finish struct{ Outcome Outcome }
+
+func (Send) isForwardEffect()      {}
+func (AwaitRoom) isForwardEffect() {}
+func (Finish) isForwardEffect()    {}
+
+// Outcome is the end of a run. Err is nil for a success. A single service's
+// own failure is a Reply with Err set, and is passed on as it is.
+type Outcome struct {
+	Replies []*Attempt // whose replies make the answer
+	Missing int        // shards without a reply
+	Err     *verdict.Error
+}
+
+// Answer margins: how long before its objective a gathered answer is given
+// without the shards that are still out. They cover the way to the caller.
+const (
+	answerMarginShare = 0.07
+	minAnswerMargin   = 5 * time.Millisecond
+)
+
+// NewRun returns the run of a request that arrived at a time and must end by
+// the deadline. Services are the shards of a gathered route, or the one service
+// that a split chose.
+func NewRun(env Environment, route *routeplan.Route, services []string, arrived, deadline time.Time) *Run {
+	r := &Run{env: env, route: route, deadline: deadline, cutoff: deadline, hedge: env.HedgeAfter()}
+	if route.Gather != nil && route.Objective > 0 {
+		margin := max(minAnswerMargin, time.Duration(answerMarginShare*float64(route.Objective)))
+		r.cutoff = arrived.Add(route.Objective - margin)
+	}
+	legs := make([]leg, len(services))
+	r.legs = make([]*leg, len(services))
+	for i, s := range services {
+		legs[i].service = s
+		r.legs[i] = &legs[i]
+	}
+	return r
+}
+
+// Start sends the first attempts.
+func (r *Run) Start(now time.Time) []Effect {
+	r.effects = nil
+	for i := range r.legs {
+		r.advance(now, i)
+	}
+	return r.settle(now)
+}
+
+// Ended takes the result of an attempt.
+func (r *Run) Ended(now time.Time, a *Attempt, result Result) []Effect {
+	r.effects = nil
+	if !a.Open {
+		return nil
+	}
+	a.Open, a.Result = false, result
+	if r.finished {
+		return nil
+	}
+	l := r.legs[a.Leg]
+	switch {
+	case l.good != nil:
+	case result == Good:
+		l.good, l.dead = a, false
+		r.good++
+	default:
+		if result == SearcherFailed {
+			l.failed = a
+		}
+		if result == Rejected {
+			l.notBefore = now.Add(rejectPause << min(a.Number, 4))
+		}
+		r.advance(now, a.Leg)
+	}
+	return r.settle(now)
+}
+
+// Freed says that a searcher of a leg's service may have room.
+func (r *Run) Freed(now time.Time, legIndex int) []Effect {
+	r.effects = nil
+	if r.finished {
+		return nil
+	}
+	r.legs[legIndex].waiting = false
+	r.advance(now, legIndex)
+	return r.settle(now)
+}
+
+// Tick lets time pass.
+func (r *Run) Tick(now time.Time) []Effect {
+	r.effects = nil
+	if r.finished {
+		return nil
+	}
+	for i := range r.legs {
+		r.advance(now, i)
+	}
+	return r.settle(now)
+}
+
+// Next returns when Tick is due.
+func (r *Run) Next(now time.Time) time.Time {
+	next := r.deadline
+	if r.cutoff.After(now) && r.cutoff.Before(next) {
+		next = r.cutoff
+	}
+	for _, l := range r.legs {
+		if at, ok := r.legDue(l); ok && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// legDue returns when something is to be done for a leg.
+func (r *Run) legDue(l *leg) (time.Time, bool) {
+	if l.good != nil || l.dead || l.waiting {
+		return time.Time{}, false
+	}
+	open := l.open()
+	if open == nil {
+		return l.notBefore, true
+	}
+	if !r.mayHedge(l) {
+		return time.Time{}, false
+	}
+	return later(open.Began.Add(r.hedge), l.hedgeNext), true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// open returns the latest attempt in progress.
+func (l *leg) open() *Attempt {
+	for i := len(l.attempts) - 1; i >= 0; i-- {
+		if l.attempts[i].Open {
+			return l.attempts[i]
+		}
+	}
+	return nil
+}
+
+func (l *leg) countMayRun() (n int) {
+	for _, a := range l.attempts {
+		if a.Open || a.Result.Verdict() != verdict.NotRun {
+			n++
+		}
+	}
+	return n
+}
+
+// arrived reports whether an attempt may have reached a searcher, so that a
+// further one is an extra arrival there.
+func (l *leg) arrived() bool {
+	for _, a := range l.attempts {
+		if a.Open || a.Result != Unsent {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *leg) tried() []*Searcher {
+	out := make([]*Searcher, len(l.attempts))
+	for i, a := range l.attempts {
+		out[i] = a.Searcher
+	}
+	return out
+}
+
+// mayHedge reports whether a leg with one attempt in progress may ask another
+// searcher as well.
+func (r *Run) mayHedge(l *leg) bool {
+	return r.route.Idempotent && len(l.attempts) < maxTries && l.hedges() == 0 && l.countMayRun() < r.maxAttempts()
+}
+
+// hedges returns how many attempts are in progress beyond the first.
+func (l *leg) hedges() int {
+	open := 0
+	for _, a := range l.attempts {
+		if a.Open {
+			open++
+		}
+	}
+	return max(open-1, 0)
+}
+
+func (r *Run) maxAttempts() int {
+	if !r.route.Idempotent {
+		return 1
+	}
+	return max(r.route.MaxAttempts, 1)
+}
+
+// advance does what is due for a leg.
+func (r *Run) advance(now time.Time, i int) {
+	l := r.legs[i]
+	if l.good != nil || l.dead || l.waiting || !now.Before(r.deadline) {
+		return
+	}
+	open := l.open()
+	switch {
+	case open == nil && now.Before(l.notBefore):
+		return
+	case open == nil:
+		l.dead = !r.attempt(now, i, true) && !l.waiting
+	case r.mayHedge(l) && !now.Before(later(open.Began.Add(r.hedge), l.hedgeNext)):
+		if !r.attempt(now, i, false) {
+			l.hedgeNext = now.Add(hedgePause)
+		}
+	}
+}
+
+// hedgePause is the wait before another hedge is tried when no searcher had
+// room or the budget was spent.
+const hedgePause = 10 * time.Millisecond
+
+// attempt sends a leg to another searcher, if one may be asked.
+func (r *Run) attempt(now time.Time, i int, needed bool) bool {
+	l := r.legs[i]
+	if len(l.attempts) >= maxTries || l.countMayRun() >= r.maxAttempts() {
+		return false
+	}
+	ask := Ask{Tried: l.tried(), Extra: l.arrived()}
+	s, busy := r.env.Begin(now, l.service, ask)
+	if s == nil && !busy && needed && len(l.attempts) > 0 && l.lastResult() == Rejected {
+		ask.Again = true
+		s, busy = r.env.Begin(now, l.service, ask)
+	}
+	if s == nil {
+		if needed && busy {
+			l.waiting = true
+			r.effects = append(r.effects, AwaitRoom{Leg: i, Service: l.service})
+		}
+		return false
+	}
+	a := &Attempt{Leg: i, Number: len(l.attempts), Service: l.service, Searcher: s, Began: now, Open: true}
+	l.attempts = append(l.attempts, a)
+	r.effects = append(r.effects, Send{Attempt: a})
+	return true
+}
+
+func (l *leg) lastResult() Result { return l.attempts[len(l.attempts)-1].Result }
+
+// settle ends the run if its outcome is known.
+func (r *Run) settle(now time.Time) []Effect {
+	if o, done := r.outcome(now); done && !r.finished {
+		r.finished = true
+		r.effects = append(r.effects, Finish{Outcome: o})
+	}
+	return r.effects
+}
+
+func (r *Run) outcome(now time.Time) (Outcome, bool) {
+	if r.route.Gather != nil {
+		return r.gathered(now)
+	}
+	l := r.legs[0]
+	switch {
+	case l.good != nil:
+		return Outcome{Replies: []*Attempt{l.good}}, true
+	case l.dead && l.open() == nil, !now.Before(r.deadline):
+		return r.failedSingle(now), true
+	}
+	return Outcome{}, false
+}
+
+func (r *Run) failedSingle(now time.Time) Outcome {
+	l := r.legs[0]
+	o := Outcome{Err: r.failure(now, "the service")}
+	if l.failed != nil {
+		o.Replies = []*Attempt{l.failed}
+	}
+	return o
+}
+
+func (r *Run) gathered(now time.Time) (Outcome, bool) {
+	least := r.route.Gather.MinShards()
+	settled := r.good + r.deadLegs()
+	switch {
+	case r.good >= least && (settled == len(r.legs) || !now.Before(r.cutoff)):
+		return r.answer(), true
+	case len(r.legs)-r.deadLegs() < least, !now.Before(r.deadline):
+		return Outcome{Missing: len(r.legs) - r.good, Err: r.failure(now, "too many shards")}, true
+	}
+	return Outcome{}, false
+}
+
+// deadLegs counts the legs that can't answer any more. A leg whose attempt is
+// still in progress can, even if nothing further may be tried.
+func (r *Run) deadLegs() int {
+	n := 0
+	for _, l := range r.legs {
+		if l.dead && l.open() == nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Run) answer() Outcome {
+	o := Outcome{Missing: len(r.legs) - r.good, Replies: make([]*Attempt, 0, r.good)}
+	for _, l := range r.legs {
+		if l.good != nil {
+			o.Replies = append(o.Replies, l.good)
+		}
+	}
+	return o
+}
+
+// retryAfterOutage is the hint to a caller whose request met no working
+// searcher. A crashed searcher needs seconds, a lost address less; callers wait
+// for a third of their time at most.
+const retryAfterOutage = 250 * time.Millisecond
+
+// retryAfterOverload is the hint to a caller whose request the searchers
+// rejected. Their queues are a dozen requests long.
+const retryAfterOverload = 150 * time.Millisecond
+
+// failure returns the error of a run without a usable answer.
+func (r *Run) failure(now time.Time, what string) *verdict.Error {
+	v, rejected := verdict.NotRun, false
+	for _, l := range r.legs {
+		for _, a := range l.attempts {
+			av := a.Result.Verdict()
+			if a.Open {
+				av = verdict.MayHaveRun
+			}
+			v = verdict.Join(v, av)
+			rejected = rejected || !a.Open && a.Result == Rejected
+		}
+	}
+	switch {
+	case !now.Before(r.deadline):
+		return verdict.New(v, verdict.CodeDeadlineExceeded, "%s did not answer in time", what).WithRetryAfter(retryAfterOverload)
+	case v == verdict.NotRun && rejected:
+		return verdict.New(v, CodeOverloaded, "%s rejected the request", what).WithRetryAfter(retryAfterOverload)
+	case v == verdict.NotRun:
+		return verdict.New(v, CodeNoSearcher, "%s can't be reached", what).WithRetryAfter(retryAfterOutage)
+	case r.route.Gather != nil:
+		return verdict.New(v, CodeFewShards, "%d of %d shards answered, at least %d are needed", r.good, len(r.legs), r.route.Gather.MinShards())
+	default:
+		return verdict.New(v, CodeLostAttempt, "no usable answer came from %s", what)
+	}
+}
+
+// Attempts returns all attempts, for the log.
+func (r *Run) Attempts() []*Attempt {
+	var out []*Attempt
+	for _, l := range r.legs {
+		out = append(out, l.attempts...)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/forward/timing.go
@@ -0,0 +1,80 @@
+package forward
+
+import "time"
+
+// quantile follows a quantile of a stream with steps in proportion to the
+// present estimate, so that it needs no memory of the stream.
+type quantile struct {
+	q     float64
+	value float64 // seconds
+	seen  int
+}
+
+const quantileGain = 0.04
+
+func (e *quantile) observe(x float64) {
+	e.seen++
+	if e.seen == 1 || e.value <= 0 {
+		e.value = max(x, 1e-4)
+		return
+	}
+	step := quantileGain * e.value
+	if e.seen < 30 {
+		step *= 4 // settle quickly at first
+	}
+	if x > e.value {
+		e.value += step * e.q
+	} else {
+		e.value -= step * (1 - e.q)
+	}
+	e.value = max(e.value, 1e-4)
+}
+
+// Timing follows how long the attempts of one route take.
+type Timing struct {
+	median quantile
+	high   quantile
+}
+
+// Quantile and factor of the wait before a second searcher is asked.
+const (
+	highQuantile = 0.9
+	hedgeFactor  = 1.3
+)
+
+// NewTiming returns the timing of a route of which nothing is known.
+func NewTiming() *Timing {
+	return &Timing{median: quantile{q: 0.5}, high: quantile{q: highQuantile}}
+}
+
+// Observe takes the time of a successful attempt.
+func (t *Timing) Observe(took time.Duration) {
+	t.median.observe(took.Seconds())
+	t.high.observe(took.Seconds())
+}
+
+// Usual returns the usual time of an attempt, or 0 if nothing is known.
+func (t *Timing) Usual() time.Duration {
+	return time.Duration(t.median.value * float64(time.Second))
+}
+
+// Bounds of the wait before a second searcher is asked, as shares of the
+// route's objective. An attempt that has not answered after maxHedgeShare
+// leaves too little time for another one.
+const (
+	minHedgeShare     = 0.04
+	maxHedgeShare     = 0.4
+	unknownHedgeShare = 0.3
+)
+
+// HedgeAfter returns how long an attempt may take before a second searcher is
+// asked. It answers searchers that pause for longer than the objective allows:
+// with 20 shards more than half of the queries meet a pause.
+func (t *Timing) HedgeAfter(objective time.Duration) time.Duration {
+	share := func(s float64) time.Duration { return time.Duration(s * float64(objective)) }
+	if t.high.seen < 10 {
+		return share(unknownHedgeShare)
+	}
+	wait := time.Duration(t.high.value * hedgeFactor * float64(time.Second))
+	return min(max(wait, share(minHedgeShare)), share(maxHedgeShare))
+}
