--- a/cmd/hawthornlockd/main.go
+++ b/cmd/hawthornlockd/main.go
@@ -1,5 +1,6 @@
 // Command hawthornlockd is the daemon of the query tier. One runs on every
-// host.
+// host. On the users' platform, which names a settings file in the environment,
+// it speaks the platform's protocols.
 package main
 
 import (
@@ -16,12 +17,13 @@
 	"github.com/hawthornlock/hawthornlock/internal/daemon"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/settings"
+	"github.com/hawthornlock/hawthornlock/platform"
 )
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	s, err := settings.Parse(args, os.Stderr)
+	s, adapters, err := load(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
 	}
@@ -32,18 +34,21 @@
 	if s.Seed == 0 {
 		s.Seed = uint64(time.Now().UnixNano())
 	}
+	output := eventlog.NonBlocking(os.Stdout)
+	defer func() { _ = output.Close() }()
+	log := eventlog.New(output, s.LogLevel, s.Host)
 	listeners, err := daemon.Listen(s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	defer listeners.Close()
-	d, err := daemon.New(s, listeners, eventlog.New(os.Stderr, s.LogLevel, s.Host))
+	d, err := daemon.New(s, listeners, log, adapters...)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	go stopOnSignals(d)
+	go handleSignals(d)
 	if err := d.Run(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -51,12 +56,34 @@
 	return 0
 }
 
-// stopOnSignals begins a graceful stop at the first signal and ends the host
-// at the second.
-func stopOnSignals(d *daemon.Daemon) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	for range signals {
+// load reads the settings from the platform's file, if it names one, or from
+// flags and environment variables.
+func load(args []string) (*settings.Settings, []daemon.Adapter, error) {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		s, err := platform.Load(path)
+		return s, []daemon.Adapter{platform.Adapter()}, err
+	}
+	s, err := settings.Parse(args, os.Stderr)
+	return s, nil, err
+}
+
+// handleSignals begins a graceful stop at the first request to stop and ends
+// the host at the second. A hangup must not end the process.
+func handleSignals(d *daemon.Daemon) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	for sig := range signals {
+		if sig == syscall.SIGHUP {
+			d.Reload(reloadPeers)
+			continue
+		}
 		d.Stop()
 	}
 }
+
+// reloadPeers reads the addresses at which other hosts may be found. No other
+// setting changes while a process runs.
+func reloadPeers() (*settings.Settings, error) {
+	s, _, err := load(os.Args[1:])
+	return s, err
+}
--- a/internal/acceptance/page_test.go
+++ b/internal/acceptance/page_test.go
@@ -20,7 +20,7 @@
 // Guards against a code that an operator meets and the operations page does
 // not explain.
 func TestOperationsPageNamesEveryCode(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	found := 0
 	require.NoError(t, filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
--- /dev/null
+++ b/internal/daemon/adapter.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan/plancodec"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+)
+
+// Adapter holds what speaks a platform's protocols in place of the daemon's
+// own. It translates and decides nothing.
+type Adapter struct {
+	Plans   plancodec.Decoder // reads the text of route plans
+	Wire    forwardrun.Wire   // requests to searchers and their answers
+	Routers map[string]func(*Daemon) http.Handler
+}
+
+// ServiceLabel is the label of a target that names its service.
+const ServiceLabel = "service"
+
+func (d *Daemon) newEngine() *forwardrun.Engine {
+	if !d.settings.ServePlan {
+		return nil
+	}
+	return forwardrun.New(forwardrun.Config{
+		Wire: d.adapter.Wire, FailureDomain: d.settings.FailureDomain, Seed: d.settings.Seed, Log: d.log,
+		Budget: forward.BudgetLimits{
+			Ratio: float64(d.settings.RetryPermille) / 1000, Extra: float64(d.settings.RetryExtra), Window: d.settings.RetryWindow,
+		},
+	})
+}
+
+// Log returns the log of the host.
+func (d *Daemon) Log() *eventlog.Logger { return d.log }
+
+// Plan returns the routes in force, or nil before the first plan.
+func (d *Daemon) Plan() *routeplan.Table { return d.loop.Snapshot().Plan }
+
+// Ready reports whether the load balancer should send work.
+func (d *Daemon) Ready() bool { return d.loop.Snapshot().Ready }
+
+// Phase returns the stage of the host's life.
+func (d *Daemon) Phase() lifecycle.Phase { return d.loop.Snapshot().Phase }
+
+// BeginRequest counts a caller's request in progress until end is called, so
+// that a graceful stop waits for it.
+func (d *Daemon) BeginRequest() (end func()) { return d.inFlight.Begin() }
+
+// Engine returns what carries callers' requests to searchers.
+func (d *Daemon) Engine() *forwardrun.Engine { return d.engine }
+
+// Announce takes what a target says about itself.
+func (d *Daemon) Announce(ctx context.Context, a targets.Announcement) error {
+	_, err := d.loop.Call(ctx, func(token uint64) control.Event { return control.Announced{Token: token, Announcement: a} })
+	return err
+}
+
+// TargetLeaves notes that a target takes no more work. A target that is not
+// known has nothing to be taken back from.
+func (d *Daemon) TargetLeaves(ctx context.Context, target string) error {
+	r, ok := d.loop.Snapshot().Targets.Target(target)
+	if !ok {
+		return nil
+	}
+	return d.loop.Post(ctx, control.TargetsEvent{Event: targets.DrainObserved{Target: target, Incarnation: r.Incarnation}})
+}
+
+// maxConnectionsPerHost bounds this host's connections to one searcher. A
+// searcher has 2 to 4 slots and queues a dozen requests of all hosts.
+const maxConnectionsPerHost = 8
+
+// connectionReserve is the part of a searcher's connections that hosts leave
+// unused, for those of hosts that have just restarted.
+const connectionReserve = 4
+
+// offers returns the searchers of each service that may be asked.
+func offers(s *control.Snapshot, hosts int) map[string][]forward.Offer {
+	out := make(map[string][]forward.Offer)
+	for r := range s.Targets.Targets() {
+		service := r.Labels[ServiceLabel]
+		if r.Status != targets.StatusAlive || service == "" {
+			continue
+		}
+		out[service] = append(out[service], forward.Offer{
+			Identity: forward.Identity{Target: r.Target, Incarnation: r.Incarnation, Address: r.Address, FailureDomain: r.FailureDomain},
+			Slots:    r.Searchers[0].Slots, Cold: r.Phase == targets.Cold, Capacity: connectionsOf(s.Plan, service, hosts),
+		})
+	}
+	return out
+}
+
+// connectionsOf returns how many connections this host may have to a searcher.
+func connectionsOf(plan *routeplan.Table, service string, hosts int) int {
+	if plan == nil {
+		return 1
+	}
+	svc, ok := plan.Service(service)
+	if !ok {
+		return 1
+	}
+	return min(max((svc.MaxConnections-connectionReserve)/max(hosts, 1), 1), maxConnectionsPerHost)
+}
+
+// applySearchers brings the engine in line with a snapshot.
+func (d *Daemon) applySearchers(a *applied, s *control.Snapshot) {
+	hosts := 0
+	for _, h := range s.Hosts {
+		if h.Live {
+			hosts++
+		}
+	}
+	// A host that is out of reach for a moment still spends its share, so the
+	// number of sharers follows departures slowly.
+	now := time.Now()
+	if hosts >= a.sharers || now.Sub(a.sharersAt) > sharerMemory {
+		if hosts != a.sharers {
+			d.engine.SetHosts(hosts)
+		}
+		a.sharers, a.sharersAt = hosts, now
+	}
+	if a.targets != s.Targets || a.plan != s.Plan {
+		a.plan = s.Plan
+		d.engine.SetSearchers(offers(s, a.sharers))
+	}
+}
+
+// sharerMemory is how long a host that left still counts among those that
+// share a bound: the window of the retry budget and a little more.
+const sharerMemory = 15 * time.Second
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -30,6 +30,13 @@
 	return r
 }
 
+// metricsRouter serves the metrics alone, to whoever reaches the listener.
+func (d *Daemon) metricsRouter() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	return r
+}
+
 // readyz tells the load balancer whether this host takes new work.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
 	s := d.loop.Snapshot()
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 )
@@ -16,6 +18,10 @@
 	view    connections.View
 	hosts   int
 	shares  map[netip.AddrPort]int
+
+	plan      *routeplan.Table
+	sharers   int // hosts that share the bounds of searchers
+	sharersAt time.Time
 }
 
 // applySnapshots brings the traffic state that outlives single requests in
@@ -39,6 +45,11 @@
 		d.admission.SetGroups(s.Table.Groups())
 	}
 	d.applyHosts(a, s)
+	if d.engine != nil {
+		d.applySearchers(a, s)
+		a.targets, a.view = s.Targets, s.Shares
+		return
+	}
 	if a.targets != s.Targets {
 		d.groups.Retain(s.Catalogs)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/entry/entryrun"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/journal"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/membership"
@@ -43,6 +44,18 @@
 // handoverTimeout bounds the wait for another leader and for open orders.
 const handoverTimeout = 5 * time.Second
 
+// planHandoverTimeout is the bound where callers are served by the route plan:
+// the platform kills a process seconds after it asked it to stop, and there are
+// no orders to settle.
+const planHandoverTimeout = 700 * time.Millisecond
+
+func (d *Daemon) handoverTimeout() time.Duration {
+	if d.settings.ServePlan {
+		return planHandoverTimeout
+	}
+	return handoverTimeout
+}
+
 // readHeaderTimeout bounds how long a client may take to send its headers.
 const readHeaderTimeout = 5 * time.Second
 
@@ -69,13 +82,16 @@
 	orderRuns   *ordersrun.Driver
 	orders      *entryrun.Orders
 	requests    atomic.Uint64
+	leaderHint  atomic.Pointer[string] // host that another one took for the leader
+	adapter     Adapter
+	engine      *forwardrun.Engine // nil unless callers are served by the route plan
 	listeners   Listeners
 	servers     map[string]*http.Server
 	workers     sync.WaitGroup
 }
 
 // Listeners are the open listeners of a host by the names of their interfaces:
-// "caller", "target", "admin" and "peer".
+// "caller", "target", "admin", "peer" and, if set, "ready" and "metrics".
 type Listeners map[string]net.Listener
 
 // Listen opens the listeners that the settings name.
@@ -83,7 +99,11 @@
 	out := make(Listeners)
 	for name, address := range map[string]netip.AddrPort{
 		"caller": s.CallerListen, "target": s.TargetListen, "admin": s.AdminListen, "peer": s.PeerListen,
+		"ready": s.ReadyListen, "metrics": s.MetricsListen,
 	} {
+		if !address.IsValid() {
+			continue
+		}
 		ln, err := net.Listen("tcp", address.String())
 		if err != nil {
 			out.Close()
@@ -108,9 +128,15 @@
 
 // New opens the durable state of a host. Run starts it. The host closes the
 // listeners when it ends.
-func New(s *settings.Settings, listeners Listeners, log *eventlog.Logger) (*Daemon, error) {
+//
+// An adapter, if there is one, speaks a platform's protocols in place of the
+// daemon's own.
+func New(s *settings.Settings, listeners Listeners, log *eventlog.Logger, adapter ...Adapter) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, incarnation: uint64(time.Now().UnixNano()), listeners: listeners, directory: newDirectory(), links: peerlink.New()}
 	d.ctx, d.cancel = context.WithCancelCause(context.Background())
+	if len(adapter) > 0 {
+		d.adapter = adapter[0]
+	}
 	if err := d.loadTokens(); err != nil {
 		return nil, err
 	}
@@ -140,14 +166,17 @@
 	core := control.NewCore(control.Options{
 		Self: d.settings.Host, Member: d.member(), Seeds: d.seeds(), Staleness: d.settings.ConfigStaleness, Voters: d.voterFeeds(),
 		Shares: connections.Config{DrainTimeout: d.settings.MaxTimeout},
-		Node:   node, Codec: controlcodec.Codec{},
+		Node:   node, Codec: controlcodec.Codec{Plans: d.adapter.Plans},
+		ServePlan: d.settings.ServePlan, FindVoters: d.settings.FindVoters, Found: d.settings.FoundLog,
+		LossTolerance: d.settings.LossTolerance, LeasePeriod: d.settings.LeasePeriod,
 		Lifecycle: lifecycle.Options{
-			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, HandoverTimeout: handoverTimeout,
+			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, HandoverTimeout: d.handoverTimeout(),
 		},
 	}, time.Now())
 	d.loop = controlrun.New(core, d.inFlight.Count, d.log)
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
+	d.engine = d.newEngine()
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
 	d.admission = admissionrun.New(admission.Config{Concurrency: d.settings.MaxQueries, QueueLength: d.settings.QueueLength}, d.log)
@@ -159,7 +188,7 @@
 	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics, d.timeouts(), d.log)
 	d.servers = make(map[string]*http.Server)
 	for name := range d.listeners {
-		d.servers[name] = &http.Server{Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout}
+		d.servers[name] = &http.Server{Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: d.log.Standard(eventHTTPServer)}
 	}
 	return nil
 }
@@ -181,14 +210,16 @@
 }
 
 // seeds returns the peer addresses of other hosts from the settings.
-func (d *Daemon) seeds() []netip.AddrPort {
-	out := slices.Clone(d.settings.Peers)
-	for _, v := range d.settings.Voters {
+func (d *Daemon) seeds() []netip.AddrPort { return seedsOf(d.settings, d.Address("peer")) }
+
+func seedsOf(s *settings.Settings, self netip.AddrPort) []netip.AddrPort {
+	out := slices.Clone(s.Peers)
+	for _, v := range s.Voters {
 		out = append(out, v.Peer)
 	}
 	slices.SortFunc(out, netip.AddrPort.Compare)
 	out = slices.Compact(out)
-	return slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == d.Address("peer") })
+	return slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == self })
 }
 
 func (d *Daemon) voterFeeds() []follow.FeedHost {
@@ -208,6 +239,9 @@
 }
 
 func (d *Daemon) router(name string) http.Handler {
+	if router := d.adapter.Routers[name]; router != nil {
+		return router(d)
+	}
 	switch name {
 	case "caller":
 		return entryhttp.NewRouter(entryhttp.Config{
@@ -222,6 +256,10 @@
 		return mux
 	case "peer":
 		return d.peerRouter()
+	case "ready":
+		return http.HandlerFunc(d.readyz)
+	case "metrics":
+		return d.metricsRouter()
 	default:
 		return d.adminRouter()
 	}
@@ -255,6 +293,9 @@
 	defer d.close()
 	d.start(func() { d.loop.Run(d.ctx, d) })
 	d.start(d.applySnapshots)
+	if d.engine != nil {
+		d.start(func() { d.engine.Maintain(d.ctx) })
+	}
 	for name := range d.servers {
 		d.start(func() { d.serve(name) })
 	}
@@ -328,6 +369,9 @@
 	d.cancel(nil)
 	// A journal that was closed by a graceful stop takes this as no news.
 	_ = d.closeLog()
+	if d.engine != nil {
+		d.engine.Close()
+	}
 	d.links.Close()
 	d.workers.Wait()
 	d.log.Log(eventStopped).Send()
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -20,6 +20,15 @@
 	eventConnectionsLeft = eventlog.Define(1104, zerolog.WarnLevel, "connections to targets were still open at the stop",
 		"A target did not answer a request in time while the host stopped.",
 		"None. The target sees the connections close.")
+	eventHTTPServer = eventlog.Define(1105, zerolog.WarnLevel, "HTTP server reported an error",
+		"A connection could not be accepted, or a handler failed.",
+		"Read the error. Repeated failures to accept point to the limit of descriptors.")
+	eventReloaded = eventlog.Define(1106, zerolog.InfoLevel, "settings read again",
+		"The process got a hangup signal.",
+		"None. Only the addresses of other hosts are put in force; everything else needs a restart.")
+	eventReloadFailed = eventlog.Define(1107, zerolog.ErrorLevel, "settings could not be read again",
+		"The settings are missing, unreadable or invalid.",
+		"Correct them and send the signal again. The earlier settings stay in force.")
 	eventBadPeerMessage = eventlog.Define(1103, zerolog.WarnLevel, "message of a peer could not be decoded",
 		"The peer runs a newer version, or the message was damaged.",
 		"Update this host.")
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -78,7 +78,7 @@
 }
 
 func (d *Daemon) postUpdate(ctx context.Context, m *followrpc.Update) {
-	u, err := followrpc.DecodeUpdate(m)
+	u, err := followrpc.DecodeUpdate(m, d.adapter.Plans)
 	if err != nil {
 		d.log.Log(eventBadPeerMessage).Err(err).Str("peer", m.GetFrom()).Send()
 		return
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrpc"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan/planrpc"
 	"github.com/hawthornlock/hawthornlock/internal/spread/spreadrpc"
 	"github.com/hawthornlock/hawthornlock/internal/targets/targetsrpc"
 )
@@ -41,6 +42,7 @@
 		lifecyclerpc.NewLifecycleServer(&lifecycleService{d}),
 		ordersrpc.NewOrdersServer(&ordersService{d}),
 		configrpc.NewConfigServer(&configService{d}),
+		planrpc.NewPlansServer(&planService{d}),
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/settings"
 )
 
 // closeTraffic settles the open orders and closes the connections to targets.
@@ -35,3 +36,16 @@
 	}
 	d.cancel(errStopped)
 }
+
+// Reload reads the settings again and puts in force what may change while a
+// process runs: the addresses at which other hosts are found.
+func (d *Daemon) Reload(load func() (*settings.Settings, error)) {
+	s, err := load()
+	if err != nil {
+		d.log.Log(eventReloadFailed).Err(err).Send()
+		return
+	}
+	peers := seedsOf(s, d.Address("peer"))
+	d.log.Log(eventReloaded).Int("peers", len(peers)).Send()
+	_ = d.loop.Post(d.ctx, control.SeedsChanged{Seeds: peers})
+}
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,9 @@
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan/plancodec"
+	"github.com/hawthornlock/hawthornlock/internal/settings"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -83,8 +87,40 @@
 	if leader := d.loop.Snapshot().Leader.Name; leader != "" && try%2 == 0 {
 		return leader
 	}
-	voters := d.settings.Voters
-	return voters[try%len(voters)].Host
+	if hint := d.leaderHint.Load(); hint != nil && *hint != "" && try%2 == 0 {
+		return *hint
+	}
+	voters := d.voterHosts()
+	if len(voters) == 0 {
+		return d.settings.Host // which answers that it holds no log
+	}
+	return voters[(try/2+try)%len(voters)]
+}
+
+// voterHosts returns the hosts that may hold the replicated log: those of the
+// settings or, where the settings name none, those found by membership.
+func (d *Daemon) voterHosts() []string {
+	var out []string
+	for _, v := range d.settings.Voters {
+		out = append(out, v.Host)
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, h := range d.loop.Snapshot().Hosts {
+		if h.Live && slices.Contains(h.Roles, string(settings.Voter)) {
+			out = append(out, h.Host)
+		}
+	}
+	return out
+}
+
+// noteLeader keeps which host another one takes for the leader. Hosts without
+// a log learn it in no other way.
+func (d *Daemon) noteLeader(host string) {
+	if host != "" {
+		d.leaderHint.Store(&host)
+	}
 }
 
 func (d *Daemon) submitTo(ctx context.Context, host string, kind proposals.Kind, data []byte) ([]byte, error) {
@@ -101,8 +137,10 @@
 		return nil, submitError(err, host)
 	}
 	if reply.GetFailure() != nil {
+		d.noteLeader(reply.GetFailure().GetLeaderHost())
 		return nil, proposalsrpc.DecodeFailure(reply.GetFailure())
 	}
+	d.noteLeader(host)
 	return reply.GetResult(), nil
 }
 
@@ -132,6 +170,8 @@
 		return configcodec.EncodeResult(r)
 	case orders.Reply:
 		return orderscodec.EncodeReply(r)
+	case routeplan.Result:
+		return plancodec.EncodeResult(r), nil
 	default:
 		return nil, verdict.New(verdict.Ran, verdict.CodeInternal, "the log returned a %T", result)
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"io"
+	"log"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -26,6 +28,11 @@
 	registry   = map[int]Event{}
 )
 
+// Events of this package, numbers 900 to 999.
+var eventLinesDropped = Define(900, zerolog.WarnLevel, "log lines were dropped",
+	"The output was not read fast enough.",
+	"Read standard output faster, or log less. Requests were not delayed.")
+
 // Define adds an event to the catalogue and returns it. It panics on a number
 // that is already taken, which a package's tests show at once.
 func Define(id int, level zerolog.Level, name, cause, action string) Event {
@@ -65,6 +72,20 @@
 // Nop returns a logger that discards everything.
 func Nop() *Logger { return &Logger{log: zerolog.Nop()} }
 
+// Standard returns a logger of the standard library whose lines are records of
+// an event.
+func (l *Logger) Standard(e Event) *log.Logger { return log.New(standardWriter{l, e}, "", 0) }
+
+type standardWriter struct {
+	logger *Logger
+	event  Event
+}
+
+func (w standardWriter) Write(p []byte) (int, error) {
+	w.logger.Log(w.event).Str("error", strings.TrimSpace(string(p))).Send()
+	return len(p), nil
+}
+
 // Log starts the record of an event. The caller adds fields and ends it with
 // Send.
 func (l *Logger) Log(e Event) *zerolog.Event {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -17,6 +17,10 @@
 	maxClockDrift = 0.2
 	maxPermille   = 1000
 	maxNameBytes  = 64
+	minLease      = time.Second
+	maxLease      = time.Minute
+	// maxLossTolerance follows from the five voters of the log at most.
+	maxLossTolerance = 2
 )
 
 func (r *raw) check(c *checker) *Settings {
@@ -28,6 +32,8 @@
 	s.TargetListen = parseAddress(c, "target-listen", r.targetListen)
 	s.AdminListen = parseAddress(c, "admin-listen", r.adminListen)
 	s.PeerListen = parseAddress(c, "peer-listen", r.peerIn)
+	s.ReadyListen = parseOptional(c, "ready-listen", r.readyListen)
+	s.MetricsListen = parseOptional(c, "metrics-listen", r.metricsListen)
 	level, err := zerolog.ParseLevel(r.logLevel)
 	if err != nil || r.logLevel == "" {
 		c.add("-log-level %q is not debug, info, warn or error", r.logLevel)
@@ -54,9 +60,15 @@
 // checkVoter compares the roles with the voters, the data directory and the
 // peers, which contradict each other easily.
 func (s *Settings) checkVoter(c *checker) {
-	if n := len(s.Voters); n != 1 && n != 3 && n != 5 {
+	switch n := len(s.Voters); {
+	case s.FindVoters && n > 0:
+		c.add("-find-voters and -voters exclude each other")
+	case !s.FindVoters && n != 1 && n != 3 && n != 5:
 		c.add("-voters names %d hosts; 1, 3 or 5 are possible", n)
 	}
+	if s.FoundLog && !s.FindVoters {
+		c.add("-found-log needs -find-voters")
+	}
 	voter := s.HasRole(Voter)
 	if voter && s.DataDir == "" {
 		c.add("the role voter needs -data-dir")
@@ -110,6 +122,15 @@
 			c.add("-%s must be above zero", d.flag)
 		}
 	}
+	if s.LeasePeriod < minLease || s.LeasePeriod > maxLease {
+		c.add("-lease-period %s is outside %s..%s", s.LeasePeriod, minLease, maxLease)
+	}
+	if s.RetryExtra < 0 || s.RetryWindow <= 0 {
+		c.add("-retry-extra can't be negative, and -retry-window must be above zero")
+	}
+	if s.LossTolerance < 1 || s.LossTolerance > maxLossTolerance {
+		c.add("-loss-tolerance %d is outside 1..%d", s.LossTolerance, maxLossTolerance)
+	}
 	if s.BalancerLag < 0 || s.NetworkAllowance < 0 {
 		c.add("-balancer-lag and -network-allowance can't be negative")
 	}
@@ -160,6 +181,13 @@
 	return a
 }
 
+func parseOptional(c *checker, flagName, text string) netip.AddrPort {
+	if text == "" {
+		return netip.AddrPort{}
+	}
+	return parseAddress(c, flagName, text)
+}
+
 func parsePeers(c *checker, text string) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, part := range splitList(text) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,10 +50,22 @@
 	Peers         []netip.AddrPort
 	Voters        []VoterAddress
 
-	CallerListen netip.AddrPort
-	TargetListen netip.AddrPort
-	AdminListen  netip.AddrPort
-	PeerListen   netip.AddrPort
+	CallerListen  netip.AddrPort
+	TargetListen  netip.AddrPort
+	AdminListen   netip.AddrPort
+	PeerListen    netip.AddrPort
+	ReadyListen   netip.AddrPort // readiness only; zero for none
+	MetricsListen netip.AddrPort // metrics only; zero for none
+
+	// ServePlan serves callers by the route plan in place of groups and
+	// selectors, see package routeplan.
+	ServePlan     bool
+	FindVoters    bool          // hosts with a log find each other, -voters is empty
+	FoundLog      bool          // with FindVoters: this is the system's first start
+	LossTolerance int           // with FindVoters: hosts with a log that may be lost at once
+	LeasePeriod   time.Duration // of targets
+	RetryExtra    int           // with ServePlan: further attempts at a service in RetryWindow, besides RetryPermille of its requests, over all hosts
+	RetryWindow   time.Duration // with ServePlan
 
 	AdminTokenFile   string
 	LogLevel         zerolog.Level
@@ -79,6 +91,7 @@
 	Settings
 	roles, peers, voters, logLevel                  string
 	callerListen, targetListen, adminListen, peerIn string
+	readyListen, metricsListen                      string
 }
 
 func (r *raw) flags() *flag.FlagSet {
@@ -94,6 +107,15 @@
 	fs.StringVar(&r.targetListen, "target-listen", "127.0.0.1:7402", "IP:port for targets' announcements")
 	fs.StringVar(&r.adminListen, "admin-listen", "127.0.0.1:7403", "IP:port for administration, metrics and state")
 	fs.StringVar(&r.peerIn, "peer-listen", "127.0.0.1:7404", "IP:port for other hosts")
+	fs.StringVar(&r.readyListen, "ready-listen", "", "IP:port that answers only whether this host takes work; empty for none")
+	fs.StringVar(&r.metricsListen, "metrics-listen", "", "IP:port that answers only /metrics; empty for none")
+	fs.BoolVar(&r.ServePlan, "serve-plan", false, "serve callers by the route plan in place of groups and selectors")
+	fs.BoolVar(&r.FindVoters, "find-voters", false, "hosts with the role voter find each other through -peers; -voters stays empty")
+	fs.BoolVar(&r.FoundLog, "found-log", false, "with -find-voters: this is the first start of the whole system, with empty disks")
+	fs.IntVar(&r.LossTolerance, "loss-tolerance", 1, "with -find-voters: hosts with the role voter that may be lost at once, 1 or 2")
+	fs.DurationVar(&r.LeasePeriod, "lease-period", 3*time.Second, "how long a target counts as alive after its last announcement, 1s to 1m")
+	fs.IntVar(&r.RetryExtra, "retry-extra", 60, "with -serve-plan: further attempts at one service in -retry-window by all hosts, besides -retry-permille of its requests")
+	fs.DurationVar(&r.RetryWindow, "retry-window", 10*time.Second, "with -serve-plan: window of the bound on further attempts")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "least severe events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves a configuration that nothing confirms, 1s to 4s")
@@ -185,3 +207,11 @@
 	}
 	return errors.WithStack(c.problems)
 }
+
+// Defaults returns the settings without any flag. They are not valid by
+// themselves, since a host needs a name.
+func Defaults() *Settings {
+	var r raw
+	r.flags()
+	return &r.Settings
+}
