Refuse gathers that can't be complete, and find restarted hosts faster

Change: a gather that too few shards can answer is refused before anything is sent; connection attempts in the background find searchers again; a hedge must be expected to answer before the answer is given; seeds are asked five times a second while alone, elections start after 0.6 s; a host that does not know the agreed list of hosts yet assumes 32 sharers of the extra budget.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -10,7 +10,7 @@
 // planConfirmWait is how long a host that has just started waits for a leader
 // to confirm its configuration before it serves the plan that it has. It
 // covers an election after all voters were killed at once.
-const planConfirmWait = 2500 * time.Millisecond
+const planConfirmWait = 1800 * time.Millisecond
 
 // canServePlan reports whether a host that has just started may become ready.
 func (c *Core) canServePlan(now time.Time) bool {
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -111,27 +111,44 @@
 
 // applySearchers brings the engine in line with a snapshot.
 func (d *Daemon) applySearchers(a *applied, s *control.Snapshot) {
-	hosts := 0
+	hosts := len(s.Agreed.Hosts)
+	live := 0
 	for _, h := range s.Hosts {
 		if h.Live {
-			hosts++
+			live++
 		}
 	}
-	// A host that is out of reach for a moment still spends its share, so the
-	// number of sharers follows departures slowly.
+	hosts = max(hosts, live)
+	d.shareBudget(a, s, hosts)
+	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts {
+		a.plan, a.hosts = s.Plan, hosts
+		d.engine.SetSearchers(offers(s, hosts))
+	}
+}
+
+// shareBudget sets the number of hosts that share the budget of further
+// attempts. It follows departures slowly, because a host that is out of reach
+// for a moment goes on to spend.
+func (d *Daemon) shareBudget(a *applied, s *control.Snapshot, hosts int) {
+	if s.Agreed.Epoch == 0 {
+		// A process that has just started knows neither how many hosts there
+		// are nor what the one before it spent.
+		hosts = max(hosts, unknownSharers)
+	}
 	now := time.Now()
-	if hosts >= a.sharers || now.Sub(a.sharersAt) > sharerMemory {
-		if hosts != a.sharers {
-			d.engine.SetHosts(hosts)
-		}
-		a.sharers, a.sharersAt = hosts, now
+	if hosts < a.sharers && now.Sub(a.sharersAt) <= sharerMemory {
+		return
 	}
-	if a.targets != s.Targets || a.plan != s.Plan {
-		a.plan = s.Plan
-		d.engine.SetSearchers(offers(s, a.sharers))
+	if hosts != a.sharers {
+		d.engine.SetHosts(hosts)
 	}
+	a.sharers, a.sharersAt = hosts, now
 }
 
+// unknownSharers is the number of sharers that is assumed before the agreed
+// list of hosts is known.
+const unknownSharers = 32
+
 // sharerMemory is how long a host that left still counts among those that
 // share a bound: the window of the retry budget and a little more.
 const sharerMemory = 15 * time.Second
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -44,12 +44,13 @@
 		a.table = s.Table
 		d.admission.SetGroups(s.Table.Groups())
 	}
-	d.applyHosts(a, s)
 	if d.engine != nil {
+		d.directory.setLive(peersOf(s))
 		d.applySearchers(a, s)
 		a.targets, a.view = s.Targets, s.Shares
 		return
 	}
+	d.applyHosts(a, s)
 	if a.targets != s.Targets {
 		d.groups.Retain(s.Catalogs)
 	}
@@ -60,12 +61,16 @@
 	}
 }
 
-func (d *Daemon) applyHosts(a *applied, s *control.Snapshot) {
-	live := make(map[string]netip.AddrPort, len(s.Hosts))
+func peersOf(s *control.Snapshot) map[string]netip.AddrPort {
+	peers := make(map[string]netip.AddrPort, len(s.Hosts))
 	for _, h := range s.Hosts {
-		live[h.Host] = h.Peer
+		peers[h.Host] = h.Peer
 	}
-	d.directory.setLive(live)
+	return peers
+}
+
+func (d *Daemon) applyHosts(a *applied, s *control.Snapshot) {
+	d.directory.setLive(peersOf(s))
 	if n := len(s.Agreed.Hosts); n != a.hosts {
 		a.hosts = n
 		d.groups.SetHosts(n)
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -30,6 +30,15 @@
 	return consensus.New(d.nodeOptions(recovered.Identity), recovered.State)
 }
 
+// planElectionTimeout is the least time without a leader before an election
+// where callers are served by the route plan: six heartbeats, and many times
+// the round trip and the sync of a disk within a region.
+const planElectionTimeout = 600 * time.Millisecond
+
+// planTrailingEntries bounds the log entries kept in memory behind a snapshot.
+// An entry may hold a whole route plan.
+const planTrailingEntries = 64
+
 func (d *Daemon) nodeOptions(id consensus.Identity) consensus.Options {
 	o := consensus.Options{
 		Self: consensus.Member{Identity: id, Name: d.settings.Host, Address: d.Address("peer").String()},
@@ -38,6 +47,12 @@
 		// what that makes over one election timeout.
 		MaxClockDrift: time.Duration(d.settings.MaxClockDrift * float64(consensus.DefaultElectionTimeout)),
 	}
+	if d.settings.ServePlan {
+		// After a loss of power everywhere, callers wait for the election.
+		o.ElectionTimeout = planElectionTimeout
+		o.MaxClockDrift = time.Duration(d.settings.MaxClockDrift * float64(planElectionTimeout))
+		o.TrailingEntries = planTrailingEntries
+	}
 	for _, v := range d.settings.Voters {
 		address := v.Peer.String()
 		if v.Host == d.settings.Host {
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -155,8 +155,8 @@
 }
 
 // maintainInterval is the time between two looks for searchers without a
-// connection.
-const maintainInterval = time.Second
+// connection, and so the time after which one that was down is found again.
+const maintainInterval = 200 * time.Millisecond
 
 // Maintain keeps a connection open to every searcher until ctx ends, so that a
 // request does not wait for a new one.
@@ -331,5 +331,8 @@
 	return r.engine.service(name).begin(now, c, ask, r.rng)
 }
 
+// Reachable implements forward.Environment.
+func (r *runner) Reachable(name string) bool { return r.engine.service(name).reachable() }
+
 // HedgeAfter implements forward.Environment.
 func (r *runner) HedgeAfter() time.Duration { return r.timing.hedge }
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -27,9 +27,9 @@
 
 // pool holds the connections to one searcher.
 type pool struct {
-	idle     []*conn // the most recently used last
-	open     int     // connections, also those being dialed
-	failedAt time.Time
+	idle    []*conn // the most recently used last
+	open    int     // connections, also those being dialed
+	probing bool    // a connection is being opened to see whether the searcher is back
 }
 
 func newService(e *Engine, name string) *service {
@@ -175,13 +175,18 @@
 		s.mu.Lock()
 		p := s.poolOf(id)
 		p.open--
-		p.failedAt = time.Now()
+		p.probing = false
+		s.group.Connected(id, false)
 		s.mu.Unlock()
 		if a != nil {
 			a.end(forward.Unsent, nil)
 		}
 		return
 	}
+	s.mu.Lock()
+	s.poolOf(id).probing = false
+	s.group.Connected(id, true)
+	s.mu.Unlock()
 	c := newConn(nc, s.engine.config.Wire, func(c *conn, reusable bool) { s.released(id, c, reusable) })
 	if a != nil {
 		go c.read()
@@ -241,22 +246,28 @@
 	}
 }
 
-// warmRetry is how long a searcher that refused a connection is left alone.
-const warmRetry = 2 * time.Second
+// reachable reports whether some searcher accepts connections.
+func (s *service) reachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Reachable()
+}
 
-// warm opens a connection to each searcher that has none.
+// warm opens a connection to each searcher that has none. A searcher that was
+// down is found again in this way and not by callers' requests.
 func (s *service) warm() {
 	if s.engine.ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range s.group.Searchers() {
 		p := s.poolOf(x.Identity)
-		if p.open == 0 && now.Sub(p.failedAt) >= warmRetry {
-			p.open++
-			go s.dial(x.Identity, nil)
+		if p.open > 0 || p.probing {
+			continue
 		}
+		p.open++
+		p.probing = true
+		go s.dial(x.Identity, nil)
 	}
 }
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -55,6 +55,7 @@
 	Usual         time.Duration // usual time of an attempt on the route
 	Tried         []*Searcher   // asked for this request before
 	Again         bool          // a searcher that was tried may be asked again
+	Within        time.Duration // longest expected time that is of use; 0 for any
 }
 
 // Times that a choice adds to a searcher's expected time.
@@ -87,6 +88,9 @@
 		if !c.Again && slices.Contains(c.Tried, s) {
 			continue
 		}
+		if s.down {
+			continue
+		}
 		if s.inFlight >= s.capacity {
 			busy = true
 			continue
@@ -102,9 +106,11 @@
 		}
 	}
 	switch {
+	case best != nil && c.Within > 0 && bestTime > c.Within:
+		return nil, false
 	case best != nil:
 		return best, false
-	case ejected != nil && !busy:
+	case ejected != nil && !busy && c.Within == 0:
 		// All that are left failed lately; one of them may be back.
 		return ejected, false
 	}
@@ -125,20 +131,35 @@
 	return t + time.Duration(decay(s.failures, 0, s.failuresT, now)*float64(failurePenalty))
 }
 
-// Reachable returns how many searchers are not left alone after failures.
-func (g *Group) Reachable(now time.Time) int {
-	n := 0
+// Reachable reports whether some searcher accepts connections, as far as is
+// known.
+func (g *Group) Reachable() bool {
+	return slices.ContainsFunc(g.searchers, func(s *Searcher) bool { return !s.down })
+}
+
+// Connected notes whether a connection to a searcher could be opened.
+func (g *Group) Connected(id Identity, ok bool) {
+	for _, s := range g.searchers {
+		if s.Identity == id {
+			s.down = !ok
+		}
+	}
+}
+
+// Down returns the searchers that the last attempt to connect did not reach.
+func (g *Group) Down() []Identity {
+	var out []Identity
 	for _, s := range g.searchers {
-		if !now.Before(s.ejected) {
-			n++
+		if s.down {
+			out = append(out, s.Identity)
 		}
 	}
-	return n
+	return out
 }
 
 // Begin chooses a searcher for a run and notes the attempt as begun there.
 func (g *Group) Begin(now time.Time, c Choice, ask Ask, rng *rand.Rand) (s *Searcher, busy bool) {
-	c.Tried, c.Again = ask.Tried, ask.Again
+	c.Tried, c.Again, c.Within = ask.Tried, ask.Again, ask.Within
 	s, busy = g.Choose(now, c, rng)
 	if s == nil || ask.Extra && !g.budget.Spend(now) {
 		return nil, busy
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -86,6 +86,8 @@
 	// HedgeAfter is how long an attempt may take before another searcher is
 	// asked as well.
 	HedgeAfter() time.Duration
+	// Reachable reports whether some searcher of a service accepts connections.
+	Reachable(service string) bool
 }
 
 // Ask says what a run wants of the next searcher.
@@ -93,6 +95,9 @@
 	Tried []*Searcher // asked before
 	Again bool        // one of them may be asked again
 	Extra bool        // an earlier attempt may have reached a searcher
+	// Within is the longest expected time that is of use, or 0 for any. A hedge
+	// that would answer too late only adds load.
+	Within time.Duration
 }
 
 // Run is one caller's request on its way to the searchers. One goroutine owns
@@ -166,8 +171,19 @@
 }
 
 // Start sends the first attempts.
+//
+// A gathered request that too few shards can answer is refused before anything
+// is sent: the shards that are left would work for an answer that can't be
+// given, while other requests need them.
 func (r *Run) Start(now time.Time) []Effect {
 	r.effects = nil
+	for _, l := range r.legs {
+		l.dead = !r.env.Reachable(l.service)
+	}
+	if o, done := r.outcome(now); done {
+		r.finished = true
+		return []Effect{Finish{Outcome: o}}
+	}
 	for i := range r.legs {
 		r.advance(now, i)
 	}
@@ -353,6 +369,12 @@
 		return false
 	}
 	ask := Ask{Tried: l.tried(), Extra: l.arrived()}
+	if !needed {
+		ask.Within = r.cutoff.Sub(now)
+		if ask.Within <= 0 {
+			ask.Within = r.deadline.Sub(now)
+		}
+	}
 	s, busy := r.env.Begin(now, l.service, ask)
 	if s == nil && !busy && needed && len(l.attempts) > 0 && l.lastResult() == Rejected {
 		ask.Again = true
--- a/internal/forward/searcher.go
+++ b/internal/forward/searcher.go
@@ -27,7 +27,8 @@
 	slownessT time.Time
 	failures  float64 // recent share of failed attempts, 0 to 1
 	failuresT time.Time
-	strikes   int       // consecutive attempts that found no working connection
+	down      bool      // the last attempt to connect failed
+	strikes   int       // consecutive attempts whose connection broke
 	ejected   time.Time // no attempt before this time while others can serve
 	oldest    []time.Time
 }
@@ -46,10 +47,11 @@
 	coldSlowness = 1.6
 )
 
-// Times for which a searcher that can't be reached is left alone.
+// Times for which a searcher whose connections break is left alone while
+// another one can serve.
 const (
-	firstEjection = 200 * time.Millisecond
-	maxEjection   = 3 * time.Second
+	firstEjection = 150 * time.Millisecond
+	maxEjection   = 2 * time.Second
 )
 
 func decay(value, rest float64, since, now time.Time) float64 {
@@ -86,11 +88,10 @@
 	s.end(began)
 	switch r {
 	case Good, SearcherFailed:
-		s.strikes = 0
+		s.strikes, s.down = 0, false
 		s.ejected = time.Time{}
 		s.noteTime(now, now.Sub(began), usual)
 	case Unsent:
-		s.strike(now)
 	case Lost:
 		s.noteTime(now, now.Sub(began), usual)
 		s.strike(now)
@@ -122,7 +123,7 @@
 	return decay(s.slowness, rest, s.slownessT, now)
 }
 
-// strike notes an attempt that found no working connection. Each one in a row
+// strike notes an attempt whose connection broke. Each one in a row
 // doubles the time for which the searcher is left alone.
 func (s *Searcher) strike(now time.Time) {
 	s.strikes++
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -15,7 +15,7 @@
 	SuspectAfter      = 1500 * time.Millisecond // unheard by anybody for this long: suspect
 	ConfirmAfter      = 1500 * time.Millisecond // suspect for this long at a neighbour: dead
 	ConfirmFarAfter   = 4 * time.Second         // suspect for this long at another host: dead
-	SeedInterval      = 1 * time.Second         // between messages to the seeds while alone
+	SeedInterval      = 200 * time.Millisecond  // between messages to the seeds while alone
 	ProbeInterval     = 2 * time.Second         // between probes of lost hosts and seeds
 	PauseBound        = 1 * time.Second         // a longer gap between ticks counts as a pause
 	LostRetain        = 1 * time.Hour           // a dead or left host is remembered this long
