--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -77,9 +77,11 @@
 // searcher has 2 to 4 slots and queues a dozen requests of all hosts.
 const maxConnectionsPerHost = 8
 
-// connectionReserve is the part of a searcher's connections that hosts leave
-// unused, for those of hosts that have just restarted.
-const connectionReserve = 4
+// connectionUse is the share of a searcher's connections that the hosts use.
+// After all hosts lost power, a searcher still holds the connections of the
+// earlier processes while the new ones connect, and resets those beyond its
+// limit.
+const connectionUse = 0.5
 
 // offers returns the searchers of each service that may be asked.
 func offers(s *control.Snapshot, hosts int) map[string][]forward.Offer {
@@ -106,7 +108,8 @@
 	if !ok {
 		return 1
 	}
-	return min(max((svc.MaxConnections-connectionReserve)/max(hosts, 1), 1), maxConnectionsPerHost)
+	share := int(connectionUse * float64(svc.MaxConnections) / float64(max(hosts, 1)))
+	return min(max(share, 1), maxConnectionsPerHost)
 }
 
 // applySearchers brings the engine in line with a snapshot.
--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -19,8 +19,10 @@
 	queueLength    = 512
 	workersPerPeer = 4
 	callTimeout    = 2 * time.Second
-	dialTimeout    = time.Second
-	idleTimeout    = 30 * time.Second
+	// dialTimeout is short, because a host without power does not answer and
+	// every worker of its link waits for it. The round trip is 40 ms at most.
+	dialTimeout = 300 * time.Millisecond
+	idleTimeout = 30 * time.Second
 	// linkIdle is how long a link to a peer that gets no messages is kept.
 	linkIdle = time.Minute
 )
