Leave out the latest shards of a gather under overload

Change: legs that are expected to answer after the cutoff are left out, the latest first and mixed by chance, as far as the least share of shards allows.

--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -327,12 +327,20 @@
 
 // Begin implements forward.Environment.
 func (r *runner) Begin(now time.Time, name string, ask forward.Ask) (*forward.Searcher, bool) {
-	c := forward.Choice{FailureDomain: r.engine.config.FailureDomain, Usual: r.timing.usual}
-	return r.engine.service(name).begin(now, c, ask, r.rng)
+	return r.engine.service(name).begin(now, r.choice(), ask, r.rng)
 }
 
-// Reachable implements forward.Environment.
-func (r *runner) Reachable(name string) bool { return r.engine.service(name).reachable() }
+// Expected implements forward.Environment.
+func (r *runner) Expected(now time.Time, name string) (time.Duration, bool) {
+	return r.engine.service(name).expected(now, r.choice())
+}
+
+// Draw implements forward.Environment.
+func (r *runner) Draw(n int) int { return r.rng.IntN(n) }
+
+func (r *runner) choice() forward.Choice {
+	return forward.Choice{FailureDomain: r.engine.config.FailureDomain, Usual: r.timing.usual}
+}
 
 // HedgeAfter implements forward.Environment.
 func (r *runner) HedgeAfter() time.Duration { return r.timing.hedge }
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -246,11 +246,10 @@
 	}
 }
 
-// reachable reports whether some searcher accepts connections.
-func (s *service) reachable() bool {
+func (s *service) expected(now time.Time, c forward.Choice) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.group.Reachable()
+	return s.group.Expected(now, c)
 }
 
 // warm opens a connection to each searcher that has none. A searcher that was
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -131,10 +131,18 @@
 	return t + time.Duration(decay(s.failures, 0, s.failuresT, now)*float64(failurePenalty))
 }
 
-// Reachable reports whether some searcher accepts connections, as far as is
-// known.
-func (g *Group) Reachable() bool {
-	return slices.ContainsFunc(g.searchers, func(s *Searcher) bool { return !s.down })
+// Expected returns the least expected time of an attempt. It is not ok if no
+// searcher accepts connections, as far as is known.
+func (g *Group) Expected(now time.Time, c Choice) (least time.Duration, ok bool) {
+	for _, s := range g.searchers {
+		if s.down {
+			continue
+		}
+		if t := s.expected(now, c); !ok || t < least {
+			least, ok = t, true
+		}
+	}
+	return least, ok
 }
 
 // Connected notes whether a connection to a searcher could be opened.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
@@ -86,8 +88,11 @@
 	// HedgeAfter is how long an attempt may take before another searcher is
 	// asked as well.
 	HedgeAfter() time.Duration
-	// Reachable reports whether some searcher of a service accepts connections.
-	Reachable(service string) bool
+	// Expected returns the time that an attempt at a service is expected to
+	// take. It is not ok if no searcher of it accepts connections.
+	Expected(now time.Time, service string) (expected time.Duration, ok bool)
+	// Draw returns a random number below n.
+	Draw(n int) int
 }
 
 // Ask says what a run wants of the next searcher.
@@ -177,19 +182,65 @@
 // given, while other requests need them.
 func (r *Run) Start(now time.Time) []Effect {
 	r.effects = nil
-	for _, l := range r.legs {
-		l.dead = !r.env.Reachable(l.service)
-	}
+	late := r.survey(now)
 	if o, done := r.outcome(now); done {
 		r.finished = true
 		return []Effect{Finish{Outcome: o}}
 	}
+	r.skip(late)
 	for i := range r.legs {
 		r.advance(now, i)
 	}
 	return r.settle(now)
 }
 
+// lateLeg is a leg that is expected to answer too late.
+type lateLeg struct {
+	*leg
+	weight float64 // of leaving it out
+}
+
+// survey marks the legs that no searcher can answer, and returns those that
+// are expected to answer too late for a gathered answer.
+func (r *Run) survey(now time.Time) (late []lateLeg) {
+	for _, l := range r.legs {
+		expected, ok := r.env.Expected(now, l.service)
+		switch {
+		case !ok:
+			l.dead = true
+		case expected > r.cutoff.Sub(now):
+			spread := 1 + skipSpread*float64(r.env.Draw(skipDraws))/skipDraws
+			late = append(late, lateLeg{l, spread * expected.Seconds()})
+		}
+	}
+	return late
+}
+
+// skipSpread mixes chance into which late legs are left out, so that shards
+// that are about equally late share the work that is left.
+const (
+	skipSpread = 0.5
+	skipDraws  = 1024
+)
+
+// skip leaves out as many of the late legs as an answer may lack, the latest
+// first.
+//
+// It answers shards whose remaining searchers can't carry all requests, after
+// crashes or while some are slow. Their answers would miss the objective of
+// every request. With some left out of each request, those shards get less
+// work and answer the others in time.
+func (r *Run) skip(late []lateLeg) {
+	if r.route.Gather == nil {
+		return
+	}
+	allowed := len(r.legs) - r.deadLegs() - r.route.Gather.MinShards()
+	slices.SortFunc(late, func(a, b lateLeg) int { return cmp.Compare(b.weight, a.weight) })
+	for _, l := range late[:min(max(allowed, 0), len(late))] {
+		l.dead = true
+	}
+}
+
 // Ended takes the result of an attempt.
 func (r *Run) Ended(now time.Time, a *Attempt, result Result) []Effect {
 	r.effects = nil
