Stop asking a searcher whose address another one has

Change: the first 421 ends the use of the searcher at this host and is told to the others. Hosts that start say truthfully when to come back (1 s), and poll their feeds faster until their configuration is confirmed.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -10,6 +10,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan/plancodec"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -32,6 +33,9 @@
 	}
 	return forwardrun.New(forwardrun.Config{
 		Wire: d.adapter.Wire, FailureDomain: d.settings.FailureDomain, Seed: d.settings.Seed, Log: d.log,
+		OnGone: func(target string, incarnation uint64) {
+			d.drainSeen(query.DrainSeen{Target: target, Incarnation: incarnation})
+		},
 		Budget: forward.BudgetLimits{
 			Ratio: float64(d.settings.RetryPermille) / 1000, Extra: float64(d.settings.RetryExtra), Window: d.settings.RetryWindow,
 		},
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -24,15 +24,16 @@
 // order of consecutive revisions. A confirmation of a term lower than the
 // highest seen is ignored.
 type Follower struct {
-	self     string
-	hasLog   bool // the host's own replicated log brings the changes
-	revision uint64
-	plan     uint64 // version of the route plan in force here
-	term     uint64
-	seq      uint64
-	feeds    []*feedState
-	known    []FeedHost
-	next     int // position in known from which a replacement is taken
+	self      string
+	hasLog    bool // the host's own replicated log brings the changes
+	revision  uint64
+	plan      uint64 // version of the route plan in force here
+	confirmed bool   // some update confirmed the configuration
+	term      uint64
+	seq       uint64
+	feeds     []*feedState
+	known     []FeedHost
+	next      int // position in known from which a replacement is taken
 }
 
 // NewFollower returns the follower of the host self. With hasLog it only
@@ -79,13 +80,22 @@
 func (f *Follower) poll(now time.Time) []Effect {
 	var out []Effect
 	for _, s := range f.feeds {
-		if now.Sub(s.sent) >= PollInterval {
+		if now.Sub(s.sent) >= f.pollInterval() {
 			out = append(out, f.pollFeed(now, s))
 		}
 	}
 	return out
 }
 
+// pollInterval is shorter until the first confirmation, for which a host that
+// has just started waits.
+func (f *Follower) pollInterval() time.Duration {
+	if f.confirmed {
+		return PollInterval
+	}
+	return FirstPollInterval
+}
+
 func (f *Follower) pollFeed(now time.Time, s *feedState) Effect {
 	f.seq++
 	s.sent = now
@@ -118,6 +128,7 @@
 	// The leader's confirmation is at least as old as the poll's send time,
 	// so network delay can't make it look younger.
 	if u.Confirmed && u.ConfirmedRevision <= f.revision {
+		f.confirmed = true
 		out = append(out, Confirmed{Term: u.Term, Revision: u.ConfirmedRevision, At: sent.Add(-u.ConfirmedAge)})
 	}
 	if u.Confirmed && u.ConfirmedRevision > f.revision {
--- a/internal/follow/messages.go
+++ b/internal/follow/messages.go
@@ -18,8 +18,9 @@
 // Times of the protocol. Two polls must fit into the second in which a feed
 // that was cut off has to be noticed.
 const (
-	PollInterval = 400 * time.Millisecond
-	FeedTimeout  = time.Second
+	PollInterval      = 400 * time.Millisecond
+	FirstPollInterval = 100 * time.Millisecond // until the first confirmation
+	FeedTimeout       = time.Second
 	// FollowerTimeout is how long a feed pushes changes to a host that no
 	// longer polls.
 	FollowerTimeout = 5 * time.Second
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -22,6 +22,9 @@
 	Budget        forward.BudgetLimits
 	Seed          uint64
 	Log           *eventlog.Logger
+	// OnGone is told when another searcher answered at the address of a target.
+	// It must not block.
+	OnGone func(target string, incarnation uint64)
 }
 
 // dialTimeout bounds the wait for a connection to a searcher. A packet that is
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -238,6 +238,9 @@
 	}
 	next, waiting := s.nextWaiter()
 	s.mu.Unlock()
+	if result == forward.Misdirected && s.engine.config.OnGone != nil {
+		s.engine.config.OnGone(a.Searcher.Target, a.Searcher.Incarnation)
+	}
 	for _, c := range idle {
 		c.close()
 	}
@@ -262,7 +265,7 @@
 	defer s.mu.Unlock()
 	for _, x := range s.group.Searchers() {
 		p := s.poolOf(x.Identity)
-		if p.open > 0 || p.probing {
+		if p.open > 0 || p.probing || s.group.Gone(x.Identity) {
 			continue
 		}
 		p.open++
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -88,7 +88,7 @@
 		if !c.Again && slices.Contains(c.Tried, s) {
 			continue
 		}
-		if s.down {
+		if !s.usable() {
 			continue
 		}
 		if s.inFlight >= s.capacity {
@@ -135,7 +135,7 @@
 // searcher accepts connections, as far as is known.
 func (g *Group) Expected(now time.Time, c Choice) (least time.Duration, ok bool) {
 	for _, s := range g.searchers {
-		if s.down {
+		if !s.usable() {
 			continue
 		}
 		if t := s.expected(now, c); !ok || t < least {
@@ -145,6 +145,13 @@
 	return least, ok
 }
 
+func (s *Searcher) usable() bool { return !s.down && !s.gone }
+
+// Gone reports whether another searcher answers at an address.
+func (g *Group) Gone(id Identity) bool {
+	return slices.ContainsFunc(g.searchers, func(s *Searcher) bool { return s.Identity == id && s.gone })
+}
+
 // Connected notes whether a connection to a searcher could be opened.
 func (g *Group) Connected(id Identity, ok bool) {
 	for _, s := range g.searchers {
@@ -154,17 +161,6 @@
 	}
 }
 
-// Down returns the searchers that the last attempt to connect did not reach.
-func (g *Group) Down() []Identity {
-	var out []Identity
-	for _, s := range g.searchers {
-		if s.down {
-			out = append(out, s.Identity)
-		}
-	}
-	return out
-}
-
 // Begin chooses a searcher for a run and notes the attempt as begun there.
 func (g *Group) Begin(now time.Time, c Choice, ask Ask, rng *rand.Rand) (s *Searcher, busy bool) {
 	c.Tried, c.Again, c.Within = ask.Tried, ask.Again, ask.Within
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -513,9 +513,9 @@
 }
 
 // retryAfterOutage is the hint to a caller whose request met no working
-// searcher. A crashed searcher needs seconds, a lost address less; callers wait
-// for a third of their time at most.
-const retryAfterOutage = 250 * time.Millisecond
+// searcher. A crashed searcher needs seconds to return, and after a start of
+// this host its targets announce themselves within about a second.
+const retryAfterOutage = time.Second
 
 // retryAfterOverload is the hint to a caller whose request the searchers
 // rejected. Their queues are a dozen requests long.
--- a/internal/forward/searcher.go
+++ b/internal/forward/searcher.go
@@ -28,6 +28,7 @@
 	failures  float64 // recent share of failed attempts, 0 to 1
 	failuresT time.Time
 	down      bool      // the last attempt to connect failed
+	gone      bool      // another searcher answers at its address
 	strikes   int       // consecutive attempts whose connection broke
 	ejected   time.Time // no attempt before this time while others can serve
 	oldest    []time.Time
@@ -91,6 +92,10 @@
 		s.strikes, s.down = 0, false
 		s.ejected = time.Time{}
 		s.noteTime(now, now.Sub(began), usual)
+	case Misdirected:
+		// Every further request would be an extra arrival at the searcher that
+		// has the address now.
+		s.gone = true
 	case Unsent:
 	case Lost:
 		s.noteTime(now, now.Sub(began), usual)
