--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -30,6 +31,40 @@
 	subRequests *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	orders      *prometheus.CounterVec
+	forwarded   *prometheus.CounterVec
+	forwardTime *prometheus.HistogramVec
+	missing     prometheus.Counter
+}
+
+// ObserveForward counts a caller's request that the route plan handled. Code
+// is empty for a success.
+func (d *Daemon) ObserveForward(kind string, took time.Duration, code verdict.Code, missing int) {
+	outcome := string(code)
+	if outcome == "" {
+		outcome = "ok"
+		d.metrics.forwardTime.WithLabelValues(kind).Observe(took.Seconds())
+	}
+	d.metrics.forwarded.WithLabelValues(kind, outcome).Inc()
+	d.metrics.missing.Add(float64(missing))
+}
+
+// engineStats shows the totals of the forwarding engine at each scrape.
+func engineStats(d *Daemon) []prometheus.Collector {
+	if d.engine == nil {
+		return nil
+	}
+	st := d.engine.Stats()
+	total := func(name, help string, value *atomic.Int64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, func() float64 { return float64(value.Load()) })
+	}
+	return []prometheus.Collector{
+		total("forward_attempts_total", "Attempts sent to searchers.", &st.Attempts),
+		total("forward_extra_attempts_total", "Attempts beyond the first of a request at a service: hedges and retries.", &st.Retries),
+		total("forward_lost_total", "Attempts without a usable answer.", &st.Lost),
+		total("forward_rejected_total", "Attempts that searchers rejected.", &st.Rejected),
+		total("forward_dials_total", "Connections opened to searchers.", &st.Dials),
+		total("forward_dial_failures_total", "Connections to searchers that could not be opened.", &st.DialFailures),
+	}
 }
 
 func newMetrics(d *Daemon) *metrics {
@@ -48,6 +83,14 @@
 		refusals:    counter("request_errors_total", "Queries and orders answered with an error, by its code.", labelCode),
 		orders:      counter("orders_total", "Orders answered, by verdict.", labelVerdict),
 	}
+	m.forwarded = counter("forward_requests_total", "Requests handled by the route plan, by kind (single or gather) and outcome: ok or the code of the failure.", labelKind, labelCode)
+	m.forwardTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "forward_seconds", Help: "Time from a request's arrival to its successful answer, by kind.",
+		Buckets: []float64{.005, .01, .02, .035, .05, .075, .1, .13, .2, .3, .4, .8, 2, 5},
+	}, []string{labelKind})
+	m.missing = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "forward_missing_shards_total", Help: "Shards left out of gathered answers."})
+	m.registry.MustRegister(m.forwarded, m.forwardTime, m.missing)
+	m.registry.MustRegister(engineStats(d)...)
 	m.registry.MustRegister(m.latency, m.coverage, m.subRequests, m.refusals, m.orders,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), &stateCollector{d})
 	return m
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -49,7 +49,7 @@
 
 // Stats are totals since the start.
 type Stats struct {
-	Calls, Attempts, Hedges, Retries, Dials, DialFailures, Lost, Rejected atomic.Int64
+	Calls, Attempts, Retries, Dials, DialFailures, Lost, Rejected atomic.Int64
 }
 
 // routeState is what the engine keeps of a route across its versions.
--- /dev/null
+++ b/internal/forward/forwardrun/engine_test.go
@@ -0,0 +1,336 @@
+package forwardrun
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds how long a test waits for what must come. It says nothing
+// about speed.
+const patience = 20 * time.Second
+
+// testWire is the protocol of the scripted searchers.
+type testWire struct{}
+
+func (testWire) AppendRequest(b []byte, c *Call, target string, _ time.Duration) []byte {
+	return fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: x\r\nId: %s\r\nTarget: %s\r\nContent-Length: %d\r\n\r\n%s", c.Method, c.URI, c.ID, target, len(c.Body), c.Body)
+}
+
+func (testWire) Remarks(h http.Header) Remarks {
+	return Remarks{RequestID: h.Get("Id"), Signature: h.Get("Signature"), NotRun: h.Get("Not-Run") != ""}
+}
+
+// searcher answers each request with what its script writes. The script is
+// called with the number of the request, from 0.
+type searcher struct {
+	ln       net.Listener
+	script   func(n int, id string, c net.Conn) (keep bool)
+	mu       sync.Mutex
+	requests int
+	conns    []net.Conn
+	workers  sync.WaitGroup
+}
+
+func startSearcher(t *testing.T, script func(n int, id string, c net.Conn) bool) *searcher {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &searcher{ln: ln, script: script}
+	s.workers.Add(1)
+	go func() {
+		defer s.workers.Done()
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			s.workers.Add(1)
+			go s.serve(c)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		s.workers.Wait()
+	})
+	return s
+}
+
+func (s *searcher) serve(c net.Conn) {
+	defer s.workers.Done()
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		n := s.requests
+		s.requests++
+		s.mu.Unlock()
+		if !s.script(n, r.Header.Get("Id"), c) {
+			return
+		}
+	}
+}
+
+func (s *searcher) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+func (s *searcher) offer(name string) forward.Offer {
+	return forward.Offer{Identity: forward.Identity{Target: name, Incarnation: 1, Address: s.ln.Addr().(*net.TCPAddr).AddrPort()}, Slots: 2, Capacity: 4}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: sig-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := c.Write([]byte(text))
+	return err == nil
+}
+
+func newEngine(t *testing.T, offers map[string][]forward.Offer) *Engine {
+	t.Helper()
+	e := New(Config{Wire: testWire{}, Log: eventlog.Nop(), Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}})
+	e.SetSearchers(offers)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func call(id string, idempotent bool) *Call {
+	now := time.Now()
+	return &Call{
+		ID: id, Method: http.MethodPost, URI: "/x", Arrived: now, Deadline: now.Add(patience),
+		Route: &routeplan.Route{Name: "r", Idempotent: idempotent, MaxAttempts: 2, Timeout: patience, Objective: patience, Splits: []routeplan.Split{{Service: "a", Weight: 1}}},
+	}
+}
+
+// Guards against an answer that belongs to another request, is not whole, or
+// is no answer: a request that is not idempotent must end with a failure that
+// does not promise "not run", and the next request must get its own answer.
+func TestFaultyAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(id string, c net.Conn) bool
+		ok     bool
+		v      verdict.Verdict
+	}{
+		"whole":          {func(id string, c net.Conn) bool { return write(c, answer(id, "body")) }, true, 0},
+		"extra behind":   {func(id string, c net.Conn) bool { return write(c, answer(id, "body")+answer(id, "other")) }, true, 0},
+		"garbage behind": {func(id string, c net.Conn) bool { return write(c, answer(id, "body")+"rubbish") }, true, 0},
+		"other before":   {func(id string, c net.Conn) bool { return write(c, answer("other", "stale")+answer(id, "body")) }, true, 0},
+		"only another's": {func(id string, c net.Conn) bool { write(c, answer("other", "stale")); return false }, false, verdict.MayHaveRun},
+		"unframed": {func(id string, c net.Conn) bool {
+			write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSignature: s\r\n\r\nbody")
+			return false
+		}, true, 0},
+		"cut short": {func(id string, c net.Conn) bool {
+			write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSignature: s\r\nContent-Length: 9\r\n\r\nbody")
+			return false
+		}, false, verdict.MayHaveRun},
+		"no signature": {func(id string, c net.Conn) bool {
+			return write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 4\r\n\r\nbody")
+		}, false, verdict.MayHaveRun},
+		"encoded": {func(id string, c net.Conn) bool {
+			return write(c, "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nId: "+id+"\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbody")
+		}, false, verdict.MayHaveRun},
+		"rubbish": {func(_ string, c net.Conn) bool { return write(c, "rubbish\r\n\r\n") }, false, verdict.MayHaveRun},
+		"closed":  {func(string, net.Conn) bool { return false }, false, verdict.MayHaveRun},
+		"rejected": {func(id string, c net.Conn) bool {
+			return write(c, "HTTP/1.1 503 Busy\r\nNot-Run: full\r\nId: "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}, false, verdict.NotRun},
+		"another searcher": {func(id string, c net.Conn) bool {
+			return write(c, "HTTP/1.1 421 Misdirected\r\nId: "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}, false, verdict.NotRun},
+		"failure that ran": {func(id string, c net.Conn) bool {
+			return write(c, "HTTP/1.1 500 Failed\r\nSignature: s\r\nId: "+id+"\r\nContent-Length: 4\r\n\r\nbody")
+		}, false, verdict.Ran},
+		"interim responses": {func(id string, c net.Conn) bool {
+			return write(c, "HTTP/1.1 102 Processing\r\n\r\n"+answer(id, "body"))
+		}, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSearcher(t, func(n int, id string, conn net.Conn) bool {
+				if id == "first" {
+					return c.script(id, conn)
+				}
+				return write(conn, answer(id, "body"))
+			})
+			e := newEngine(t, map[string][]forward.Offer{"a": {s.offer("t")}})
+			a, err := e.Do(context.Background(), call("first", false))
+			if c.ok {
+				require.Nil(t, err)
+				require.Equal(t, "body", string(a.Replies[0].Body))
+			} else {
+				require.NotNil(t, err)
+				require.Equal(t, c.v, err.Verdict)
+			}
+			if name == "another searcher" {
+				return // nothing may be sent there again
+			}
+			require.Eventually(t, func() bool {
+				a, err = e.Do(context.Background(), call("second", true))
+				return err == nil
+			}, patience, time.Millisecond)
+			require.Equal(t, "sig-second", a.Replies[0].Signature)
+		})
+	}
+}
+
+// Guards against a request that runs at two searchers, or not at all, because
+// of an idle connection that the searcher closed meanwhile.
+func TestIdempotentRequestSurvivesAClosedConnection(t *testing.T) {
+	script := func(n int, id string, c net.Conn) bool {
+		if strings.HasPrefix(id, "lost") {
+			return false
+		}
+		return write(c, answer(id, "body"))
+	}
+	one, two := startSearcher(t, script), startSearcher(t, func(n int, id string, c net.Conn) bool { return write(c, answer(id, "body")) })
+	e := newEngine(t, map[string][]forward.Offer{"a": {one.offer("one"), two.offer("two")}})
+	for i := range 10 {
+		a, err := e.Do(context.Background(), call(fmt.Sprintf("lost-%d", i), true))
+		require.Nil(t, err)
+		require.Equal(t, fmt.Sprintf("sig-lost-%d", i), a.Replies[0].Signature)
+	}
+}
+
+// Guards against work that goes on for a caller that has left: its connection
+// to the searcher must be closed.
+func TestCallerThatLeavesEndsTheAttempt(t *testing.T) {
+	closed := make(chan struct{})
+	arrived := make(chan struct{})
+	s := startSearcher(t, func(_ int, _ string, c net.Conn) bool {
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1)) // returns when the connection ends
+		close(closed)
+		return false
+	})
+	e := newEngine(t, map[string][]forward.Offer{"a": {s.offer("t")}})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := e.Do(ctx, call("first", true))
+	require.NotNil(t, err)
+	require.Equal(t, CodeCallerGone, err.Code)
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Fatal("the searcher still works")
+	}
+}
+
+// Guards against a refusal that is not true, and one that comes late, for a
+// service whose searchers refuse connections.
+func TestUnreachableServiceIsRefusedAsNotRun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := ln.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, ln.Close())
+	e := newEngine(t, map[string][]forward.Offer{"a": {{Identity: forward.Identity{Target: "t", Address: address}, Slots: 1, Capacity: 1}}})
+	_, failure := e.Do(context.Background(), call("first", false))
+	require.NotNil(t, failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+	require.Positive(t, failure.RetryAfter)
+}
+
+// Guards against more connections to a searcher than this host's share, and
+// against a waiting request that is forgotten.
+func TestShareOfConnectionsIsKept(t *testing.T) {
+	var mu sync.Mutex
+	working, most := 0, 0
+	s := startSearcher(t, func(_ int, id string, c net.Conn) bool {
+		mu.Lock()
+		working++
+		most = max(most, working)
+		mu.Unlock()
+		time.Sleep(time.Millisecond)
+		mu.Lock()
+		working--
+		mu.Unlock()
+		return write(c, answer(id, "body"))
+	})
+	o := s.offer("t")
+	o.Capacity = 2
+	e := newEngine(t, map[string][]forward.Offer{"a": {o}})
+	var calls sync.WaitGroup
+	for i := range 40 {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			_, err := e.Do(context.Background(), call(fmt.Sprint(i), true))
+			require.Nil(t, err)
+		}()
+	}
+	calls.Wait()
+	require.Equal(t, 40, s.count())
+	require.LessOrEqual(t, most, 2)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.LessOrEqual(t, len(s.conns), 3, "two for requests, and one that was kept ready")
+}
+
+// Guards against parts of two requests, or of a failure, in one gathered answer.
+func TestGatherTakesOneReplyOfEachShard(t *testing.T) {
+	offers := map[string][]forward.Offer{}
+	var services []string
+	for i := range 6 {
+		name := fmt.Sprintf("s%d", i)
+		services = append(services, name)
+		s := startSearcher(t, func(n int, id string, c net.Conn) bool {
+			if i == 0 {
+				return write(c, "HTTP/1.1 500 Failed\r\nSignature: bad\r\nId: "+id+"\r\nContent-Length: 4\r\n\r\nbody")
+			}
+			return write(c, answer(id, name))
+		})
+		offers[name] = []forward.Offer{s.offer(name)}
+	}
+	e := newEngine(t, offers)
+	c := call("q", true)
+	c.Route = &routeplan.Route{Name: "g", Idempotent: true, MaxAttempts: 2, Timeout: patience, Objective: patience, Gather: &routeplan.Gather{Services: services, TopK: 3, MinRatio: 0.8}}
+	a, err := e.Do(context.Background(), c)
+	require.Nil(t, err)
+	require.Equal(t, 1, a.Missing)
+	seen := map[string]bool{}
+	for _, r := range a.Replies {
+		require.Equal(t, "sig-q", r.Signature)
+		seen[string(r.Body)] = true
+	}
+	require.Len(t, seen, 5)
+	c.Route.Gather.MinRatio = 1
+	c.ID = "q2"
+	c.Arrived, c.Deadline = time.Now(), time.Now().Add(patience)
+	_, err = e.Do(context.Background(), c)
+	require.NotNil(t, err)
+	require.Equal(t, verdict.Ran, err.Verdict)
+}
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -58,6 +58,10 @@
 	Within        time.Duration // longest expected time that is of use; 0 for any
 }
 
+// choiceSpread mixes chance into the expected times, so that searchers that are
+// about equal take turns and what is known of them stays fresh.
+const choiceSpread = 0.15
+
 // Times that a choice adds to a searcher's expected time.
 const (
 	// farPenalty is the round trip to another failure domain, and the price of
@@ -79,12 +83,7 @@
 func (g *Group) Choose(now time.Time, c Choice, rng *rand.Rand) (chosen *Searcher, busy bool) {
 	var best, ejected *Searcher
 	var bestTime time.Duration
-	offset := 0
-	if len(g.searchers) > 1 {
-		offset = rng.IntN(len(g.searchers)) // equal searchers take turns
-	}
-	for i := range g.searchers {
-		s := g.searchers[(i+offset)%len(g.searchers)]
+	for _, s := range g.searchers {
 		if !c.Again && slices.Contains(c.Tried, s) {
 			continue
 		}
@@ -101,7 +100,9 @@
 			}
 			continue
 		}
-		if t := s.expected(now, c); best == nil || t < bestTime {
+		t := s.expected(now, c)
+		t += time.Duration(choiceSpread * rng.Float64() * float64(t))
+		if best == nil || t < bestTime {
 			best, bestTime = s, t
 		}
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -65,7 +65,7 @@
 	attempts  []*Attempt
 	good      *Attempt
 	failed    *Attempt  // a searcher's own failure, for callers of a single service
-	notBefore time.Time // of the next attempt, after a rejection
+	notBefore time.Time // when a searcher that rejected the request may be asked again
 	hedgeNext time.Time // earliest time of the next hedge, after none was possible
 	waiting   bool      // for room at a searcher
 	dead      bool      // nothing more can be tried
@@ -398,10 +398,8 @@
 	}
 	open := l.open()
 	switch {
-	case open == nil && now.Before(l.notBefore):
-		return
 	case open == nil:
-		l.dead = !r.attempt(now, i, true) && !l.waiting
+		l.dead = !r.attempt(now, i, true) && !l.waiting && !now.Before(l.notBefore)
 	case r.mayHedge(l) && !now.Before(later(open.Began.Add(r.hedge), l.hedgeNext)):
 		if !r.attempt(now, i, false) {
 			l.hedgeNext = now.Add(hedgePause)
@@ -427,7 +425,7 @@
 		}
 	}
 	s, busy := r.env.Begin(now, l.service, ask)
-	if s == nil && !busy && needed && len(l.attempts) > 0 && l.lastResult() == Rejected {
+	if s == nil && !busy && needed && len(l.attempts) > 0 && l.lastResult() == Rejected && !now.Before(l.notBefore) {
 		ask.Again = true
 		s, busy = r.env.Begin(now, l.service, ask)
 	}
--- /dev/null
+++ b/internal/forward/run_test.go
@@ -0,0 +1,270 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// world is an environment over groups, as package forwardrun provides it.
+type world struct {
+	groups map[string]*Group
+	rng    *rand.Rand
+	usual  time.Duration
+	hedge  time.Duration
+}
+
+func newWorld(services, replicas int) (*world, []string) {
+	w := &world{groups: map[string]*Group{}, rng: rand.New(rand.NewPCG(1, 2)), usual: 10 * time.Millisecond, hedge: 20 * time.Millisecond}
+	var names []string
+	for i := range services {
+		name := string(rune('a' + i))
+		g := NewGroup(name, BudgetLimits{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second})
+		var offers []Offer
+		for k := range replicas {
+			offers = append(offers, Offer{Identity: identity(name, i, k), Slots: 2, Capacity: 8})
+		}
+		g.Replace(offers)
+		w.groups[name] = g
+		names = append(names, name)
+	}
+	return w, names
+}
+
+func identity(service string, i, k int) Identity {
+	return Identity{
+		Target: service + string(rune('0'+k)), Incarnation: 1, FailureDomain: "fd" + string(rune('0'+k)),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(k), byte(i)}), 80),
+	}
+}
+
+func (w *world) Begin(now time.Time, service string, ask Ask) (*Searcher, bool) {
+	return w.groups[service].Begin(now, Choice{Usual: w.usual}, ask, w.rng)
+}
+func (w *world) HedgeAfter() time.Duration { return w.hedge }
+func (w *world) Draw(n int) int            { return w.rng.IntN(n) }
+func (w *world) Expected(now time.Time, service string) (time.Duration, bool) {
+	return w.groups[service].Expected(now, Choice{Usual: w.usual})
+}
+
+func (w *world) end(now time.Time, a *Attempt, r Result) {
+	w.groups[a.Service].End(now, a.Began, a.Searcher, w.usual, r)
+}
+
+func gatherRoute(services []string, ratio float64) *routeplan.Route {
+	return &routeplan.Route{
+		Idempotent: true, MaxAttempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Gather: &routeplan.Gather{Services: services, TopK: 5, MinRatio: ratio},
+	}
+}
+
+func singleRoute(idempotent bool) *routeplan.Route {
+	return &routeplan.Route{Idempotent: idempotent, MaxAttempts: 2, Timeout: time.Second, Objective: 400 * time.Millisecond, Splits: []routeplan.Split{{Service: "a", Weight: 1}}}
+}
+
+func sends(effects []Effect) (out []*Attempt) {
+	for _, e := range effects {
+		if s, ok := e.(Send); ok {
+			out = append(out, s.Attempt)
+		}
+	}
+	return out
+}
+
+func finish(effects []Effect) (Outcome, bool) {
+	for _, e := range effects {
+		if f, ok := e.(Finish); ok {
+			return f.Outcome, true
+		}
+	}
+	return Outcome{}, false
+}
+
+// Guards against an order that runs twice: after an attempt that may have run,
+// a request that is not idempotent must not be sent again, whatever follows.
+func TestNonIdempotentRequestIsSentAgainOnlyAfterProof(t *testing.T) {
+	for result, again := range map[Result]bool{
+		Rejected: true, Misdirected: true, Unsent: true, Lost: false, SearcherFailed: false, Abandoned: false,
+	} {
+		w, services := newWorld(1, 3)
+		run := NewRun(w, singleRoute(false), services, start, start.Add(time.Second))
+		first := sends(run.Start(start))
+		require.Len(t, first, 1)
+		require.Empty(t, sends(run.Tick(start.Add(500*time.Millisecond))), "a hedge would run it twice")
+		w.end(start, first[0], result)
+		effects := run.Ended(start.Add(time.Millisecond), first[0], result)
+		require.Equal(t, again, len(sends(effects)) == 1, result)
+		if !again {
+			o, done := finish(effects)
+			require.True(t, done, result)
+			require.NotEqual(t, verdict.NotRun, o.Err.Verdict, "a refusal would promise that it did not run")
+		}
+	}
+}
+
+// Guards against a refusal that says "not run" though an attempt may have run,
+// against more attempts than the route allows, and against a run that never
+// ends, over random results in random order.
+func TestRunProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 8).Draw(t, "shards")
+		w, services := newWorld(shards, rapid.IntRange(0, 3).Draw(t, "replicas"))
+		route := gatherRoute(services, rapid.SampledFrom([]float64{0, 0.5, 0.9, 1}).Draw(t, "ratio"))
+		if shards == 1 && rapid.Bool().Draw(t, "single") {
+			route = singleRoute(rapid.Bool().Draw(t, "idempotent"))
+		}
+		deadline := start.Add(time.Second)
+		run := NewRun(w, route, services, start, deadline)
+		now := start
+		var open []*Attempt
+		take := func(effects []Effect) (Outcome, bool) {
+			open = append(open, sends(effects)...)
+			return finish(effects)
+		}
+		o, done := take(run.Start(now))
+		for step := 0; !done; step++ {
+			require.Less(t, step, 500, "the run does not end")
+			if len(open) > 0 && rapid.IntRange(0, 3).Draw(t, "what") > 0 {
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				a := open[i]
+				open = append(open[:i], open[i+1:]...)
+				result := rapid.SampledFrom([]Result{Good, Good, Good, SearcherFailed, Rejected, Misdirected, Unsent, Lost}).Draw(t, "result")
+				w.end(now, a, result)
+				o, done = take(run.Ended(now, a, result))
+				continue
+			}
+			next := run.Next(now)
+			require.False(t, next.Before(now) && len(open) > 0 && now.Sub(next) > time.Second, "a tick is due long ago")
+			if !next.After(now) {
+				next = now.Add(time.Millisecond)
+			}
+			now = next
+			o, done = take(run.Tick(now))
+		}
+		checkOutcome(t, run, route, o)
+	})
+}
+
+func checkOutcome(t *rapid.T, run *Run, route *routeplan.Route, o Outcome) {
+	mayRun := map[int]int{}
+	anyRan := false
+	for _, a := range run.Attempts() {
+		if a.Open || a.Result.Verdict() != verdict.NotRun {
+			mayRun[a.Leg]++
+			anyRan = true
+		}
+	}
+	limit := route.MaxAttempts
+	if !route.Idempotent {
+		limit = 1
+	}
+	for leg, n := range mayRun {
+		require.LessOrEqual(t, n, limit, "leg %d", leg)
+	}
+	if o.Err != nil && o.Err.Verdict == verdict.NotRun {
+		require.False(t, anyRan, "refused as not run, though an attempt may have run")
+	}
+	if o.Err == nil && route.Gather != nil {
+		require.GreaterOrEqual(t, len(o.Replies), route.Gather.MinShards())
+		require.Equal(t, len(route.Gather.Services), len(o.Replies)+o.Missing)
+		seen := map[string]bool{}
+		for _, a := range o.Replies {
+			require.Equal(t, Good, a.Result)
+			require.False(t, seen[a.Service], "two replies of one shard")
+			seen[a.Service] = true
+		}
+	}
+}
+
+// Guards against work for an answer that can't be given: with too few shards
+// left, nothing is sent and the caller is told at once.
+func TestGatherWithTooFewShardsIsRefusedBeforeItIsSent(t *testing.T) {
+	w, services := newWorld(10, 2)
+	for _, s := range services[:2] {
+		for _, x := range w.groups[s].Searchers() {
+			w.groups[s].Connected(x.Identity, false)
+		}
+	}
+	effects := NewRun(w, gatherRoute(services, 0.9), services, start, start.Add(time.Second)).Start(start)
+	require.Empty(t, sends(effects))
+	o, done := finish(effects)
+	require.True(t, done)
+	require.Equal(t, verdict.NotRun, o.Err.Verdict)
+	require.Positive(t, o.Err.RetryAfter)
+
+	effects = NewRun(w, gatherRoute(services, 0.8), services, start, start.Add(time.Second)).Start(start)
+	require.Len(t, sends(effects), 8, "8 of 10 shards are enough for this route")
+}
+
+// Guards against a query that waits for a paused searcher while its replica is
+// idle.
+func TestHedgeAsksTheOtherReplicaOnce(t *testing.T) {
+	w, services := newWorld(1, 2)
+	run := NewRun(w, gatherRoute(services, 1), services, start, start.Add(time.Second))
+	first := sends(run.Start(start))
+	require.Equal(t, start.Add(w.hedge), run.Next(start))
+	second := sends(run.Tick(start.Add(w.hedge)))
+	require.Len(t, second, 1)
+	require.NotSame(t, first[0].Searcher, second[0].Searcher)
+	require.Empty(t, sends(run.Tick(start.Add(3*w.hedge))), "the route allows two attempts")
+	effects := run.Ended(start.Add(3*w.hedge), second[0], Good)
+	o, done := finish(effects)
+	require.True(t, done)
+	require.Equal(t, []*Attempt{second[0]}, o.Replies)
+}
+
+// Guards against an answer that comes after its objective because one shard of
+// many is late, and against one that is given below the least share.
+func TestGatherAnswersBeforeItsObjectiveWithoutLateShards(t *testing.T) {
+	w, services := newWorld(10, 1)
+	run := NewRun(w, gatherRoute(services, 0.9), services, start, start.Add(time.Second))
+	attempts := sends(run.Start(start))
+	for _, a := range attempts[:8] {
+		_, done := finish(run.Ended(start.Add(10*time.Millisecond), a, Good))
+		require.False(t, done)
+	}
+	_, done := finish(run.Tick(start.Add(99 * time.Millisecond)))
+	require.False(t, done, "8 of 10 are below the least share")
+	o, done := finish(run.Ended(start.Add(150*time.Millisecond), attempts[8], Good))
+	require.True(t, done)
+	require.Equal(t, 1, o.Missing)
+}
+
+// Guards against a hedge that can't answer in time, which only adds load to a
+// searcher that is slow already.
+func TestHedgeMustBeExpectedInTime(t *testing.T) {
+	w, services := newWorld(1, 2)
+	run := NewRun(w, gatherRoute(services, 1), services, start, start.Add(time.Second))
+	first := sends(run.Start(start))
+	for _, s := range w.groups["a"].Searchers() {
+		if s != first[0].Searcher {
+			s.slowness, s.slownessT = maxSlowness, start
+		}
+	}
+	require.Empty(t, sends(run.Tick(start.Add(w.hedge))))
+	require.True(t, run.Next(start.Add(w.hedge)).After(start.Add(w.hedge)), "the next try must not be due at once")
+}
+
+// Guards against a request that ends while its only searchers have no room:
+// it waits for them, and goes on when one is free.
+func TestRunWaitsForRoom(t *testing.T) {
+	w, services := newWorld(1, 1)
+	g := w.groups["a"]
+	g.Replace([]Offer{{Identity: identity("a", 0, 0), Slots: 2, Capacity: 1}})
+	holder := NewRun(w, singleRoute(true), services, start, start.Add(time.Second))
+	held := sends(holder.Start(start))
+	run := NewRun(w, singleRoute(true), services, start, start.Add(time.Second))
+	effects := run.Start(start)
+	require.Equal(t, []Effect{AwaitRoom{Leg: 0, Service: "a"}}, effects)
+	w.end(start.Add(time.Millisecond), held[0], Good)
+	require.Len(t, sends(run.Freed(start.Add(time.Millisecond), 0)), 1)
+}
