Gather on few strong hosts where searchers have fewer connections than hosts

Change: package gathering chooses, from a capacity that members announce, the hosts that hold the connections; the others hand whole requests to them and get one merged answer. A gatherer with an older plan does not take a request; one that does not answer is replaced by the next, whose attempts then count as extra. internal/soak runs real processes under faults and checks what callers, targets and the operator see.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -207,7 +207,7 @@
 	for m := range c.members.Members(now) {
 		out = append(out, Host{
 			Host: m.Host, Region: m.Region, FailureDomain: m.FailureDomain, Roles: strings.Split(m.Roles.String(), ","),
-			Incarnation: m.Incarnation, Peer: m.PeerAddress, Live: m.Live(), Draining: m.Live() && !c.isReady(m.Host),
+			Incarnation: m.Incarnation, Capacity: m.Capacity, Peer: m.PeerAddress, Live: m.Live(), Draining: m.Live() && !c.isReady(m.Host),
 			Revision: c.revisionOf(m.Host), LastHeard: c.heardAt[m.Host],
 		})
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -47,6 +47,7 @@
 	FailureDomain string
 	Roles         []string
 	Incarnation   uint64
+	Capacity      uint32
 	Peer          netip.AddrPort
 	Live          bool
 	Draining      bool // it said that it takes no new work
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
+	"github.com/hawthornlock/hawthornlock/internal/gathering"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
@@ -58,9 +60,6 @@
 // that a graceful stop waits for it.
 func (d *Daemon) BeginRequest() (end func()) { return d.inFlight.Begin() }
 
-// Engine returns what carries callers' requests to searchers.
-func (d *Daemon) Engine() *forwardrun.Engine { return d.engine }
-
 // Announce takes what a target says about itself.
 func (d *Daemon) Announce(ctx context.Context, a targets.Announcement) error {
 	_, err := d.loop.Call(ctx, func(token uint64) control.Event { return control.Announced{Token: token, Announcement: a} })
@@ -87,33 +86,50 @@
 // limit.
 const connectionUse = 0.5
 
-// offers returns the searchers of each service that may be asked.
-func offers(s *control.Snapshot, hosts int) map[string][]forward.Offer {
+// offers returns the searchers of each service that this host may ask. It has
+// none of a service from which other hosts gather for it.
+func (d *Daemon) offers(s *control.Snapshot, p *placement, hosts int) map[string][]forward.Offer {
 	out := make(map[string][]forward.Offer)
+	if s.Plan == nil {
+		return out
+	}
+	gathered := s.Plan.Gathered()
 	for r := range s.Targets.Targets() {
 		service := r.Labels[ServiceLabel]
-		if r.Status != targets.StatusAlive || service == "" {
+		if _, planned := s.Plan.Service(service); !planned || r.Status != targets.StatusAlive {
+			continue
+		}
+		if _, gathers := slices.BinarySearch(gathered, service); gathers && p.unknown {
+			continue
+		}
+		gatherers := p.gatherers[service]
+		if gatherers != nil && !gathering.Contains(gatherers, d.settings.Host) {
 			continue
 		}
 		out[service] = append(out[service], forward.Offer{
 			Identity: forward.Identity{Target: r.Target, Incarnation: r.Incarnation, Address: r.Address, FailureDomain: r.FailureDomain},
-			Slots:    r.Searchers[0].Slots, Cold: r.Phase == targets.Cold, Capacity: connectionsOf(s.Plan, service, hosts),
+			Slots:    r.Searchers[0].Slots, Cold: r.Phase == targets.Cold, Capacity: connectionsOf(s.Plan, service, gatherers, hosts),
 		})
 	}
 	return out
 }
 
+// usedConnections returns how many connections to a searcher all hosts use
+// together.
+func usedConnections(s *routeplan.Service) int {
+	return max(int(connectionUse*float64(s.MaxConnections)), 1)
+}
+
 // connectionsOf returns how many connections this host may have to a searcher.
-func connectionsOf(plan *routeplan.Table, service string, hosts int) int {
-	if plan == nil {
-		return 1
-	}
+func connectionsOf(plan *routeplan.Table, service string, gatherers []gathering.Host, hosts int) int {
 	svc, ok := plan.Service(service)
-	if !ok {
+	switch {
+	case !ok:
 		return 1
+	case gatherers != nil:
+		return min(gathering.Connections(gatherers, usedConnections(svc)), maxConnectionsPerHost)
 	}
-	share := int(connectionUse * float64(svc.MaxConnections) / float64(max(hosts, 1)))
-	return min(max(share, 1), maxConnectionsPerHost)
+	return min(max(usedConnections(svc)/max(hosts, 1), 1), maxConnectionsPerHost)
 }
 
 // applySearchers brings the engine in line with a snapshot.
@@ -127,12 +143,49 @@
 	}
 	hosts = max(hosts, live)
 	d.shareBudget(a, s, hosts)
-	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts {
-		a.plan, a.hosts = s.Plan, hosts
-		d.engine.SetSearchers(offers(s, hosts))
+	p := a.placement
+	if p == nil || p.unknown || a.plan != s.Plan || !sameSlice(a.known, s.Hosts) {
+		a.known = s.Hosts
+		p = place(s, time.Since(d.startedAt))
+	}
+	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
+		a.plan, a.hosts, a.placement = s.Plan, hosts, p
+		d.gather.placement.Store(p)
+		d.engine.SetSearchers(d.offers(s, p, hosts), d.gatherSharers(a, p))
 	}
 }
 
+// sameSlice reports whether two slices are the same one. The control goroutine
+// builds the list of hosts anew when it changes.
+func sameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// gatherSharers returns the number of hosts that share the budgets of gathered
+// services. Like that of all hosts it follows departures slowly.
+func (d *Daemon) gatherSharers(a *applied, p *placement) map[string]int {
+	out := make(map[string]int, len(p.gatherers))
+	now := time.Now()
+	for name, g := range p.gatherers {
+		old, known := a.gatherSharers[name]
+		if !known || len(g) >= old.hosts || now.Sub(old.at) > sharerMemory {
+			old = sharing{hosts: len(g), at: now}
+		}
+		out[name] = old.hosts
+		if a.gatherSharers == nil {
+			a.gatherSharers = make(map[string]sharing)
+		}
+		a.gatherSharers[name] = old
+	}
+	return out
+}
+
+// sharing is a number of sharers and when it was last confirmed.
+type sharing struct {
+	hosts int
+	at    time.Time
+}
+
 // shareBudget sets the number of hosts that share the budget of further
 // attempts. It follows departures slowly, because a host that is out of reach
 // for a moment goes on to spend.
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -20,8 +20,12 @@
 	shares  map[netip.AddrPort]int
 
 	plan      *routeplan.Table
-	sharers   int // hosts that share the bounds of searchers
+	placement *placement
+	known     []control.Host // from which placement was made
+	sharers   int            // hosts that share the bounds of searchers
 	sharersAt time.Time
+
+	gatherSharers map[string]sharing
 }
 
 // applySnapshots brings the traffic state that outlives single requests in
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
+	"github.com/hawthornlock/hawthornlock/internal/gathering"
 	"github.com/hawthornlock/hawthornlock/internal/journal"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/membership"
@@ -84,6 +85,8 @@
 	requests    atomic.Uint64
 	leaderHint  atomic.Pointer[string] // host that another one took for the leader
 	adapter     Adapter
+	startedAt   time.Time
+	gather      gatherState
 	engine      *forwardrun.Engine // nil unless callers are served by the route plan
 	listeners   Listeners
 	servers     map[string]*http.Server
@@ -132,7 +135,7 @@
 // An adapter, if there is one, speaks a platform's protocols in place of the
 // daemon's own.
 func New(s *settings.Settings, listeners Listeners, log *eventlog.Logger, adapter ...Adapter) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, incarnation: uint64(time.Now().UnixNano()), listeners: listeners, directory: newDirectory(), links: peerlink.New()}
+	d := &Daemon{settings: s, log: log, incarnation: uint64(time.Now().UnixNano()), listeners: listeners, directory: newDirectory(), links: peerlink.New(), startedAt: time.Now()}
 	d.ctx, d.cancel = context.WithCancelCause(context.Background())
 	if len(adapter) > 0 {
 		d.adapter = adapter[0]
@@ -177,6 +180,7 @@
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
 	d.engine = d.newEngine()
+	d.gather.chooser = gathering.NewChooser()
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
 	d.admission = admissionrun.New(admission.Config{Concurrency: d.settings.MaxQueries, QueueLength: d.settings.QueueLength}, d.log)
@@ -197,7 +201,7 @@
 func (d *Daemon) member() membership.Member {
 	m := membership.Member{
 		Host: d.settings.Host, Incarnation: d.incarnation, PeerAddress: d.Address("peer"),
-		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
+		Region: d.settings.Region, FailureDomain: d.settings.FailureDomain, Capacity: uint32(d.settings.Capacity),
 	}
 	for role, flag := range map[settings.Role]membership.Roles{
 		settings.Entry: membership.RoleEntry, settings.Voter: membership.RoleVoter, settings.Relay: membership.RoleRelay,
--- /dev/null
+++ b/internal/daemon/gather.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
+	"github.com/hawthornlock/hawthornlock/internal/gathering"
+	"github.com/hawthornlock/hawthornlock/internal/gathering/gatheringrpc"
+	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
+	"github.com/hawthornlock/hawthornlock/internal/peerlink"
+	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Codes of a gatherer that did not take a request.
+const (
+	codePlanBehind  verdict.Code = "route_plan_behind"
+	codeNotGatherer verdict.Code = "not_a_gatherer"
+)
+
+// placement says which hosts gather from each service. It is immutable.
+type placement struct {
+	gatherers map[string][]gathering.Host // by service; absent where every host gathers itself
+	// unknown says that this host has not found the others yet. Until then it
+	// opens no connections for gathers, since it can't know its share.
+	unknown bool
+}
+
+// placeAnyway is the age of a process at which it takes the hosts that it knows
+// for all there are.
+const placeAnyway = 3 * time.Second
+
+// place chooses the gatherers of all services of a plan.
+func place(s *control.Snapshot, age time.Duration) *placement {
+	p := &placement{gatherers: make(map[string][]gathering.Host)}
+	if s.Plan == nil {
+		return p
+	}
+	var hosts []gathering.Host
+	for _, h := range s.Hosts {
+		if h.Live {
+			hosts = append(hosts, gathering.Host{Name: h.Host, FailureDomain: h.FailureDomain, Capacity: h.Capacity})
+		}
+	}
+	few := s.Agreed.Epoch == 0 || 2*len(hosts) < len(s.Agreed.Hosts)
+	p.unknown = few && age < placeAnyway
+	chosen := make(map[int][]gathering.Host) // by connections, which most services share
+	for _, name := range s.Plan.Gathered() {
+		svc, ok := s.Plan.Service(name)
+		if !ok {
+			continue
+		}
+		connections := usedConnections(svc)
+		if _, done := chosen[connections]; !done {
+			chosen[connections] = gathering.Choose(hosts, connections)
+		}
+		if g := chosen[connections]; g != nil {
+			p.gatherers[name] = g
+		}
+	}
+	return p
+}
+
+// same reports whether two placements choose the same hosts.
+func (p *placement) same(q *placement) bool {
+	return p != nil && p.unknown == q.unknown && maps.EqualFunc(p.gatherers, q.gatherers, slices.Equal[[]gathering.Host])
+}
+
+// of returns the gatherers of a route, or nil if every host gathers itself.
+func (p *placement) of(r *routeplan.Route) []gathering.Host {
+	if p == nil || r.Gather == nil {
+		return nil
+	}
+	for _, name := range r.Gather.Services {
+		if g := p.gatherers[name]; g != nil {
+			return g
+		}
+	}
+	return nil
+}
+
+// gatherState is what a host keeps to hand requests to gatherers.
+type gatherState struct {
+	placement atomic.Pointer[placement]
+	mu        sync.Mutex
+	chooser   *gathering.Chooser
+}
+
+// Forward carries a caller's request to searchers, through a gatherer where
+// this host has no connections of its own.
+func (d *Daemon) Forward(ctx context.Context, call *forwardrun.Call, version uint64, path string) (*forwardrun.Answer, *verdict.Error) {
+	gatherers := d.gather.placement.Load().of(call.Route)
+	if gatherers == nil || gathering.Contains(gatherers, d.settings.Host) {
+		return d.engine.Do(ctx, call)
+	}
+	d.gather.mu.Lock()
+	order := d.gather.chooser.Order(time.Now(), gatherers, d.settings.FailureDomain)
+	d.gather.mu.Unlock()
+	request := encodeGather(call, version, path)
+	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no host gathers for this route").WithRetryAfter(retryAfterGatherer)
+	for i, g := range order[:min(len(order), maxGatherers)] {
+		answer, err := d.gatherAt(ctx, g.Name, call, request, i+1 < min(len(order), maxGatherers))
+		if err == nil || ctx.Err() != nil || !time.Now().Before(call.Deadline) || answer != nil {
+			return answer, err
+		}
+		v := verdict.Join(failure.Verdict, err.Verdict)
+		request.Repeated = request.Repeated || err.Verdict != verdict.NotRun
+		failure = verdict.New(v, err.Code, "host %s: %s", g.Name, err.Error()).WithRetryAfter(retryAfterGatherer)
+	}
+	return &forwardrun.Answer{}, failure
+}
+
+// maxGatherers bounds the gatherers that one request tries.
+const maxGatherers = 3
+
+// retryAfterGatherer is the hint to a caller whose request met no gatherer. The
+// membership knows of lost ones after three seconds.
+const retryAfterGatherer = 500 * time.Millisecond
+
+// gathererPatience is the share of the objective, above it, after which a
+// gatherer that has not answered counts as lost and another one is asked. A
+// gatherer answers by the objective if enough shards do.
+const gathererPatience = 0.5
+
+func encodeGather(c *forwardrun.Call, version uint64, path string) *gatheringrpc.GatherRequest {
+	m := &gatheringrpc.GatherRequest{Plan: version, RequestId: c.ID, Method: c.Method, Uri: c.URI, Host: c.Host, Body: c.Body, Path: path}
+	for name, values := range c.Header {
+		m.Headers = append(m.Headers, &gatheringrpc.Header{Name: name, Values: values})
+	}
+	return m
+}
+
+// gatherAt hands a request to a gatherer. An answer beside an error is final;
+// without one, another gatherer may be asked.
+func (d *Daemon) gatherAt(ctx context.Context, host string, call *forwardrun.Call, m *gatheringrpc.GatherRequest, another bool) (*forwardrun.Answer, *verdict.Error) {
+	address, ok := d.directory.lookup(host)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the address of host %q is unknown", host)
+	}
+	now := time.Now()
+	limit := call.Deadline
+	if patience := now.Add(time.Duration((1 + gathererPatience) * float64(call.Route.Objective))); another && patience.Before(limit) {
+		limit = patience
+	}
+	m.ElapsedUs, m.LeftUs = now.Sub(call.Arrived).Microseconds(), call.Deadline.Sub(now).Microseconds()
+	attempt, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), d.links.Client()).Gather(attempt, m)
+	d.noteGatherer(ctx, host, err)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return &forwardrun.Answer{}, verdict.New(verdict.MayHaveRun, forwardrun.CodeCallerGone, "the caller closed its connection")
+	case err != nil && !time.Now().Before(call.Deadline):
+		return &forwardrun.Answer{}, verdict.New(verdict.MayHaveRun, verdict.CodeDeadlineExceeded, "host %s did not answer in time", host)
+	case err != nil && peerlink.NotSent(err):
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "connect to host "+host)
+	case err != nil:
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "call host "+host)
+	}
+	return decodeGathered(reply, host)
+}
+
+// noteGatherer keeps whether a gatherer answered.
+func (d *Daemon) noteGatherer(ctx context.Context, host string, err error) {
+	if ctx.Err() != nil {
+		return // the caller left; that says nothing of the gatherer
+	}
+	d.gather.mu.Lock()
+	defer d.gather.mu.Unlock()
+	if err != nil {
+		d.gather.chooser.Failed(time.Now(), host)
+		return
+	}
+	d.gather.chooser.Answered(host)
+}
+
+func decodeGathered(m *gatheringrpc.GatherReply, host string) (*forwardrun.Answer, *verdict.Error) {
+	a := &forwardrun.Answer{Signatures: m.GetSignatures(), Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: host}
+	if m.GetFailure() == nil {
+		return a, nil
+	}
+	err := proposalsrpc.DecodeFailure(m.GetFailure())
+	failure := verdict.New(verdict.Of(err), verdict.CodeOf(err), "%s", err.Error()).
+		WithRetryAfter(time.Duration(m.GetFailure().GetRetryAfterMs()) * time.Millisecond)
+	switch failure.Code {
+	case codePlanBehind, codeNotGatherer, codeHostStopping:
+		return nil, failure
+	}
+	return a, failure
+}
+
+const codeHostStopping verdict.Code = "gatherer_stopping"
+
+type gatheringService struct{ d *Daemon }
+
+// Gather carries out a request for another host. It is refused where this host
+// knows only an older plan than the sender, since the sender's callers may have
+// seen the effect of the newer one.
+func (s *gatheringService) Gather(ctx context.Context, m *gatheringrpc.GatherRequest) (*gatheringrpc.GatherReply, error) {
+	defer s.d.inFlight.Begin()()
+	now := time.Now()
+	snapshot := s.d.loop.Snapshot()
+	if err := s.takes(snapshot, m); err != nil {
+		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(err)}, nil
+	}
+	route := snapshot.Plan.Route(m.GetHost(), m.GetPath())
+	if route == nil || route.Gather == nil {
+		err := verdict.New(verdict.NotRun, codePlanBehind, "route plan %d gathers nothing for this path", snapshot.Plan.Version)
+		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(err)}, nil
+	}
+	header := make(http.Header, len(m.GetHeaders()))
+	for _, h := range m.GetHeaders() {
+		header[h.GetName()] = h.GetValues()
+	}
+	answer, failure := s.d.engine.Do(ctx, &forwardrun.Call{
+		ID: m.GetRequestId(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: header, Body: m.GetBody(), Route: route,
+		Arrived: now.Add(-time.Duration(m.GetElapsedUs()) * time.Microsecond), Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
+		Repeated: m.GetRepeated(),
+	})
+	reply := &gatheringrpc.GatherReply{Signatures: answer.Signatures, Body: answer.Body, Missing: uint32(answer.Missing), Attempts: uint32(len(answer.Attempts))}
+	if failure != nil {
+		reply.Failure = s.d.encodeFailure(failure)
+	}
+	return reply, nil
+}
+
+// takes reports why this host does not take a request of another one.
+func (s *gatheringService) takes(snapshot *control.Snapshot, m *gatheringrpc.GatherRequest) error {
+	switch {
+	case s.d.engine == nil:
+		return verdict.New(verdict.NotRun, codeNotGatherer, "this host serves no route plan")
+	case snapshot.Phase > lifecycle.LameDuck || snapshot.Phase == lifecycle.Starting:
+		return verdict.New(verdict.NotRun, codeHostStopping, "this host is %s", snapshot.Phase)
+	case snapshot.Plan == nil || snapshot.Plan.Version < m.GetPlan():
+		return verdict.New(verdict.NotRun, codePlanBehind, "this host lacks route plan %d", m.GetPlan())
+	}
+	return nil
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -12,6 +12,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/follow/followrpc"
+	"github.com/hawthornlock/hawthornlock/internal/gathering/gatheringrpc"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle/lifecyclerpc"
 	"github.com/hawthornlock/hawthornlock/internal/membership/membershiprpc"
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrpc"
@@ -43,6 +44,7 @@
 		ordersrpc.NewOrdersServer(&ordersService{d}),
 		configrpc.NewConfigServer(&configService{d}),
 		planrpc.NewPlansServer(&planService{d}),
+		gatheringrpc.NewGatheringServer(&gatheringService{d}),
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -21,6 +21,7 @@
 	Route    *routeplan.Route
 	Arrived  time.Time
 	Deadline time.Time
+	Repeated bool // an earlier carrier may have sent it to searchers already
 }
 
 // Reply is a searcher's whole answer.
@@ -50,9 +51,15 @@
 
 // Answer is the outcome of a call.
 type Answer struct {
-	Replies  []*Reply // of a single service: one; of a gathered route: one a shard
-	Missing  int      // shards without a reply
-	Attempts []AttemptRecord
+	Reply *Reply // of a single service, if one answered
+
+	// Of a gathered route:
+	Signatures []string // of the shards in the answer
+	Body       []byte   // their greatest records
+	Missing    int      // shards without a reply
+
+	Attempts []AttemptRecord // made by this host
+	Gatherer string          // host that gathered, if another one
 }
 
 // AttemptRecord is an attempt for the log.
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -41,6 +41,7 @@
 	mu       sync.RWMutex
 	services map[string]*service
 	hosts    int
+	fewer    map[string]int // hosts that share the budget of a service, where not all do
 
 	routesMu sync.Mutex
 	routes   map[string]*routeState
@@ -75,19 +76,28 @@
 	defer e.mu.Unlock()
 	e.hosts = max(n, 1)
 	for _, s := range e.services {
-		s.setHosts(e.hosts)
+		s.setHosts(e.sharers(s.name))
 	}
 }
 
-// SetSearchers replaces the searchers of all services.
-func (e *Engine) SetSearchers(offers map[string][]forward.Offer) {
+// sharers is the number of hosts that share the budget of a service.
+func (e *Engine) sharers(name string) int {
+	if n := e.fewer[name]; n > 0 {
+		return n
+	}
+	return e.hosts
+}
+
+// SetSearchers replaces the searchers of all services. Sharers holds the number
+// of hosts that share the budget of a service, where these are not all hosts.
+func (e *Engine) SetSearchers(offers map[string][]forward.Offer, sharers map[string]int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.fewer = sharers
 	for name, list := range offers {
 		s := e.services[name]
 		if s == nil {
 			s = newService(e, name)
-			s.setHosts(e.hosts)
 			e.services[name] = s
 		}
 		s.replace(list)
@@ -96,6 +106,7 @@
 		if _, ok := offers[name]; !ok {
 			s.replace(nil)
 		}
+		s.setHosts(e.sharers(name))
 	}
 }
 
@@ -110,7 +121,7 @@
 	defer e.mu.Unlock()
 	if s = e.services[name]; s == nil {
 		s = newService(e, name)
-		s.setHosts(e.hosts)
+		s.setHosts(e.sharers(name))
 		e.services[name] = s
 	}
 	return s
@@ -211,8 +222,10 @@
 	state := e.route(call.Route.Name)
 	services := e.servicesOf(call.Route, state)
 	now := time.Now()
-	for _, name := range services {
-		e.service(name).request(now)
+	if !call.Repeated {
+		for _, name := range services {
+			e.service(name).request(now)
+		}
 	}
 	r := &runner{
 		engine: e, call: call, route: state, events: make(chan event, maxAttemptsPerLeg*len(services)),
@@ -223,6 +236,9 @@
 	r.timing.usual, r.timing.hedge = state.timing.Usual(), state.timing.HedgeAfter(call.Route.Objective)
 	e.routesMu.Unlock()
 	run := forward.NewRun(r, call.Route, services, call.Arrived, call.Deadline)
+	if call.Repeated {
+		run.Repeat()
+	}
 	return r.drive(ctx, run, now)
 }
 
@@ -322,9 +338,18 @@
 // answer gathers the replies of an outcome.
 func (r *runner) answer(run *forward.Run, o forward.Outcome) (*Answer, *verdict.Error) {
 	a := &Answer{Missing: o.Missing, Attempts: records(run, time.Now())}
-	for _, attempt := range o.Replies {
-		a.Replies = append(a.Replies, r.took[attempt])
+	if r.call.Route.Gather == nil {
+		if len(o.Replies) > 0 {
+			a.Reply = r.took[o.Replies[0]]
+		}
+		return a, o.Err
+	}
+	parts := make([][]byte, len(o.Replies))
+	a.Signatures = make([]string, len(o.Replies))
+	for i, attempt := range o.Replies {
+		a.Signatures[i], parts[i] = r.took[attempt].Signature, r.took[attempt].Body
 	}
+	a.Body = forward.Merge(parts, r.call.Route.Gather.TopK)
 	return a, o.Err
 }
 
--- a/internal/forward/forwardrun/engine_test.go
+++ b/internal/forward/forwardrun/engine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -121,7 +122,7 @@
 func newEngine(t *testing.T, offers map[string][]forward.Offer) *Engine {
 	t.Helper()
 	e := New(Config{Wire: testWire{}, Log: eventlog.Nop(), Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}})
-	e.SetSearchers(offers)
+	e.SetSearchers(offers, nil)
 	t.Cleanup(e.Close)
 	return e
 }
@@ -188,7 +189,7 @@
 			a, err := e.Do(context.Background(), call("first", false))
 			if c.ok {
 				require.Nil(t, err)
-				require.Equal(t, "body", string(a.Replies[0].Body))
+				require.Equal(t, "body", string(a.Reply.Body))
 			} else {
 				require.NotNil(t, err)
 				require.Equal(t, c.v, err.Verdict)
@@ -200,7 +201,7 @@
 				a, err = e.Do(context.Background(), call("second", true))
 				return err == nil
 			}, patience, time.Millisecond)
-			require.Equal(t, "sig-second", a.Replies[0].Signature)
+			require.Equal(t, "sig-second", a.Reply.Signature)
 		})
 	}
 }
@@ -219,7 +220,7 @@
 	for i := range 10 {
 		a, err := e.Do(context.Background(), call(fmt.Sprintf("lost-%d", i), true))
 		require.Nil(t, err)
-		require.Equal(t, fmt.Sprintf("sig-lost-%d", i), a.Replies[0].Signature)
+		require.Equal(t, fmt.Sprintf("sig-lost-%d", i), a.Reply.Signature)
 	}
 }
 
@@ -300,6 +301,8 @@
 	require.LessOrEqual(t, len(s.conns), 3, "two for requests, and one that was kept ready")
 }
 
+func record(s string) string { return s + strings.Repeat("-", forward.RecordSize-len(s)) }
+
 // Guards against parts of two requests, or of a failure, in one gathered answer.
 func TestGatherTakesOneReplyOfEachShard(t *testing.T) {
 	offers := map[string][]forward.Offer{}
@@ -311,7 +314,7 @@
 			if i == 0 {
 				return write(c, "HTTP/1.1 500 Failed\r\nSignature: bad\r\nId: "+id+"\r\nContent-Length: 4\r\n\r\nbody")
 			}
-			return write(c, answer(id, name))
+			return write(c, answer(id, record(name)))
 		})
 		offers[name] = []forward.Offer{s.offer(name)}
 	}
@@ -321,12 +324,8 @@
 	a, err := e.Do(context.Background(), c)
 	require.Nil(t, err)
 	require.Equal(t, 1, a.Missing)
-	seen := map[string]bool{}
-	for _, r := range a.Replies {
-		require.Equal(t, "sig-q", r.Signature)
-		seen[string(r.Body)] = true
-	}
-	require.Len(t, seen, 5)
+	require.Equal(t, slices.Repeat([]string{"sig-q"}, 5), a.Signatures)
+	require.Equal(t, record("s5")+record("s4")+record("s3"), string(a.Body))
 	c.Route.Gather.MinRatio = 1
 	c.ID = "q2"
 	c.Arrived, c.Deadline = time.Now(), time.Now().Add(patience)
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -12,6 +12,7 @@
 // service is the group of a service's searchers with their connections.
 type service struct {
 	engine *Engine
+	name   string
 
 	mu      sync.Mutex
 	group   *forward.Group
@@ -33,7 +34,7 @@
 }
 
 func newService(e *Engine, name string) *service {
-	return &service{engine: e, group: forward.NewGroup(name, e.config.Budget), pools: make(map[forward.Identity]*pool)}
+	return &service{engine: e, name: name, group: forward.NewGroup(name, e.config.Budget), pools: make(map[forward.Identity]*pool)}
 }
 
 func (s *service) setHosts(n int) {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -62,7 +62,9 @@
 	Region        string
 	FailureDomain string
 	Roles         Roles
-	State         Liveness
+	// Capacity is how much work the host can take for others, relative to them.
+	Capacity uint32
+	State    Liveness
 }
 
 // Live reports whether the member counts as live. A suspect does, because
@@ -110,6 +112,7 @@
 	b = append(b, 0)
 	b = append(b, m.FailureDomain...)
 	b = append(b, 0, byte(m.Roles))
+	b = binary.LittleEndian.AppendUint32(b, m.Capacity)
 	return xxhash.Sum64(b)
 }
 
--- a/internal/membership/membershiprpc/codec.go
+++ b/internal/membership/membershiprpc/codec.go
@@ -109,6 +109,7 @@
 		FailureDomain: m.FailureDomain,
 		Roles:         uint32(m.Roles),
 		State:         uint32(m.State),
+		Capacity:      m.Capacity,
 	}
 }
 
@@ -129,6 +130,7 @@
 		FailureDomain: msg.GetFailureDomain(),
 		Roles:         membership.Roles(msg.GetRoles()),
 		State:         membership.Liveness(msg.GetState()),
+		Capacity:      msg.GetCapacity(),
 	}
 	return m, m.Validate()
 }
--- a/internal/routeplan/table.go
+++ b/internal/routeplan/table.go
@@ -53,10 +53,22 @@
 	return s, ok
 }
 
+// Gathered returns the names of all services from which some route gathers,
+// sorted.
+func (t *Table) Gathered() []string {
+	return t.names(func(r *Route) bool { return r.Gather != nil })
+}
+
 // Used returns the names of all services that some route uses, sorted.
-func (t *Table) Used() []string {
+func (t *Table) Used() []string { return t.names(func(*Route) bool { return true }) }
+
+// names returns the services of the routes that match, sorted.
+func (t *Table) names(match func(*Route) bool) []string {
 	used := make(map[string]bool)
 	for _, r := range t.routes {
+		if !match(r) {
+			continue
+		}
 		for _, s := range r.Services() {
 			used[s] = true
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,7 @@
 	maxLease      = time.Minute
 	// maxLossTolerance follows from the five voters of the log at most.
 	maxLossTolerance = 2
+	maxCapacity      = 1_000_000_000
 )
 
 func (r *raw) check(c *checker) *Settings {
@@ -128,6 +129,9 @@
 	if s.RetryExtra < 0 || s.RetryWindow <= 0 {
 		c.add("-retry-extra can't be negative, and -retry-window must be above zero")
 	}
+	if s.Capacity < 1 || s.Capacity > maxCapacity {
+		c.add("-capacity %d is outside 1..%d", s.Capacity, maxCapacity)
+	}
 	if s.LossTolerance < 1 || s.LossTolerance > maxLossTolerance {
 		c.add("-loss-tolerance %d is outside 1..%d", s.LossTolerance, maxLossTolerance)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,7 @@
 	LeasePeriod   time.Duration // of targets
 	RetryExtra    int           // with ServePlan: further attempts at a service in RetryWindow, besides RetryPermille of its requests, over all hosts
 	RetryWindow   time.Duration // with ServePlan
+	Capacity      uint          // for work on behalf of other hosts, relative to theirs
 
 	AdminTokenFile   string
 	LogLevel         zerolog.Level
@@ -116,6 +117,7 @@
 	fs.DurationVar(&r.LeasePeriod, "lease-period", 3*time.Second, "how long a target counts as alive after its last announcement, 1s to 1m")
 	fs.IntVar(&r.RetryExtra, "retry-extra", 60, "with -serve-plan: further attempts at one service in -retry-window by all hosts, besides -retry-permille of its requests")
 	fs.DurationVar(&r.RetryWindow, "retry-window", 10*time.Second, "with -serve-plan: window of the bound on further attempts")
+	fs.UintVar(&r.Capacity, "capacity", 1, "how much work this host can take for others, relative to them, 1 to 1000000000")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "least severe events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves a configuration that nothing confirms, 1s to 4s")
--- /dev/null
+++ b/internal/soak/client_test.go
@@ -0,0 +1,240 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// client sends requests to one host over a connection that it keeps until the
+// host ends it, and checks every answer.
+type client struct {
+	w       *world
+	number  int
+	host    *hostProcess
+	conn    net.Conn
+	br      *bufio.Reader
+	sent    int
+	served  *atomic.Int64
+	refused map[string]bool // orders that were refused as not run
+}
+
+// callerPatience is how long a caller waits for an answer.
+const callerPatience = 2 * time.Second
+
+func (c *client) run(ctx context.Context) {
+	defer c.drop()
+	for ctx.Err() == nil {
+		c.request(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(5+c.number%7) * time.Millisecond):
+		}
+	}
+}
+
+func (c *client) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// request sends one request: a gather, a read or an order.
+func (c *client) request(ctx context.Context) {
+	if c.conn == nil && !c.connect(ctx) {
+		return
+	}
+	c.sent++
+	id := fmt.Sprintf("c%d-%d-%d", c.w.seed, c.number, c.sent)
+	kind := []string{"all", "one", "order"}[c.sent%3]
+	method := http.MethodGet
+	if kind == "order" {
+		method = http.MethodPost
+	}
+	started := time.Now()
+	_ = c.conn.SetDeadline(started.Add(callerPatience + time.Second))
+	text := fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", method, kind, id, callerPatience.Milliseconds())
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		c.drop()
+		return
+	}
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+	}
+	if err != nil {
+		c.cut(id, kind, started, err)
+		c.drop()
+		return
+	}
+	c.check(id, kind, resp, string(body))
+	if resp.Close {
+		c.drop()
+	}
+}
+
+func (c *client) connect(ctx context.Context) bool {
+	c.host = c.w.hosts[(c.number+c.sent)%len(c.w.hosts)]
+	c.sent++
+	conn, err := net.DialTimeout("tcp", c.host.address("front"), 300*time.Millisecond)
+	if err != nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+		return false
+	}
+	c.conn, c.br = conn, bufio.NewReader(conn)
+	return true
+}
+
+// cut judges a connection that ended without an answer. A planned stop must
+// not end one on which a target was already asked.
+func (c *client) cut(id, kind string, started time.Time, err error) {
+	if c.host.harmedSince(started.Add(-time.Second)) || time.Since(started) > callerPatience {
+		return
+	}
+	for _, s := range append([]string{"single"}, c.w.shards...) {
+		if c.w.ledger.count(id, s) > 0 {
+			c.w.fail("%s: %s %s was passed on and its connection ended without an answer: %v", c.host.name, kind, id, err)
+			return
+		}
+	}
+}
+
+// check compares an answer with what the targets said.
+func (c *client) check(id, kind string, resp *http.Response, body string) {
+	status := resp.StatusCode
+	if kind == "order" && slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, status) {
+		c.refused[id] = true
+	}
+	if status != http.StatusOK {
+		return
+	}
+	c.served.Add(1)
+	if kind != "all" {
+		want := strings.Join(records("single", id, recordsPerPart), "")
+		if body != want || resp.Header.Get("X-Response-Signature") != signature("single", id) {
+			c.w.fail("%s: %s %s got an answer of another request: %q", c.host.name, kind, id, body)
+		}
+		return
+	}
+	c.checkGathered(id, resp, body)
+}
+
+func (c *client) checkGathered(id string, resp *http.Response, body string) {
+	parts := strings.Split(resp.Header.Get("X-Part-Signatures"), ", ")
+	missing, err := strconv.Atoi(resp.Header.Get("X-Missing-Parts"))
+	if err != nil || len(parts)+missing != len(c.w.shards) {
+		c.w.fail("%s: gather %s names %d parts and %d missing of %d", c.host.name, id, len(parts), missing, len(c.w.shards))
+		return
+	}
+	var all []string
+	seen := map[string]bool{}
+	for _, p := range parts {
+		service, _, _ := strings.Cut(p, ".")
+		if p != signature(service, id) || seen[service] || !slices.Contains(c.w.shards, service) {
+			c.w.fail("%s: gather %s has the part %q twice or of another request", c.host.name, id, p)
+			return
+		}
+		seen[service] = true
+		all = append(all, records(service, id, recordsPerPart)...)
+	}
+	slices.Sort(all)
+	slices.Reverse(all)
+	if body != strings.Join(all[:min(topK, len(all))], "") {
+		c.w.fail("%s: gather %s does not hold the greatest records of its parts", c.host.name, id)
+	}
+}
+
+// topK is the number of records in a gathered answer.
+const topK = 4
+
+// planText is a configuration of a version. Each version adds a route of its
+// own, so that an answer shows which version handled it.
+func (w *world) planText(version int) string {
+	var shards, services []string
+	for _, s := range w.shards {
+		shards = append(shards, strconv.Quote(s))
+	}
+	for _, s := range append([]string{"single"}, w.shards...) {
+		services = append(services, fmt.Sprintf(`{"name":%q,"health_check_path":"/health","max_connections":40}`, s))
+	}
+	route := func(name, prefix, kind, where string) string {
+		return fmt.Sprintf(`{"name":%q,"hostname":"soak.example","path_prefix":%q,"route_type":%q,"timeout_ms":2000,"target_latency_ms":300,"priority":1,"max_attempts":2,%s}`, name, prefix, kind, where)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[%s],"limits":{}}`, version,
+		route("all", "/all/", "safe", fmt.Sprintf(`"gather":[%s],"top_k":%d,"min_shard_ratio":0.6`, strings.Join(shards, ","), topK)),
+		route("one", "/one/", "safe", `"service":"single"`),
+		route("order", "/order/", "unsafe", `"service":"single"`),
+		route("v", fmt.Sprintf("/v%d/", version), "safe", `"service":"single"`),
+		strings.Join(services, ","))
+}
+
+// putPlan sends a configuration to hosts in turn until one acknowledges it or
+// the time is up. The same text is sent again, as after a lost reply.
+func (w *world) putPlan(version, first int, patience time.Duration) bool {
+	text := w.planText(version)
+	httpClient := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end, try := time.Now().Add(patience), first; time.Now().Before(end); try++ {
+		h := w.hosts[try%len(w.hosts)]
+		r, err := http.NewRequest(http.MethodPut, "http://"+h.address("control")+"/hawthornlock/config", strings.NewReader(text))
+		if err != nil {
+			return false
+		}
+		resp, err := httpClient.Do(r)
+		if err != nil {
+			continue
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+			w.fail("%s refused version %d with %d", h.name, version, resp.StatusCode)
+		}
+		if resp.StatusCode == http.StatusOK {
+			w.planMu.Lock()
+			w.acked = max(w.acked, version)
+			w.planMu.Unlock()
+			return true
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	return false
+}
+
+// readPlan checks that a host returns no configuration older than what was
+// acknowledged before the read, and returns the version or 0.
+func (w *world) readPlan(h *hostProcess) int {
+	w.planMu.Lock()
+	acked := w.acked
+	w.planMu.Unlock()
+	httpClient := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := httpClient.Get("http://" + h.address("control") + "/hawthornlock/config")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return 0
+	}
+	var version int
+	if _, err := fmt.Sscanf(string(body), `{"version":%d,`, &version); err != nil || string(body) != w.planText(version) {
+		w.fail("%s returned a configuration that was never sent: %.80q", h.name, body)
+		return 0
+	}
+	if version < acked {
+		w.fail("%s returned version %d after %d was acknowledged", h.name, version, acked)
+	}
+	return version
+}
