Take a share of gathers under overload, and keep attempts within one gatherer

Change: a route's admission follows whether its answers are in time; another gatherer is asked only if the first did not take the request; single routes to gathered services go through gatherers too.

--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/gathering"
@@ -76,10 +78,10 @@
 
 // of returns the gatherers of a route, or nil if every host gathers itself.
 func (p *placement) of(r *routeplan.Route) []gathering.Host {
-	if p == nil || r.Gather == nil {
+	if p == nil {
 		return nil
 	}
-	for _, name := range r.Gather.Services {
+	for _, name := range r.Services() {
 		if g := p.gatherers[name]; g != nil {
 			return g
 		}
@@ -106,14 +108,16 @@
 	d.gather.mu.Unlock()
 	request := encodeGather(call, version, path)
 	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no host gathers for this route").WithRetryAfter(retryAfterGatherer)
-	for i, g := range order[:min(len(order), maxGatherers)] {
-		answer, err := d.gatherAt(ctx, g.Name, call, request, i+1 < min(len(order), maxGatherers))
-		if err == nil || ctx.Err() != nil || !time.Now().Before(call.Deadline) || answer != nil {
+	for _, g := range order[:min(len(order), maxGatherers)] {
+		answer, err := d.gatherAt(ctx, g.Name, call, request)
+		if err == nil || answer != nil {
 			return answer, err
 		}
-		v := verdict.Join(failure.Verdict, err.Verdict)
-		request.Repeated = request.Repeated || err.Verdict != verdict.NotRun
-		failure = verdict.New(v, err.Code, "host %s: %s", g.Name, err.Error()).WithRetryAfter(retryAfterGatherer)
+		failure = verdict.New(err.Verdict, err.Code, "host %s: %s", g.Name, err.Error()).WithRetryAfter(retryAfterGatherer)
+		if err.Verdict != verdict.NotRun {
+			// The gatherer may have used all attempts that the route allows.
+			break
+		}
 	}
 	return &forwardrun.Answer{}, failure
 }
@@ -125,33 +129,45 @@
 // membership knows of lost ones after three seconds.
 const retryAfterGatherer = 500 * time.Millisecond
 
-// gathererPatience is the share of the objective, above it, after which a
-// gatherer that has not answered counts as lost and another one is asked. A
-// gatherer answers by the objective if enough shards do.
-const gathererPatience = 0.5
+// gathererPatience is the number of objectives after which a gatherer that has
+// not answered is asked last by further requests. A gatherer answers by the
+// objective if enough shards do.
+const gathererPatience = 1.5
 
 func encodeGather(c *forwardrun.Call, version uint64, path string) *gatheringrpc.GatherRequest {
 	m := &gatheringrpc.GatherRequest{Plan: version, RequestId: c.ID, Method: c.Method, Uri: c.URI, Host: c.Host, Body: c.Body, Path: path}
-	for name, values := range c.Header {
-		m.Headers = append(m.Headers, &gatheringrpc.Header{Name: name, Values: values})
-	}
+	m.Headers = encodeHeader(c.Header)
 	return m
 }
 
+func encodeHeader(h http.Header) []*gatheringrpc.Header {
+	out := make([]*gatheringrpc.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &gatheringrpc.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func decodeHeader(headers []*gatheringrpc.Header) http.Header {
+	out := make(http.Header, len(headers))
+	for _, h := range headers {
+		out[h.GetName()] = h.GetValues()
+	}
+	return out
+}
+
 // gatherAt hands a request to a gatherer. An answer beside an error is final;
 // without one, another gatherer may be asked.
-func (d *Daemon) gatherAt(ctx context.Context, host string, call *forwardrun.Call, m *gatheringrpc.GatherRequest, another bool) (*forwardrun.Answer, *verdict.Error) {
+func (d *Daemon) gatherAt(ctx context.Context, host string, call *forwardrun.Call, m *gatheringrpc.GatherRequest) (*forwardrun.Answer, *verdict.Error) {
 	address, ok := d.directory.lookup(host)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the address of host %q is unknown", host)
 	}
 	now := time.Now()
-	limit := call.Deadline
-	if patience := now.Add(time.Duration((1 + gathererPatience) * float64(call.Route.Objective))); another && patience.Before(limit) {
-		limit = patience
-	}
+	slow := time.AfterFunc(time.Duration(gathererPatience*float64(call.Route.Objective)), func() { d.noteGatherer(ctx, host, errSlowGatherer) })
+	defer slow.Stop()
 	m.ElapsedUs, m.LeftUs = now.Sub(call.Arrived).Microseconds(), call.Deadline.Sub(now).Microseconds()
-	attempt, cancel := context.WithDeadline(ctx, limit)
+	attempt, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), d.links.Client()).Gather(attempt, m)
 	d.noteGatherer(ctx, host, err)
@@ -168,6 +184,9 @@
 	return decodeGathered(reply, host)
 }
 
+// errSlowGatherer says that a gatherer has not answered for long.
+var errSlowGatherer = errors.New("the gatherer has not answered yet")
+
 // noteGatherer keeps whether a gatherer answered.
 func (d *Daemon) noteGatherer(ctx context.Context, host string, err error) {
 	if ctx.Err() != nil {
@@ -184,6 +203,9 @@
 
 func decodeGathered(m *gatheringrpc.GatherReply, host string) (*forwardrun.Answer, *verdict.Error) {
 	a := &forwardrun.Answer{Signatures: m.GetSignatures(), Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: host}
+	if m.GetStatus() > 0 {
+		a.Body, a.Reply = nil, &forwardrun.Reply{Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody()}
+	}
 	if m.GetFailure() == nil {
 		return a, nil
 	}
@@ -212,20 +234,18 @@
 		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(err)}, nil
 	}
 	route := snapshot.Plan.Route(m.GetHost(), m.GetPath())
-	if route == nil || route.Gather == nil {
-		err := verdict.New(verdict.NotRun, codePlanBehind, "route plan %d gathers nothing for this path", snapshot.Plan.Version)
+	if route == nil {
+		err := verdict.New(verdict.NotRun, codePlanBehind, "route plan %d has no route for this path", snapshot.Plan.Version)
 		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(err)}, nil
 	}
-	header := make(http.Header, len(m.GetHeaders()))
-	for _, h := range m.GetHeaders() {
-		header[h.GetName()] = h.GetValues()
-	}
 	answer, failure := s.d.engine.Do(ctx, &forwardrun.Call{
-		ID: m.GetRequestId(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: header, Body: m.GetBody(), Route: route,
+		ID: m.GetRequestId(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(), Route: route,
 		Arrived: now.Add(-time.Duration(m.GetElapsedUs()) * time.Microsecond), Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
-		Repeated: m.GetRepeated(),
 	})
 	reply := &gatheringrpc.GatherReply{Signatures: answer.Signatures, Body: answer.Body, Missing: uint32(answer.Missing), Attempts: uint32(len(answer.Attempts))}
+	if answer.Reply != nil {
+		reply.Status, reply.Headers, reply.Body = uint32(answer.Reply.Status), encodeHeader(answer.Reply.Header), answer.Reply.Body
+	}
 	if failure != nil {
 		reply.Failure = s.d.encodeFailure(failure)
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -62,6 +62,7 @@
 		total("forward_extra_attempts_total", "Attempts beyond the first of a request at a service: hedges and retries.", &st.Retries),
 		total("forward_lost_total", "Attempts without a usable answer.", &st.Lost),
 		total("forward_rejected_total", "Attempts that searchers rejected.", &st.Rejected),
+		total("forward_shed_total", "Gathered requests that were not taken because the shards could not answer in time.", &st.Shed),
 		total("forward_dials_total", "Connections opened to searchers.", &st.Dials),
 		total("forward_dial_failures_total", "Connections to searchers that could not be opened.", &st.DialFailures),
 	}
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -21,7 +21,6 @@
 	Route    *routeplan.Route
 	Arrived  time.Time
 	Deadline time.Time
-	Repeated bool // an earlier carrier may have sent it to searchers already
 }
 
 // Reply is a searcher's whole answer.
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -50,13 +50,16 @@
 
 // Stats are totals since the start.
 type Stats struct {
-	Calls, Attempts, Retries, Dials, DialFailures, Lost, Rejected atomic.Int64
+	Calls, Attempts, Retries, Dials, DialFailures, Lost, Rejected, Shed atomic.Int64
 }
 
 // routeState is what the engine keeps of a route across its versions.
 type routeState struct {
-	timing   *forward.Timing
-	splitter forward.Splitter
+	timing    *forward.Timing
+	splitter  forward.Splitter
+	admission forward.Admission
+	priority  int
+	first     string // first service, which tells routes over the same shards
 }
 
 // New returns an engine without searchers.
@@ -211,6 +214,48 @@
 	timing struct{ usual, hedge time.Duration }
 }
 
+// retryAfterShed is the hint to a caller whose request was not taken. It lets
+// the searchers' queues drain and lies within what callers wait.
+const retryAfterShed = 300 * time.Millisecond
+
+// admit decides whether a gathered request is taken. A route is never taken
+// more often than a more urgent one over the same shards.
+func (e *Engine) admit(call *Call, state *routeState, draw float64) *verdict.Error {
+	if call.Route.Gather == nil {
+		return nil
+	}
+	e.routesMu.Lock()
+	defer e.routesMu.Unlock()
+	state.priority, state.first = call.Route.Priority, call.Route.Gather.Services[0]
+	share := state.admission.Share()
+	for _, o := range e.routes {
+		if o.first == state.first && o.priority < state.priority {
+			share = min(share, o.admission.Share())
+		}
+	}
+	if draw < share {
+		return nil
+	}
+	e.stats.Shed.Add(1)
+	return verdict.New(verdict.NotRun, forward.CodeOverloaded, "the shards can't answer in time; %.0f %% of the requests are taken", 100*share).
+		WithRetryAfter(retryAfterShed)
+}
+
+// noteEnd tells the admission of a gathered route how a request ended.
+func (e *Engine) noteEnd(call *Call, state *routeState, err *verdict.Error) {
+	if call.Route.Gather == nil || err != nil && (err.Code == CodeCallerGone || err.Verdict == verdict.NotRun) {
+		return
+	}
+	now := time.Now()
+	e.routesMu.Lock()
+	defer e.routesMu.Unlock()
+	if err == nil && now.Sub(call.Arrived) <= call.Route.Objective {
+		state.admission.InTime(now)
+		return
+	}
+	state.admission.Late(now)
+}
+
 // maxAttemptsPerLeg bounds the events of a leg, so that an event never blocks
 // its sender: attempts and their notices of room.
 const maxAttemptsPerLeg = 16
@@ -222,24 +267,25 @@
 	state := e.route(call.Route.Name)
 	services := e.servicesOf(call.Route, state)
 	now := time.Now()
-	if !call.Repeated {
-		for _, name := range services {
-			e.service(name).request(now)
-		}
+	rng := rand.New(rand.NewPCG(e.config.Seed, uint64(e.stats.Calls.Load())))
+	if err := e.admit(call, state, rng.Float64()); err != nil {
+		return &Answer{}, err
+	}
+	for _, name := range services {
+		e.service(name).request(now)
 	}
 	r := &runner{
 		engine: e, call: call, route: state, events: make(chan event, maxAttemptsPerLeg*len(services)),
 		took: make(map[*forward.Attempt]*Reply, len(services)),
-		rng:  rand.New(rand.NewPCG(e.config.Seed, uint64(e.stats.Calls.Load()))),
+		rng:  rng,
 	}
 	e.routesMu.Lock()
 	r.timing.usual, r.timing.hedge = state.timing.Usual(), state.timing.HedgeAfter(call.Route.Objective)
 	e.routesMu.Unlock()
 	run := forward.NewRun(r, call.Route, services, call.Arrived, call.Deadline)
-	if call.Repeated {
-		run.Repeat()
-	}
-	return r.drive(ctx, run, now)
+	answer, err := r.drive(ctx, run, now)
+	e.noteEnd(call, state, err)
+	return answer, err
 }
 
 func (r *runner) drive(ctx context.Context, run *forward.Run, now time.Time) (*Answer, *verdict.Error) {
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -218,3 +218,62 @@
 	require.Greater(t, wait, 13*time.Millisecond)
 	require.Less(t, wait, 30*time.Millisecond)
 }
+
+// Plays a queue that serves 60 requests a second, at a load of 90, with answers
+// due after 200 ms. Guards against an overload in which every answer is late,
+// and against a share that stays low after it.
+func TestAdmissionKeepsAnswersInTimeUnderOverload(t *testing.T) {
+	taken := playAdmission(t, true)
+	all := playAdmission(t, false)
+	require.Greater(t, taken, 0.4)
+	require.Less(t, all, 0.1)
+	var a Admission
+	for i := range 100 {
+		a.Late(start.Add(time.Duration(i) * time.Second))
+	}
+	require.InDelta(t, leastShare, a.Share(), 1e-9)
+	for i := range 40 {
+		a.InTime(start.Add(time.Duration(i) * time.Second))
+	}
+	require.InDelta(t, 1, a.Share(), 1e-9)
+}
+
+// playAdmission returns the share of all requests that were answered in time.
+func playAdmission(t *testing.T, admit bool) float64 {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(5, 6))
+	var a Admission
+	const requests = 2000
+	due, work := 200*time.Millisecond, time.Second/60
+	now, free := start, start
+	type ending struct {
+		at   time.Time
+		late bool
+	}
+	var ends []ending
+	inTime := 0
+	for range requests {
+		now = now.Add(time.Second / 90)
+		for len(ends) > 0 && !ends[0].at.After(now) {
+			if ends[0].late {
+				a.Late(ends[0].at)
+			} else {
+				a.InTime(ends[0].at)
+			}
+			ends = ends[1:]
+		}
+		if admit && rng.Float64() >= a.Share() {
+			continue
+		}
+		if free.Before(now) {
+			free = now
+		}
+		free = free.Add(work)
+		late := free.Sub(now) > due
+		if !late {
+			inTime++
+		}
+		ends = append(ends, ending{free, late})
+	}
+	return float64(inTime) / requests
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -118,7 +118,6 @@
 	deadline time.Time
 	cutoff   time.Time     // from which an answer without all shards is given
 	hedge    time.Duration // wait before another searcher is asked as well
-	repeated bool
 	good     int
 	finished bool
 	effects  []Effect
@@ -176,10 +175,6 @@
 	return r
 }
 
-// Repeat says that another host may have sent the request to searchers already,
-// so that the first attempts are extra arrivals there.
-func (r *Run) Repeat() { r.repeated = true }
-
 // Start sends the first attempts.
 //
 // A gathered request that too few shards can answer is refused before anything
@@ -422,7 +417,7 @@
 	if len(l.attempts) >= maxTries || l.countMayRun() >= r.maxAttempts() {
 		return false
 	}
-	ask := Ask{Tried: l.tried(), Extra: r.repeated || l.arrived()}
+	ask := Ask{Tried: l.tried(), Extra: l.arrived()}
 	if !needed {
 		ask.Within = r.cutoff.Sub(now)
 		if ask.Within <= 0 {
