--- /dev/null
+++ b/internal/forward/forwardrun/bench_test.go
@@ -0,0 +1,40 @@
+package forwardrun
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+)
+
+// BenchmarkGather measures one gathered request over loopback sockets, scripted
+// searchers included.
+func BenchmarkGather(b *testing.B) {
+	const shards = 20
+	offers := map[string][]forward.Offer{}
+	var services []string
+	for i := range shards {
+		name := fmt.Sprintf("s%d", i)
+		s := startSearcher(b, func(_ int, id string, c net.Conn) bool { return write(c, answer(id, record(name))) })
+		offers[name] = []forward.Offer{s.offer(name)}
+		services = append(services, name)
+	}
+	e := New(Config{Wire: testWire{}, Log: eventlog.Nop(), Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}})
+	e.SetSearchers(offers, nil)
+	b.Cleanup(e.Close)
+	route := &routeplan.Route{Name: "g", Idempotent: true, MaxAttempts: 2, Timeout: patience, Objective: patience, Gather: &routeplan.Gather{Services: services, TopK: 3, MinRatio: 1}}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now := time.Now()
+		if _, err := e.Do(context.Background(), &Call{ID: fmt.Sprint(n), Method: http.MethodGet, URI: "/", Route: route, Arrived: now, Deadline: now.Add(patience)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/shard")
+}
--- a/internal/forward/forwardrun/engine_test.go
+++ b/internal/forward/forwardrun/engine_test.go
@@ -49,7 +49,7 @@
 	workers  sync.WaitGroup
 }
 
-func startSearcher(t *testing.T, script func(n int, id string, c net.Conn) bool) *searcher {
+func startSearcher(t testing.TB, script func(n int, id string, c net.Conn) bool) *searcher {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -118,6 +118,8 @@
 	deadline time.Time
 	cutoff   time.Time     // from which an answer without all shards is given
 	hedge    time.Duration // wait before another searcher is asked as well
+	least    int           // shards in a success
+	anyDead  bool          // some leg was given up at some time
 	good     int
 	finished bool
 	effects  []Effect
@@ -166,6 +168,9 @@
 		margin := max(minAnswerMargin, time.Duration(answerMarginShare*float64(route.Objective)))
 		r.cutoff = arrived.Add(route.Objective - margin)
 	}
+	if route.Gather != nil {
+		r.least = route.Gather.MinShards()
+	}
 	legs := make([]leg, len(services))
 	r.legs = make([]*leg, len(services))
 	for i, s := range services {
@@ -207,7 +212,7 @@
 		expected, ok := r.env.Expected(now, l.service)
 		switch {
 		case !ok:
-			l.dead = true
+			r.giveUp(l)
 		case expected > r.cutoff.Sub(now):
 			spread := 1 + skipSpread*float64(r.env.Draw(skipDraws))/skipDraws
 			late = append(late, lateLeg{l, spread * expected.Seconds()})
@@ -234,13 +239,19 @@
 	if r.route.Gather == nil {
 		return
 	}
-	allowed := len(r.legs) - r.deadLegs() - r.route.Gather.MinShards()
+	allowed := len(r.legs) - r.deadLegs() - r.least
 	slices.SortFunc(late, func(a, b lateLeg) int { return cmp.Compare(b.weight, a.weight) })
 	for _, l := range late[:min(max(allowed, 0), len(late))] {
-		l.dead = true
+		r.giveUp(l.leg)
 	}
 }
 
+// giveUp notes that nothing more is tried for a leg.
+func (r *Run) giveUp(l *leg) {
+	l.dead = true
+	r.anyDead = true
+}
+
 // Ended takes the result of an attempt.
 func (r *Run) Ended(now time.Time, a *Attempt, result Result) []Effect {
 	r.effects = nil
@@ -399,7 +410,9 @@
 	open := l.open()
 	switch {
 	case open == nil:
-		l.dead = !r.attempt(now, i, true) && !l.waiting && !now.Before(l.notBefore)
+		if !r.attempt(now, i, true) && !l.waiting && !now.Before(l.notBefore) {
+			r.giveUp(l)
+		}
 	case r.mayHedge(l) && !now.Before(later(open.Began.Add(r.hedge), l.hedgeNext)):
 		if !r.attempt(now, i, false) {
 			l.hedgeNext = now.Add(hedgePause)
@@ -477,12 +490,11 @@
 }
 
 func (r *Run) gathered(now time.Time) (Outcome, bool) {
-	least := r.route.Gather.MinShards()
 	settled := r.good + r.deadLegs()
 	switch {
-	case r.good >= least && (settled == len(r.legs) || !now.Before(r.cutoff)):
+	case r.good >= r.least && (settled == len(r.legs) || !now.Before(r.cutoff)):
 		return r.answer(), true
-	case len(r.legs)-r.deadLegs() < least, !now.Before(r.deadline):
+	case len(r.legs)-r.deadLegs() < r.least, !now.Before(r.deadline):
 		return Outcome{Missing: len(r.legs) - r.good, Err: r.failure(now, "too many shards")}, true
 	}
 	return Outcome{}, false
@@ -491,6 +503,9 @@
 // deadLegs counts the legs that can't answer any more. A leg whose attempt is
 // still in progress can, even if nothing further may be tried.
 func (r *Run) deadLegs() int {
+	if !r.anyDead {
+		return 0 // the usual case, asked after every event
+	}
 	n := 0
 	for _, l := range r.legs {
 		if l.dead && l.open() == nil {
@@ -540,7 +555,7 @@
 	case v == verdict.NotRun:
 		return verdict.New(v, CodeNoSearcher, "%s can't be reached", what).WithRetryAfter(retryAfterOutage)
 	case r.route.Gather != nil:
-		return verdict.New(v, CodeFewShards, "%d of %d shards answered, at least %d are needed", r.good, len(r.legs), r.route.Gather.MinShards())
+		return verdict.New(v, CodeFewShards, "%d of %d shards answered, at least %d are needed", r.good, len(r.legs), r.least)
 	default:
 		return verdict.New(v, CodeLostAttempt, "no usable answer came from %s", what)
 	}
