Prove the found voters under lost disks, replacement and a stop of all

Change: the fault matrix runs hosts that find each other, with route plans: lost disks in turn, a voter that is replaced and returns, all processes at once.

--- a/internal/faultmatrix/host_test.go
+++ b/internal/faultmatrix/host_test.go
@@ -30,6 +30,7 @@
 	domain  string
 	address netip.AddrPort
 	voter   bool
+	starts  int // processes so far, where the voters are found
 	disk    *disk
 
 	up          bool
@@ -70,7 +71,7 @@
 	if h.voter {
 		roles |= membership.RoleVoter
 	}
-	h.core = control.NewCore(control.Options{
+	options := control.Options{
 		Self: h.name, Staleness: 3 * time.Second, Voters: w.feeds(), Seeds: w.seeds(h),
 		Member: membership.Member{
 			Host: h.name, Incarnation: h.incarnation, PeerAddress: h.address,
@@ -78,7 +79,11 @@
 		},
 		Shares: connections.Config{}, Node: h.node, Codec: controlcodec.Codec{},
 		Lifecycle: lifecycle.Options{BalancerLag: balancerLag, ShutdownTimeout: 10 * time.Second, HandoverTimeout: 5 * time.Second},
-	}, w.now)
+	}
+	if w.find {
+		w.findVoters(h, &options)
+	}
+	h.core = control.NewCore(options, w.now)
 	h.execute(h.core.Start(w.now))
 	h.publish()
 	h.tick(h.incarnation)
@@ -89,7 +94,7 @@
 		Self: consensus.Member{Identity: h.disk.identity, Name: h.name, Address: h.address.String()},
 		Rand: rand.New(rand.NewPCG(h.incarnation, uint64(h.address.Port()))),
 	}
-	for _, v := range h.w.voters() {
+	for _, v := range h.w.initial() {
 		o.Initial = append(o.Initial, consensus.Member{Name: v.name, Address: v.address.String()})
 	}
 	return o
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -45,6 +45,7 @@
 	fences  uint64        // of the claims made so far
 	busy    time.Duration // for which requests keep a connection open
 	limit   int           // connections that each target allows
+	find    bool          // hosts with a disk find each other, and serve the route plan
 	history []string
 }
 
@@ -99,7 +100,12 @@
 	w.run(2 * time.Second)
 }
 
-func (w *world) voters() []*host { return w.hosts[:3] }
+func (w *world) voters() []*host {
+	if w.find {
+		return w.hosts[:foundDisks]
+	}
+	return w.hosts[:3]
+}
 
 func (w *world) feeds() []follow.FeedHost {
 	var out []follow.FeedHost
