Replace feeds that are cut off from the leader

Change: a feed whose confirmation is older than 1.5 s is replaced. Code that nothing used is gone.

Result: the new test fails without the change and passes with it.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -25,7 +25,7 @@
 // snapshots; all of them are committed.
 func (c *Core) applyPlan(now time.Time, d *routeplan.Document) (routeplan.Result, []Effect) {
 	held := c.plans.Version()
-	result := c.plans.Apply(now, d)
+	result := c.plans.Apply(d)
 	if !result.Applied {
 		return result, nil
 	}
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -34,7 +34,7 @@
 		return nil
 	}
 	return forwardrun.New(forwardrun.Config{
-		Wire: d.adapter.Wire, FailureDomain: d.settings.FailureDomain, Seed: d.settings.Seed, Log: d.log,
+		Wire: d.adapter.Wire, FailureDomain: d.settings.FailureDomain, Seed: d.settings.Seed,
 		OnGone: func(target string, incarnation uint64) {
 			d.drainSeen(query.DrainSeen{Target: target, Incarnation: incarnation})
 		},
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -192,3 +192,29 @@
 	require.Equal(t, []string{"h2", "v2"}, f.Feeds())
 	require.Contains(t, effects, Effect(SendPoll{To: "h2", Poll: Poll{From: "h", Seq: 3}}))
 }
+
+// Guards against a host that keeps to feeds which answer and are themselves cut
+// off from the leader: it would go on with an old configuration for as long as
+// the cut lasts.
+func TestFeedCutOffFromTheLeaderIsReplaced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	confirmed := now
+	f := NewFollower("h", false)
+	f.Step(now, FeedsChanged{Feeds: []FeedHost{{"cut1", "a"}, {"cut2", "b"}, {"good", "c"}}})
+	var polls []Effect
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		for _, e := range append(polls, f.Step(now, Tick{})...) {
+			p, ok := e.(SendPoll)
+			if !ok {
+				continue
+			}
+			age := now.Sub(confirmed)
+			if p.To == "good" {
+				age = 0
+			}
+			polls = f.Step(now, UpdateReceived{Update{From: p.To, Seq: p.Poll.Seq, Term: 1, Confirmed: true, ConfirmedAge: age}})
+		}
+	}
+	require.Contains(t, f.Feeds(), "good")
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -14,8 +14,11 @@
 type feedState struct {
 	host     FeedHost
 	lastSeen time.Time
-	polls    map[uint64]time.Time // send time by sequence number
-	sent     time.Time
+	// confirmedAt is when the leader confirmed what the feed has, as far as is
+	// known, or when the feed was taken into use.
+	confirmedAt time.Time
+	polls       map[uint64]time.Time // send time by sequence number
+	sent        time.Time
 }
 
 // Follower is the part of a host that keeps its configuration current.
@@ -125,6 +128,9 @@
 	}
 	delete(s.polls, u.Seq)
 	s.lastSeen = now
+	if u.Confirmed {
+		s.confirmedAt = sent.Add(-u.ConfirmedAge)
+	}
 	// The leader's confirmation is at least as old as the poll's send time,
 	// so network delay can't make it look younger.
 	if u.Confirmed && u.ConfirmedRevision <= f.revision {
@@ -186,7 +192,7 @@
 }
 
 func newFeedState(now time.Time, h FeedHost) *feedState {
-	return &feedState{host: h, lastSeen: now, polls: make(map[uint64]time.Time)}
+	return &feedState{host: h, lastSeen: now, confirmedAt: now, polls: make(map[uint64]time.Time)}
 }
 
 // candidate returns the next known feed that is not in use, and prefers one
@@ -217,7 +223,7 @@
 	f.fill(now)
 	var out []Effect
 	for i, s := range f.feeds {
-		if now.Sub(s.lastSeen) > FeedTimeout {
+		if now.Sub(s.lastSeen) > FeedTimeout || now.Sub(s.confirmedAt) > StaleFeedTimeout {
 			out = append(out, f.replace(now, i)...)
 		}
 	}
--- a/internal/follow/messages.go
+++ b/internal/follow/messages.go
@@ -21,6 +21,10 @@
 	PollInterval      = 400 * time.Millisecond
 	FirstPollInterval = 100 * time.Millisecond // until the first confirmation
 	FeedTimeout       = time.Second
+	// StaleFeedTimeout is how old the leader's confirmation at a feed may become.
+	// A feed that is cut off from the leader still answers, and would keep its
+	// followers on an old configuration.
+	StaleFeedTimeout = 1500 * time.Millisecond
 	// FollowerTimeout is how long a feed pushes changes to a host that no
 	// longer polls.
 	FollowerTimeout = 5 * time.Second
--- a/internal/forward/forwardrun/bench_test.go
+++ b/internal/forward/forwardrun/bench_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 )
@@ -25,7 +24,7 @@
 		offers[name] = []forward.Offer{s.offer(name)}
 		services = append(services, name)
 	}
-	e := New(Config{Wire: testWire{}, Log: eventlog.Nop(), Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}})
+	e := New(Config{Wire: testWire{}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}})
 	e.SetSearchers(offers, nil)
 	b.Cleanup(e.Close)
 	route := &routeplan.Route{Name: "g", Idempotent: true, MaxAttempts: 2, Timeout: patience, Objective: patience, Gather: &routeplan.Gather{Services: services, TopK: 3, MinRatio: 1}}
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -21,7 +20,6 @@
 	FailureDomain string
 	Budget        forward.BudgetLimits
 	Seed          uint64
-	Log           *eventlog.Logger
 	// OnGone is told when another searcher answered at the address of a target.
 	// It must not block.
 	OnGone func(target string, incarnation uint64)
--- a/internal/forward/forwardrun/engine_test.go
+++ b/internal/forward/forwardrun/engine_test.go
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -121,7 +120,7 @@
 
 func newEngine(t *testing.T, offers map[string][]forward.Offer) *Engine {
 	t.Helper()
-	e := New(Config{Wire: testWire{}, Log: eventlog.Nop(), Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}})
+	e := New(Config{Wire: testWire{}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}})
 	e.SetSearchers(offers, nil)
 	t.Cleanup(e.Close)
 	return e
--- a/internal/routeplan/plan_test.go
+++ b/internal/routeplan/plan_test.go
@@ -82,7 +82,7 @@
 			p := validPlan()
 			p.Version = v
 			before := s.Document()
-			r := s.Apply(time.Unix(0, 0), &Document{Version: v, Plan: p})
+			r := s.Apply(&Document{Version: v, Plan: p})
 			require.Equal(t, v > highest, r.Applied)
 			highest = max(highest, v)
 			require.Equal(t, highest, s.Version())
--- a/internal/routeplan/store.go
+++ b/internal/routeplan/store.go
@@ -1,7 +1,5 @@
 package routeplan
 
-import "time"
-
 // Result is what became of a submitted plan. A plan whose version is not
 // higher than the one in force changes nothing and is acknowledged all the
 // same, so that an operator may send a plan again after a lost reply.
@@ -17,20 +15,18 @@
 type Store struct {
 	document *Document
 	table    *Table
-	since    time.Time
 }
 
 // NewStore returns a store without a plan.
 func NewStore() *Store { return &Store{} }
 
 // Apply puts a plan in force if its version is higher than the present one.
-func (s *Store) Apply(now time.Time, d *Document) Result {
+func (s *Store) Apply(d *Document) Result {
 	if d == nil || s.document != nil && d.Version <= s.document.Version {
 		return Result{Version: s.Version()}
 	}
 	s.document = d
 	s.table = NewTable(d.Plan)
-	s.since = now
 	return Result{Version: d.Version, Applied: true}
 }
 
@@ -47,11 +43,3 @@
 
 // Table returns the routes of the plan in force, or nil.
 func (s *Store) Table() *Table { return s.table }
-
-// Newer returns the document in force if its version is higher.
-func (s *Store) Newer(than uint64) *Document {
-	if s.Version() <= than {
-		return nil
-	}
-	return s.document
-}
--- a/internal/routeplan/table.go
+++ b/internal/routeplan/table.go
@@ -56,20 +56,12 @@
 // Gathered returns the names of all services from which some route gathers,
 // sorted.
 func (t *Table) Gathered() []string {
-	return t.names(func(r *Route) bool { return r.Gather != nil })
-}
-
-// Used returns the names of all services that some route uses, sorted.
-func (t *Table) Used() []string { return t.names(func(*Route) bool { return true }) }
-
-// names returns the services of the routes that match, sorted.
-func (t *Table) names(match func(*Route) bool) []string {
 	used := make(map[string]bool)
 	for _, r := range t.routes {
-		if !match(r) {
+		if r.Gather == nil {
 			continue
 		}
-		for _, s := range r.Services() {
+		for _, s := range r.Gather.Services {
 			used[s] = true
 		}
 	}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"testing"
@@ -127,9 +126,6 @@
 			}
 		}
 		if err != nil {
-			if err == io.EOF {
-				return
-			}
 			return
 		}
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -25,11 +25,10 @@
 	ports    map[string]int
 	disk     bool
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	harmed  time.Time // end of the last fault other than a planned stop
-	stopped time.Time // last planned stop
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	harmed time.Time // end of the last fault other than a planned stop
 }
 
 func (h *hostProcess) address(listener string) string {
