--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -59,6 +59,15 @@
 // reach a majority. If all disks are lost, the data is lost, and the cluster
 // starts anew; a single initial voter is the smallest case of this.
 //
+// Where the settings name no voters, MembersFound brings them from the
+// membership at the first start of the whole system. Two hosts may then have
+// different lists for a moment; a founder needs the same list from every initial
+// voter, so that only one list can found a cluster.
+//
+// A member that hears from no leader for long may have been removed while it
+// was down. It asks to join again under its identity, with the log that it has,
+// and becomes a learner; its term and vote are kept, so no promise is broken.
+//
 // An empty directory that finds an existing cluster joins it as a learner,
 // also under the name of a voter. A learner becomes a voter only by
 // ChangeVoters.
