Wake a request that waits for a failed dial ahead of need

A request between the two waited for that dial and was woken by nobody until its timeout.

Change: the end of a failed dial ahead grants free slots to requests that wait.

Result: the new test fails with connection_share_busy without the change and passes with it.

--- a/internal/connections/poolrun/dial.go
+++ b/internal/connections/poolrun/dial.go
@@ -156,6 +156,8 @@
 	p.mu.Lock()
 	p.aheadDials--
 	if err != nil {
+		// A request that came after the slot was freed waits for this dial.
+		p.grantSlotsLocked()
 		p.mu.Unlock()
 		return
 	}
--- a/internal/connections/poolrun/pool_test.go
+++ b/internal/connections/poolrun/pool_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
@@ -330,3 +331,38 @@
 		require.Equal(t, CodeNoShare, verdict.CodeOf(err))
 	})
 }
+
+// queueOnWrite asks for a connection while the failure of a dial is logged,
+// which is after its slot was freed and before it stops counting as a dial in
+// progress.
+type queueOnWrite struct {
+	pool   *Pool
+	once   sync.Once
+	result chan error
+}
+
+func (w *queueOnWrite) Write(b []byte) (int, error) {
+	w.once.Do(func() {
+		go func() {
+			_, err := w.pool.dialContext(context.Background(), "tcp", testAddress.String())
+			w.result <- err
+		}()
+		synctest.Wait()
+	})
+	return len(b), nil
+}
+
+// Guards against a request that waits in vain for a dial ahead of need that has
+// failed already, and is then told that the share is busy.
+func TestRequestDoesNotWaitForAFailedDialAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTarget()
+		f.dialErr = errors.New("refused")
+		w := &queueOnWrite{result: make(chan error, 1)}
+		p := New(testAddress, Config{Spare: 1, Dial: f.dial}, eventlog.New(w, zerolog.InfoLevel, "h"))
+		w.pool = p
+		p.SetShare(2) // starts a dial ahead of need
+		require.Equal(t, CodeDial, verdict.CodeOf(<-w.result))
+		closePool(t, p)
+	})
+}
