Log gathers on the host that carries them out

Cause: a request that a host handed to a gatherer left a line with no attempts on the host that read it, and none on the gatherer, so that a failed request of a grown fleet could not be followed to its searchers. A change of the gatherers was not logged either.

Change: the log of calls is part of forwardrun, used by the front and by gatherers (events 8005 and 8006, with the host that read the request); event 1108 logs changes of the gatherers.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -149,6 +149,9 @@
 		p = place(s, time.Since(d.startedAt))
 	}
 	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
+		if !a.placement.same(p) {
+			d.log.Log(eventGatherersChanged).Strs("gatherers", p.names()).Bool("unknown", p.unknown).Int("hosts", hosts).Int("live", live).Send()
+		}
 		a.plan, a.hosts, a.placement = s.Plan, hosts, p
 		d.gather.placement.Store(p)
 		d.engine.SetSearchers(d.offers(s, p, hosts), d.gatherSharers(a, p))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -180,7 +180,7 @@
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
 	d.engine = d.newEngine()
-	d.gather.chooser = gathering.NewChooser()
+	d.gather.chooser, d.gather.log = gathering.NewChooser(), forwardrun.NewGatherLog(d.log)
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
 	d.admission = admissionrun.New(admission.Config{Concurrency: d.settings.MaxQueries, QueueLength: d.settings.QueueLength}, d.log)
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -29,6 +29,9 @@
 	eventReloadFailed = eventlog.Define(1107, zerolog.ErrorLevel, "settings could not be read again",
 		"The settings are missing, unreadable or invalid.",
 		"Correct them and send the signal again. The earlier settings stay in force.")
+	eventGatherersChanged = eventlog.Define(1108, zerolog.InfoLevel, "gatherers changed",
+		"Hosts came or went, or a route plan changed, so that other hosts gather the answers of shards.",
+		"None. An empty list says that every host gathers for itself; unknown, that this host has not found the others yet and takes no gathers.")
 	eventBadPeerMessage = eventlog.Define(1103, zerolog.WarnLevel, "message of a peer could not be decoded",
 		"The peer runs a newer version, or the message was damaged.",
 		"Update this host.")
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -76,6 +76,17 @@
 	return p != nil && p.unknown == q.unknown && maps.EqualFunc(p.gatherers, q.gatherers, slices.Equal[[]gathering.Host])
 }
 
+// names returns the hosts that gather from any service.
+func (p *placement) names() []string {
+	seen := make(map[string]bool)
+	for _, hosts := range p.gatherers {
+		for _, h := range hosts {
+			seen[h.Name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // of returns the gatherers of a route, or nil if every host gathers itself.
 func (p *placement) of(r *routeplan.Route) []gathering.Host {
 	if p == nil {
@@ -92,6 +103,7 @@
 // gatherState is what a host keeps to hand requests to gatherers.
 type gatherState struct {
 	placement atomic.Pointer[placement]
+	log       *forwardrun.CallLog // of requests that other hosts handed over
 	mu        sync.Mutex
 	chooser   *gathering.Chooser
 }
@@ -106,7 +118,7 @@
 	d.gather.mu.Lock()
 	order := d.gather.chooser.Order(time.Now(), gatherers, d.settings.FailureDomain)
 	d.gather.mu.Unlock()
-	request := encodeGather(call, version, path)
+	request := encodeGather(d.settings.Host, call, version, path)
 	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no host gathers for this route").WithRetryAfter(retryAfterGatherer)
 	for _, g := range order[:min(len(order), maxGatherers)] {
 		answer, err := d.gatherAt(ctx, g.Name, call, request)
@@ -134,8 +146,8 @@
 // objective if enough shards do.
 const gathererPatience = 1.5
 
-func encodeGather(c *forwardrun.Call, version uint64, path string) *gatheringrpc.GatherRequest {
-	m := &gatheringrpc.GatherRequest{Plan: version, RequestId: c.ID, Method: c.Method, Uri: c.URI, Host: c.Host, Body: c.Body, Path: path}
+func encodeGather(from string, c *forwardrun.Call, version uint64, path string) *gatheringrpc.GatherRequest {
+	m := &gatheringrpc.GatherRequest{From: from, Plan: version, RequestId: c.ID, Method: c.Method, Uri: c.URI, Host: c.Host, Body: c.Body, Path: path}
 	m.Headers = encodeHeader(c.Header)
 	return m
 }
@@ -230,18 +242,22 @@
 	defer s.d.inFlight.Begin()()
 	now := time.Now()
 	snapshot := s.d.loop.Snapshot()
-	if err := s.takes(snapshot, m); err != nil {
-		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(err)}, nil
-	}
-	route := snapshot.Plan.Route(m.GetHost(), m.GetPath())
-	if route == nil {
-		err := verdict.New(verdict.NotRun, codePlanBehind, "route plan %d has no route for this path", snapshot.Plan.Version)
-		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(err)}, nil
+	end := forwardrun.CallEnd{RequestID: m.GetRequestId(), From: m.GetFrom()}
+	defer func() {
+		end.Took = time.Since(now)
+		s.d.gather.log.Ended(end)
+	}()
+	route, refusal := s.takes(snapshot, m)
+	if refusal != nil {
+		end.Err = refusal
+		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(refusal)}, nil
 	}
+	end.Plan, end.Route, end.Objective = snapshot.Plan.Version, route.Name, route.Objective
 	answer, failure := s.d.engine.Do(ctx, &forwardrun.Call{
 		ID: m.GetRequestId(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(), Route: route,
 		Arrived: now.Add(-time.Duration(m.GetElapsedUs()) * time.Microsecond), Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
 	})
+	end.Answer, end.Err = answer, failure
 	reply := &gatheringrpc.GatherReply{Signatures: answer.Signatures, Body: answer.Body, Missing: uint32(answer.Missing), Attempts: uint32(len(answer.Attempts))}
 	if answer.Reply != nil {
 		reply.Status, reply.Headers, reply.Body = uint32(answer.Reply.Status), encodeHeader(answer.Reply.Header), answer.Reply.Body
@@ -252,15 +268,20 @@
 	return reply, nil
 }
 
-// takes reports why this host does not take a request of another one.
-func (s *gatheringService) takes(snapshot *control.Snapshot, m *gatheringrpc.GatherRequest) error {
+// takes returns the route of a request that another host handed over, or the
+// reason why this host does not take it.
+func (s *gatheringService) takes(snapshot *control.Snapshot, m *gatheringrpc.GatherRequest) (*routeplan.Route, *verdict.Error) {
 	switch {
 	case s.d.engine == nil:
-		return verdict.New(verdict.NotRun, codeNotGatherer, "this host serves no route plan")
+		return nil, verdict.New(verdict.NotRun, codeNotGatherer, "this host serves no route plan")
 	case snapshot.Phase > lifecycle.LameDuck || snapshot.Phase == lifecycle.Starting:
-		return verdict.New(verdict.NotRun, codeHostStopping, "this host is %s", snapshot.Phase)
+		return nil, verdict.New(verdict.NotRun, codeHostStopping, "this host is %s", snapshot.Phase)
 	case snapshot.Plan == nil || snapshot.Plan.Version < m.GetPlan():
-		return verdict.New(verdict.NotRun, codePlanBehind, "this host lacks route plan %d", m.GetPlan())
+		return nil, verdict.New(verdict.NotRun, codePlanBehind, "this host lacks route plan %d", m.GetPlan())
 	}
-	return nil
+	route := snapshot.Plan.Route(m.GetHost(), m.GetPath())
+	if route == nil {
+		return nil, verdict.New(verdict.NotRun, codePlanBehind, "route plan %d has no route for this path", snapshot.Plan.Version)
+	}
+	return route, nil
 }
--- /dev/null
+++ b/internal/forward/forwardrun/calllog.go
@@ -0,0 +1,138 @@
+package forwardrun
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// Events of this package, numbers 8000 to 8099.
+var (
+	eventAnswered = eventlog.Define(8000, zerolog.InfoLevel, "request answered",
+		"A caller's request ended with a success. One in a fixed number is logged.",
+		"None.")
+	eventFailed = eventlog.Define(8001, zerolog.WarnLevel, "request failed",
+		"A caller's request ended without the answer that it asked for, or without some of its shards.",
+		"Look at the code, the attempts and the version of the configuration, see docs/OPERATIONS.md.")
+	eventOmitted = eventlog.Define(8002, zerolog.WarnLevel, "failed requests were not logged",
+		"More requests failed in a second than are logged one by one.",
+		"Use the counters on the metrics address for the number of failures by code.")
+	eventGathered = eventlog.Define(8005, zerolog.InfoLevel, "gathered for another host",
+		"This host gathered the shards' answers of a request that another host read. One in a fixed number is logged.",
+		"None.")
+	eventGatherFailed = eventlog.Define(8006, zerolog.WarnLevel, "gather for another host failed",
+		"This host could not gather all shards of a request that another host read, or did not take it.",
+		"The host that read the request logs the same request ID with event 8001. The attempts name the searchers to look at.")
+)
+
+// Bounds of the log of calls.
+const (
+	sampleEvery    = 128 // successes for one line
+	failuresPerSec = 20  // lines
+)
+
+// CallLog writes a line for each call that failed, up to a rate, and for a
+// sample of the others.
+type CallLog struct {
+	log      *eventlog.Logger
+	answered eventlog.Event
+	failed   eventlog.Event
+
+	mu        sync.Mutex
+	successes int
+	second    time.Time
+	failures  int
+}
+
+// NewCallLog returns the log of the calls that a host takes from callers.
+func NewCallLog(log *eventlog.Logger) *CallLog {
+	return &CallLog{log: log, answered: eventAnswered, failed: eventFailed}
+}
+
+// NewGatherLog returns the log of the calls that a host carries out for others.
+func NewGatherLog(log *eventlog.Logger) *CallLog {
+	return &CallLog{log: log, answered: eventGathered, failed: eventGatherFailed}
+}
+
+// CallEnd is what the log says of a call.
+type CallEnd struct {
+	RequestID string
+	Route     string
+	Objective time.Duration
+	Plan      uint64 // version of the route plan that handled it, 0 if none did
+	Status    int    // that the caller got; 0 if it left, or another host answers it
+	From      string // host that handed the call over, if one did
+	Took      time.Duration
+	Answer    *Answer // nil if the call was refused before it was forwarded
+	Err       *verdict.Error
+}
+
+// Ended writes the end of a call.
+func (l *CallLog) Ended(c CallEnd) {
+	event, ok := l.admit(c.Err == nil && (c.Answer == nil || c.Answer.Missing == 0))
+	if !ok {
+		return
+	}
+	line := l.log.Log(event).Str("request_id", c.RequestID).Dur("took", c.Took).Uint64("config_version", c.Plan)
+	if c.Status > 0 {
+		line = line.Int("status", c.Status)
+	}
+	if c.From != "" {
+		line = line.Str("from", c.From)
+	}
+	if c.Route != "" {
+		line = line.Str("route", c.Route).Dur("objective", c.Objective)
+	}
+	if err := c.Err; err != nil {
+		line = line.Str("code", string(err.Code)).Stringer("verdict", err.Verdict).Dur("retry_after", err.RetryAfter).Str("reason", err.Error())
+	}
+	if a := c.Answer; a != nil {
+		if a.Gatherer != "" {
+			line = line.Str("gatherer", a.Gatherer)
+		}
+		line = line.Int("missing", a.Missing).Int("attempts", len(a.Attempts)).Array("not_good", notGood(a.Attempts))
+	}
+	line.Send()
+}
+
+// admit decides whether a line is written.
+func (l *CallLog) admit(success bool) (eventlog.Event, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if success {
+		l.successes++
+		return l.answered, l.successes%sampleEvery == 1
+	}
+	if now := time.Now(); now.Sub(l.second) >= time.Second {
+		if omitted := l.failures - failuresPerSec; omitted > 0 {
+			l.log.Log(eventOmitted).Int("requests", omitted).Send()
+		}
+		l.second, l.failures = now, 0
+	}
+	l.failures++
+	return l.failed, l.failures <= failuresPerSec
+}
+
+// notGood are the attempts that brought no usable answer.
+type notGood []AttemptRecord
+
+// maxLoggedAttempts bounds the attempts in a line.
+const maxLoggedAttempts = 8
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (n notGood) MarshalZerologArray(out *zerolog.Array) {
+	written := 0
+	for _, r := range n {
+		if r.Result == "good" {
+			continue
+		}
+		if written++; written > maxLoggedAttempts {
+			return
+		}
+		out.Str(r.Service + "/" + r.Target + " " + r.Result + " " + r.Took.Round(time.Millisecond).String())
+	}
+}
