Choose gatherers from what a started host knows, and keep them

A host that lost sight of most others counted only those that it saw, so that in its view every host gathered for itself.

Change: the choice needs the number of hosts from the agreed list and one weak and one strong host; a bad view keeps the choice that was made before; a host without a choice passes the request back, and the sender asks another one. Hosts in failure domains with searchers of most shards come first.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -144,9 +144,9 @@
 	hosts = max(hosts, live)
 	d.shareBudget(a, s, hosts)
 	p := a.placement
-	if p == nil || p.unknown || a.plan != s.Plan || !sameSlice(a.known, s.Hosts) {
+	if p == nil || p.unknown || a.plan != s.Plan || a.targets != s.Targets || !sameSlice(a.known, s.Hosts) {
 		a.known = s.Hosts
-		p = place(s, time.Since(d.startedAt))
+		p = place(s, time.Since(d.startedAt), a.placement)
 	}
 	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
 		if !a.placement.same(p) {
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -19,6 +19,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -31,6 +32,7 @@
 // placement says which hosts gather from each service. It is immutable.
 type placement struct {
 	gatherers map[string][]gathering.Host // by service; absent where every host gathers itself
+	chosen    map[int][]gathering.Host    // by the connections that a searcher grants
 	// unknown says that this host has not found the others yet. Until then it
 	// opens no connections for gathers, since it can't know its share.
 	unknown bool
@@ -40,37 +42,76 @@
 // for all there are.
 const placeAnyway = 3 * time.Second
 
-// place chooses the gatherers of all services of a plan.
-func place(s *control.Snapshot, age time.Duration) *placement {
-	p := &placement{gatherers: make(map[string][]gathering.Host)}
+// place chooses the gatherers of all services of a plan. A host that has lost
+// sight of most others keeps the choice that it made before: those that it
+// still sees would each gather for themselves, beyond what searchers grant.
+func place(s *control.Snapshot, age time.Duration, before *placement) *placement {
+	p := &placement{gatherers: make(map[string][]gathering.Host), chosen: make(map[int][]gathering.Host)}
 	if s.Plan == nil {
 		return p
 	}
-	var hosts []gathering.Host
-	for _, h := range s.Hosts {
-		if h.Live {
-			hosts = append(hosts, gathering.Host{Name: h.Host, FailureDomain: h.FailureDomain, Capacity: h.Capacity})
-		}
-	}
-	few := s.Agreed.Epoch == 0 || 2*len(hosts) < len(s.Agreed.Hosts)
-	p.unknown = few && age < placeAnyway
-	chosen := make(map[int][]gathering.Host) // by connections, which most services share
+	fleet := fleetOf(s)
+	starting := age < placeAnyway
+	p.unknown = starting && s.Agreed.Epoch == 0
+	keep := before != nil && !before.unknown && 2*len(fleet.Hosts) < fleet.Size
 	for _, name := range s.Plan.Gathered() {
 		svc, ok := s.Plan.Service(name)
 		if !ok {
 			continue
 		}
 		connections := usedConnections(svc)
-		if _, done := chosen[connections]; !done {
-			chosen[connections] = gathering.Choose(hosts, connections)
+		if _, done := p.chosen[connections]; !done {
+			p.unknown = p.unknown || starting && !fleet.Decided(connections)
+			p.chosen[connections] = fleet.Choose(connections)
+			if keep && before.chosen[connections] != nil {
+				p.chosen[connections] = before.chosen[connections]
+			}
 		}
-		if g := chosen[connections]; g != nil {
+		if g := p.chosen[connections]; g != nil {
 			p.gatherers[name] = g
 		}
 	}
 	return p
 }
 
+// nearShare is the share of the gathered services of which a failure domain has
+// a searcher for it to count as near.
+const nearShare = 0.5
+
+// fleetOf returns what a snapshot knows of all hosts. The agreed list counts
+// also those that this host does not see.
+func fleetOf(s *control.Snapshot) gathering.Fleet {
+	f := gathering.Fleet{Near: make(map[string]bool)}
+	for _, h := range s.Hosts {
+		if h.Live {
+			f.Hosts = append(f.Hosts, gathering.Host{Name: h.Host, FailureDomain: h.FailureDomain, Capacity: h.Capacity})
+		}
+	}
+	f.Size = max(len(f.Hosts), len(s.Agreed.Hosts))
+	for domain, services := range gatheredServices(s) {
+		f.Near[domain] = float64(len(services)) >= nearShare*float64(len(s.Plan.Gathered()))
+	}
+	return f
+}
+
+// gatheredServices returns the gathered services of which each failure domain
+// has a searcher.
+func gatheredServices(s *control.Snapshot) map[string]map[string]bool {
+	gathered := s.Plan.Gathered()
+	out := make(map[string]map[string]bool)
+	for r := range s.Targets.Targets() {
+		service := r.Labels[ServiceLabel]
+		if _, ok := slices.BinarySearch(gathered, service); !ok || r.Status != targets.StatusAlive {
+			continue
+		}
+		if out[r.FailureDomain] == nil {
+			out[r.FailureDomain] = make(map[string]bool)
+		}
+		out[r.FailureDomain][service] = true
+	}
+	return out
+}
+
 // same reports whether two placements choose the same hosts.
 func (p *placement) same(q *placement) bool {
 	return p != nil && p.unknown == q.unknown && maps.EqualFunc(p.gatherers, q.gatherers, slices.Equal[[]gathering.Host])
@@ -280,8 +321,12 @@
 		return nil, verdict.New(verdict.NotRun, codePlanBehind, "this host lacks route plan %d", m.GetPlan())
 	}
 	route := snapshot.Plan.Route(m.GetHost(), m.GetPath())
-	if route == nil {
+	p := s.d.gather.placement.Load()
+	switch {
+	case route == nil:
 		return nil, verdict.New(verdict.NotRun, codePlanBehind, "route plan %d has no route for this path", snapshot.Plan.Version)
+	case p != nil && p.unknown:
+		return nil, verdict.New(verdict.NotRun, codeNotGatherer, "this host has not found the others yet")
 	}
 	return route, nil
 }
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -29,28 +29,96 @@
 	// greatest. Gathers of a hundred shards keep a small link busy for longer
 	// than the objective allows.
 	capacityShare = 0.5
+	// minPooled is the least number of hosts that gather for a fleet in which
+	// every host could. With fewer, the loss of one takes too many gathers along.
+	minPooled = 4
+	// minNear is how many near gatherers there must be before others are left
+	// out. One alone would carry all gathers and leave none when it is lost.
+	minNear = 2
 )
 
+// Fleet is what a host knows of all hosts when it chooses gatherers.
+type Fleet struct {
+	Hosts []Host          // that are live, as far as is known
+	Size  int             // number of hosts, also of those that are not known yet
+	Near  map[string]bool // failure domains with a searcher of most shards
+}
+
+// Decided reports whether hosts that are not known yet would leave the choice
+// as it is, as far as it concerns each host: with connections for all, with most
+// of them known, or with both strong and weak hosts among those that are known.
+// A strong host then gathers and a weak one does not, however many more there
+// are.
+func (f Fleet) Decided(connections int) bool {
+	if f.Size <= connections || 2*len(f.Hosts) >= f.Size {
+		return true
+	}
+	strong := f.strong()
+	return len(strong) > 0 && len(strong) < len(f.Hosts)
+}
+
+// strong returns the hosts of the greatest capacity, near ones first.
+func (f Fleet) strong() []Host {
+	sorted := slices.Clone(f.Hosts)
+	slices.SortFunc(sorted, func(a, b Host) int { return cmp.Compare(b.Capacity, a.Capacity) })
+	n := 0
+	for n < len(sorted) && float64(sorted[n].Capacity) >= capacityShare*float64(sorted[0].Capacity) {
+		n++
+	}
+	sorted = sorted[:n]
+	slices.SortFunc(sorted, func(a, b Host) int {
+		return cmp.Or(f.distance(a)-f.distance(b), cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
+	})
+	return sorted
+}
+
+func (f Fleet) distance(h Host) int {
+	if f.Near[h.FailureDomain] {
+		return 0
+	}
+	return 1
+}
+
 // Choose returns the hosts that gather from services of which a searcher grants
 // connections to all hosts together. It returns nil if every host has a
 // connection of its own. All hosts with the same view make the same choice.
 //
 // It answers fleets of more hosts than a searcher has connections, with hosts
-// of unequal links and processors.
-func Choose(hosts []Host, connections int) []Host {
-	if len(hosts) <= max(connections, 1) {
-		return nil
+// of unequal links and processors, and shards whose searchers are in some of
+// the failure domains: a gather from another one moves every shard's answer
+// between failure domains.
+func (f Fleet) Choose(connections int) []Host {
+	if size := max(f.Size, len(f.Hosts)); size <= max(connections, 1) {
+		return f.pooled(connections, size)
 	}
-	sorted := slices.Clone(hosts)
-	slices.SortFunc(sorted, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
-	})
-	most := max(connections/minConnections, 1)
-	n := 1
-	for n < min(most, len(sorted)) && float64(sorted[n].Capacity) >= capacityShare*float64(sorted[0].Capacity) {
-		n++
+	strong := f.strong()
+	near := 0
+	for near < len(strong) && f.distance(strong[near]) == 0 {
+		near++
+	}
+	if near >= minNear {
+		strong = strong[:near]
+	}
+	return strong[:min(max(connections/minConnections, 1), len(strong))]
+}
+
+// pooled returns the near hosts of a small fleet if each of them then has more
+// connections to a searcher than every host would have.
+//
+// It answers searchers that pause: with a single connection, a host has no way
+// to the searchers of a shard while both hold one of its requests.
+func (f Fleet) pooled(connections, size int) []Host {
+	var near []Host
+	for _, h := range f.Hosts {
+		if f.Near[h.FailureDomain] {
+			near = append(near, h)
+		}
+	}
+	if len(near) < minPooled || connections/len(near) <= connections/size {
+		return nil
 	}
-	return sorted[:n]
+	slices.SortFunc(near, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return near
 }
 
 // Connections returns how many connections to each searcher one of the
--- a/internal/gathering/gathering_test.go
+++ b/internal/gathering/gathering_test.go
@@ -22,19 +22,22 @@
 	return out
 }
 
+// all is a fleet of which every host is known.
+func all(hosts []Host) Fleet { return Fleet{Hosts: hosts, Size: len(hosts)} }
+
 // Plays 84 hosts before searchers with 64 connections, of which half are used.
 // Guards against gathers on hosts whose links are too small, and against more
 // connections than a searcher grants.
 func TestGrownFleetGathersOnItsStrongHosts(t *testing.T) {
 	hosts := fleet(8, 76)
-	chosen := Choose(hosts, 32)
+	chosen := all(hosts).Choose(32)
 	require.Len(t, chosen, 8)
 	for _, h := range chosen {
 		require.EqualValues(t, 36, h.Capacity)
 	}
 	require.Equal(t, 4, Connections(chosen, 32))
-	require.Len(t, Choose(hosts[8:], 32), 16, "without the strong hosts others take their place")
-	require.Nil(t, Choose(fleet(4, 7), 14), "a small fleet has connections for every host")
+	require.Len(t, all(hosts[8:]).Choose(32), 16, "without the strong hosts others take their place")
+	require.Nil(t, all(fleet(4, 7)).Choose(14), "a small fleet has connections for every host")
 }
 
 // Guards against a limit that is exceeded and against hosts that choose
@@ -43,7 +46,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := fleet(rapid.IntRange(0, 20).Draw(t, "strong"), rapid.IntRange(1, 300).Draw(t, "weak"))
 		connections := rapid.IntRange(1, 64).Draw(t, "connections")
-		chosen := Choose(hosts, connections)
+		chosen := all(hosts).Choose(connections)
 		if chosen == nil {
 			require.LessOrEqual(t, len(hosts), max(connections, 1))
 			return
@@ -51,14 +54,14 @@
 		require.LessOrEqual(t, len(chosen)*Connections(chosen, connections), connections)
 		shuffled := append([]Host{}, hosts...)
 		rand.New(rand.NewPCG(1, 1)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
-		require.Equal(t, chosen, Choose(shuffled, connections))
+		require.Equal(t, chosen, all(shuffled).Choose(connections))
 	})
 }
 
 // Guards against requests that go on to a gatherer that does not answer, and
 // against bytes between failure domains while a near one works.
 func TestOrderPrefersNearAndWorkingGatherers(t *testing.T) {
-	gatherers := Choose(fleet(8, 76), 32)
+	gatherers := all(fleet(8, 76)).Choose(32)
 	c := NewChooser()
 	now := time.Unix(1000, 0)
 	used := map[string]bool{}
@@ -75,3 +78,51 @@
 	c.Answered("h001")
 	require.Equal(t, "h001", c.Order(now, gatherers, "fd1")[0].Name)
 }
+
+// Plays searchers in three of four failure domains. Guards against gathers that
+// move every shard's answer between failure domains, and against a choice of a
+// single gatherer.
+func TestGatherersAreWhereTheSearchersAre(t *testing.T) {
+	near := map[string]bool{"fd0": true, "fd1": true, "fd2": true}
+	f := Fleet{Hosts: fleet(8, 76), Size: 84, Near: near}
+	chosen := f.Choose(32)
+	require.Len(t, chosen, 6)
+	for _, h := range chosen {
+		require.True(t, near[h.FailureDomain])
+	}
+	f.Near = map[string]bool{"fd3": true}
+	f.Hosts = f.Hosts[4:]
+	require.Len(t, f.Choose(32), 4, "with one near strong host left, all strong hosts gather")
+}
+
+// Plays 12 hosts of which six are near searchers that grant 14 connections.
+// Guards against hosts with a single connection to a searcher, which wait for
+// each other's answers, and against a pool of too few hosts.
+func TestSmallFleetPoolsConnectionsNearTheSearchers(t *testing.T) {
+	f := Fleet{Hosts: fleet(4, 8), Size: 12, Near: map[string]bool{"fd0": true, "fd1": true}}
+	chosen := f.Choose(14)
+	require.Len(t, chosen, 6)
+	require.Equal(t, 2, Connections(chosen, 14))
+	f.Near = map[string]bool{"fd0": true}
+	require.Nil(t, f.Choose(14), "three hosts are too few")
+	f.Near = map[string]bool{"fd0": true, "fd1": true, "fd2": true, "fd3": true}
+	require.Nil(t, f.Choose(14), "no host would have more connections")
+	f.Near = map[string]bool{"fd0": true, "fd1": true}
+	require.Len(t, f.Choose(60), 6, "bytes stay within a failure domain")
+}
+
+// Plays the time after a stop of all hosts, when a host finds the others one
+// by one. Guards against a host that knows a few and opens connections to all
+// searchers as if there were no more, and against strong hosts that wait for
+// the whole fleet before they gather.
+func TestChoiceOfAHostThatKnowsFewOthers(t *testing.T) {
+	hosts := fleet(8, 76)
+	strongOnly := Fleet{Hosts: hosts[:5], Size: 84}
+	require.False(t, strongOnly.Decided(32), "weak hosts alone look the same")
+	mixed := Fleet{Hosts: append(fleet(3, 0), hosts[80]), Size: 84}
+	require.True(t, mixed.Decided(32))
+	require.Len(t, mixed.Choose(32), 3)
+	require.NotNil(t, Fleet{Hosts: hosts[:1], Size: 84}.Choose(32), "a lone host knows that there are more")
+	require.True(t, Fleet{Hosts: hosts[:1], Size: 30}.Decided(32), "a small fleet has connections for every host")
+	require.True(t, Fleet{Hosts: hosts[:42], Size: 84}.Decided(32))
+}
--- a/internal/routeplan/table.go
+++ b/internal/routeplan/table.go
@@ -12,6 +12,7 @@
 	Limits   CallerLimits
 	routes   map[place]*Route
 	services map[string]*Service
+	gathered []string // names of the services from which some route gathers, sorted
 }
 
 // place is where a route applies.
@@ -26,7 +27,12 @@
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		t.routes[place{canonicalHost(r.Host), r.PathPrefix}] = r
+		if r.Gather != nil {
+			t.gathered = append(t.gathered, r.Gather.Services...)
+		}
 	}
+	slices.Sort(t.gathered)
+	t.gathered = slices.Compact(t.gathered)
 	return t
 }
 
@@ -54,24 +60,8 @@
 }
 
 // Gathered returns the names of all services from which some route gathers,
-// sorted.
-func (t *Table) Gathered() []string {
-	used := make(map[string]bool)
-	for _, r := range t.routes {
-		if r.Gather == nil {
-			continue
-		}
-		for _, s := range r.Gather.Services {
-			used[s] = true
-		}
-	}
-	out := make([]string, 0, len(used))
-	for s := range used {
-		out = append(out, s)
-	}
-	slices.Sort(out)
-	return out
-}
+// sorted. The caller must not modify the result.
+func (t *Table) Gathered() []string { return t.gathered }
 
 // canonicalHost drops the port of a Host header and folds its case.
 func canonicalHost(host string) string {
