Let a gather move the estimates of attempt times as few requests do

Cause: each part of a gather moved the estimate of the route's times by 4 %. The parts of one gather are slow together when their host is busy, so one gather of 90 shards could multiply the estimate.

Change: the parts of a gather count as four requests together.

--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -208,6 +208,7 @@
 	open   []*sending
 	took   map[*forward.Attempt]*Reply
 	rng    *rand.Rand
+	parts  int         // services that the call asks
 	ended  atomic.Bool // the run needs no more events
 	timing struct{ usual, hedge time.Duration }
 }
@@ -275,7 +276,7 @@
 	r := &runner{
 		engine: e, call: call, route: state, events: make(chan event, maxAttemptsPerLeg*len(services)),
 		took: make(map[*forward.Attempt]*Reply, len(services)),
-		rng:  rng,
+		rng:  rng, parts: len(services),
 	}
 	e.routesMu.Lock()
 	r.timing.usual, r.timing.hedge = state.timing.Usual(), state.timing.HedgeAfter(call.Route.Objective)
@@ -335,7 +336,7 @@
 	}
 	if ev.result == forward.Good {
 		r.engine.routesMu.Lock()
-		r.route.timing.Observe(now.Sub(ev.sending.Began))
+		r.route.timing.Observe(now.Sub(ev.sending.Began), r.parts)
 		r.engine.routesMu.Unlock()
 	}
 	return run.Ended(now, ev.sending.Attempt, ev.result)
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -212,13 +212,34 @@
 	timing := NewTiming()
 	rng := rand.New(rand.NewPCG(3, 4))
 	for range 3000 {
-		timing.Observe(time.Duration(8+rng.IntN(6)) * time.Millisecond)
+		timing.Observe(time.Duration(8+rng.IntN(6))*time.Millisecond, 1)
 	}
 	wait := timing.HedgeAfter(200 * time.Millisecond)
 	require.Greater(t, wait, 13*time.Millisecond)
 	require.Less(t, wait, 30*time.Millisecond)
 }
 
+// Plays gathers of 90 shards at a host that is held up in every tenth of them.
+// Guards against one slow gather whose ninety parts each raise the wait, so that
+// the next gathers send no hedge in time.
+func TestHedgeWaitOutlastsASlowGather(t *testing.T) {
+	timing := NewTiming()
+	rng := rand.New(rand.NewPCG(9, 10))
+	gather := func(factor int) {
+		for range 90 {
+			timing.Observe(time.Duration(factor*(20+rng.IntN(20)))*time.Millisecond, 90)
+		}
+	}
+	for range 30 {
+		gather(1)
+	}
+	steady := timing.HedgeAfter(time.Second)
+	require.Less(t, steady, 80*time.Millisecond)
+	gather(5)
+	require.Less(t, timing.HedgeAfter(time.Second), steady*5/4)
+	require.Less(t, timing.Usual(), 60*time.Millisecond)
+}
+
 // Plays a queue that serves 60 requests a second, at a load of 90, with answers
 // due after 200 ms. Guards against an overload in which every answer is late,
 // and against a share that stays low after it.
--- a/internal/forward/timing.go
+++ b/internal/forward/timing.go
@@ -7,20 +7,32 @@
 type quantile struct {
 	q     float64
 	value float64 // seconds
-	seen  int
+	seen  float64 // requests, by their weight
 }
 
-const quantileGain = 0.04
+const (
+	// quantileGain is the step of one request in proportion to the estimate.
+	quantileGain = 0.04
+	// gatherWeight is how many requests the parts of a gather count as together.
+	// They are slow at the same time when this host is busy, and a full step for
+	// each of ninety would multiply the estimate.
+	gatherWeight = 4
+	// settleGain is the factor of the steps of the first settleRequests.
+	settleGain     = 4
+	settleRequests = 30
+)
 
-func (e *quantile) observe(x float64) {
-	e.seen++
-	if e.seen == 1 || e.value <= 0 {
+// observe takes one of the parts of a request.
+func (e *quantile) observe(x float64, parts int) {
+	weight := min(1, gatherWeight/float64(max(parts, 1)))
+	e.seen += weight
+	if e.value <= 0 {
 		e.value = max(x, 1e-4)
 		return
 	}
-	step := quantileGain * e.value
-	if e.seen < 30 {
-		step *= 4 // settle quickly at first
+	step := quantileGain * weight * e.value
+	if e.seen < settleRequests {
+		step *= settleGain
 	}
 	if x > e.value {
 		e.value += step * e.q
@@ -47,10 +59,11 @@
 	return &Timing{median: quantile{q: 0.5}, high: quantile{q: highQuantile}}
 }
 
-// Observe takes the time of a successful attempt.
-func (t *Timing) Observe(took time.Duration) {
-	t.median.observe(took.Seconds())
-	t.high.observe(took.Seconds())
+// Observe takes the time of a successful attempt of a request with a number of
+// parts.
+func (t *Timing) Observe(took time.Duration, parts int) {
+	t.median.observe(took.Seconds(), parts)
+	t.high.observe(took.Seconds(), parts)
 }
 
 // Usual returns the usual time of an attempt, or 0 if nothing is known.
@@ -65,6 +78,7 @@
 	minHedgeShare     = 0.04
 	maxHedgeShare     = 0.4
 	unknownHedgeShare = 0.3
+	knownRequests     = 10 // after which the times of a route count as known
 )
 
 // HedgeAfter returns how long an attempt may take before a second searcher is
@@ -72,7 +86,7 @@
 // with 20 shards more than half of the queries meet a pause.
 func (t *Timing) HedgeAfter(objective time.Duration) time.Duration {
 	share := func(s float64) time.Duration { return time.Duration(s * float64(objective)) }
-	if t.high.seen < 10 {
+	if t.high.seen < knownRequests {
 		return share(unknownHedgeShare)
 	}
 	wait := time.Duration(t.high.value * hedgeFactor * float64(time.Second))
