--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -12,6 +12,7 @@
 // they can, and the others are told at once when to come back.
 type Admission struct {
 	share     float64 // of requests that are taken, 0 if nothing is known yet
+	late      float64 // recent share of answers that were late
 	raisedAt  time.Time
 	loweredAt time.Time
 }
@@ -24,6 +25,11 @@
 	// the load, such as a shard whose only searcher is slow, and fewer requests
 	// would not bring them in time.
 	leastShare = 0.5
+	// toleratedLate is the share of late answers that has other causes than the
+	// load: searchers that pause, and searchers that are slow by themselves. With
+	// ninety shards many queries meet one, and refusing others does not help.
+	toleratedLate = 0.3
+	lateGain      = 0.1
 	// stepInterval is the time between two steps in the same direction, since
 	// requests that are in progress together end alike.
 	stepInterval = 60 * time.Millisecond
@@ -39,6 +45,7 @@
 
 // InTime notes an answer within the objective.
 func (a *Admission) InTime(now time.Time) {
+	a.late -= lateGain * a.late
 	if now.Sub(a.raisedAt) < stepInterval {
 		return
 	}
@@ -48,7 +55,8 @@
 
 // Late notes a request that was not answered within the objective.
 func (a *Admission) Late(now time.Time) {
-	if now.Sub(a.loweredAt) < stepInterval {
+	a.late += lateGain * (1 - a.late)
+	if a.late < toleratedLate || now.Sub(a.loweredAt) < stepInterval {
 		return
 	}
 	a.loweredAt = now
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -259,6 +259,22 @@
 	require.InDelta(t, 1, a.Share(), 1e-9)
 }
 
+// Plays answers of which one in five is late because a searcher pauses. Guards
+// against requests that are refused although the searchers have room.
+func TestAdmissionTakesAllWhileFewAnswersAreLate(t *testing.T) {
+	var a Admission
+	now := start
+	for i := range 500 {
+		now = now.Add(100 * time.Millisecond)
+		if i%5 == 0 {
+			a.Late(now)
+		} else {
+			a.InTime(now)
+		}
+		require.EqualValues(t, 1, a.Share())
+	}
+}
+
 // playAdmission returns the share of all requests that were answered in time.
 func playAdmission(t *testing.T, admit bool) float64 {
 	t.Helper()
