Back off from searchers that reset new connections

Cause: a searcher without a connection got a new one at every change of the targets, also right after it had reset the one before.

Change: connections that end without an answer within a second, or fail, double the wait before the next one that no request asks for, up to 1.6 s.

--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -40,9 +40,13 @@
 // conn is a connection to a searcher. Its reader goroutine owns br; the fields
 // below mu are shared.
 type conn struct {
-	net  net.Conn
-	br   *bufio.Reader
-	wire Wire
+	net    net.Conn
+	br     *bufio.Reader
+	wire   Wire
+	opened time.Time
+	// answered says that an answer came. The reader goroutine owns it until it
+	// has released the connection.
+	answered bool
 
 	mu       sync.Mutex
 	sending  *sending // in progress
@@ -103,7 +107,7 @@
 }
 
 func newConn(nc net.Conn, wire Wire, released func(*conn, bool)) *conn {
-	return &conn{net: nc, br: bufio.NewReaderSize(nc, readBuffer), wire: wire, released: released}
+	return &conn{net: nc, br: bufio.NewReaderSize(nc, readBuffer), wire: wire, opened: time.Now(), released: released}
 }
 
 // usable reports whether the searcher still keeps the idle connection.
@@ -247,6 +251,7 @@
 
 // finish hands a reply over and reports whether the connection goes on.
 func (c *conn) finish(s *sending, reply *Reply, keep bool) bool {
+	c.answered = true
 	c.mu.Lock()
 	// Bytes behind the answer belong to no request, and a request that is not
 	// written in full would be followed by the rest of its body.
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -31,6 +31,7 @@
 	idle    []*conn // the most recently used last
 	open    int     // connections, also those being dialed
 	probing bool    // a connection is being opened to see whether the searcher is back
+	probes  forward.Probes
 }
 
 func newService(e *Engine, name string) *service {
@@ -177,6 +178,7 @@
 		p := s.poolOf(id)
 		p.open--
 		p.probing = false
+		p.probes.Ended(time.Now(), 0, false, rand.Float64())
 		s.group.Connected(id, false)
 		s.mu.Unlock()
 		if a != nil {
@@ -212,6 +214,8 @@
 	}
 	if !reusable {
 		p.open--
+		now := time.Now()
+		p.probes.Ended(now, now.Sub(c.opened), c.answered, rand.Float64())
 	}
 	if p.open == 0 && !s.knows(id) {
 		delete(s.pools, id)
@@ -262,11 +266,12 @@
 	if s.engine.ctx.Err() != nil {
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range s.group.Searchers() {
 		p := s.poolOf(x.Identity)
-		if p.open > 0 || p.probing || s.group.Gone(x.Identity) {
+		if p.open > 0 || p.probing || s.group.Gone(x.Identity) || !p.probes.Due(now) {
 			continue
 		}
 		p.open++
--- /dev/null
+++ b/internal/forward/probe_test.go
@@ -0,0 +1,33 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Plays a searcher that resets every connection for ten seconds, at a host that
+// looks for searchers without one at every change of its targets, a hundred
+// times a second. Guards against a storm of connections that keeps the searcher
+// at its limit, and against a searcher that stays unused once it is back.
+func TestProbesBackOffFromASearcherThatResets(t *testing.T) {
+	var p Probes
+	opened := 0
+	now := start
+	for now.Sub(start) < 10*time.Second {
+		if p.Due(now) {
+			opened++
+			p.Ended(now, time.Millisecond, false, 0.5)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.Less(t, opened, 12)
+	back := now
+	for !p.Due(now) {
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.LessOrEqual(t, now.Sub(back), maxProbeWait)
+	p.Ended(now, time.Second, true, 0.5)
+	require.True(t, p.Due(now), "a searcher that answered is asked again at once")
+}
