Prefer near searchers that are about as fast

A near searcher had an advantage of 4 ms, while the estimate of a searcher's slowness moved by 30 % with each attempt: one pause made it look three times as slow for seconds.

Change: a near searcher may be expected later by 8 % of the objective, and the estimate is a geometric mean with a weight of 20 % for an attempt.

--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -412,7 +412,7 @@
 func (r *runner) Draw(n int) int { return r.rng.IntN(n) }
 
 func (r *runner) choice() forward.Choice {
-	return forward.Choice{FailureDomain: r.engine.config.FailureDomain, Usual: r.timing.usual}
+	return forward.Choice{FailureDomain: r.engine.config.FailureDomain, Usual: r.timing.usual, Objective: r.call.Route.Objective}
 }
 
 // HedgeAfter implements forward.Environment.
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -53,6 +53,7 @@
 type Choice struct {
 	FailureDomain string        // of this host
 	Usual         time.Duration // usual time of an attempt on the route
+	Objective     time.Duration // of the route
 	Tried         []*Searcher   // asked for this request before
 	Again         bool          // a searcher that was tried may be asked again
 	Within        time.Duration // longest expected time that is of use; 0 for any
@@ -64,9 +65,12 @@
 
 // Times that a choice adds to a searcher's expected time.
 const (
-	// farPenalty is the round trip to another failure domain, and the price of
-	// the bytes that go there.
+	// farPenalty is the round trip to another failure domain.
 	farPenalty = 4 * time.Millisecond
+	// farShare is the share of the objective that an answer may be expected
+	// later for the sake of a near searcher. Bytes between failure domains are
+	// dear, and most answers leave more time than that.
+	farShare = 0.08
 	// failurePenalty is the time that a failed attempt costs.
 	failurePenalty = 60 * time.Millisecond
 	// stallFactor is how many usual times an attempt waits before its searcher
@@ -124,7 +128,7 @@
 	work := time.Duration(s.slownessAt(now) * float64(usual))
 	t := work + work*time.Duration(s.inFlight)/time.Duration(s.Slots)
 	if s.FailureDomain != c.FailureDomain {
-		t += farPenalty
+		t += max(farPenalty, time.Duration(farShare*float64(c.Objective)))
 	}
 	if wait := s.longestWait(now); wait > stallFactor*work {
 		t += wait
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -102,6 +102,39 @@
 	require.True(t, slices.Contains(seen, slow))
 }
 
+// Plays two equal searchers, one in this host's failure domain, with times that
+// vary by a third and a pause of nine usual times in 25 requests. Guards against
+// answers that cross failure domains while the near searcher is as good, and
+// against one that is kept to when it is slow.
+func TestChoicePrefersANearSearcherThatIsAboutAsFast(t *testing.T) {
+	near, far := Identity{Target: "near", FailureDomain: "a"}, Identity{Target: "far", FailureDomain: "b"}
+	rng := rand.New(rand.NewPCG(11, 12))
+	usual := 28 * time.Millisecond
+	choice := Choice{FailureDomain: "a", Usual: usual, Objective: 200 * time.Millisecond}
+	play := func(slowness float64) (share float64) {
+		g := NewGroup("s", BudgetLimits{})
+		g.Replace([]Offer{{Identity: near, Slots: 2, Capacity: 4}, {Identity: far, Slots: 2, Capacity: 4}})
+		now, chosen := start, 0
+		const requests = 1000
+		for range requests {
+			s, _ := g.Begin(now, choice, Ask{}, rng)
+			took := time.Duration((0.67 + 0.66*rng.Float64()) * float64(usual))
+			if rng.IntN(25) == 0 {
+				took += 8 * usual
+			}
+			if s.Identity == near {
+				chosen++
+				took = time.Duration(slowness * float64(took))
+			}
+			now = now.Add(took)
+			g.End(now, now.Add(-took), s, usual, Good)
+		}
+		return float64(chosen) / requests
+	}
+	require.Greater(t, play(1), 0.85)
+	require.Less(t, play(4), 0.2)
+}
+
 // Plays a shard whose two searchers fell to one and a half at a load for two:
 // with late legs left out, the others must answer in time far more often than
 // with none. Guards against an overload that makes every query late.
--- a/internal/forward/searcher.go
+++ b/internal/forward/searcher.go
@@ -36,7 +36,9 @@
 
 // Weights and times of the estimates.
 const (
-	slownessGain = 0.3
+	// slownessGain is the weight of an attempt in the estimate of slowness, which
+	// is a geometric mean: one pause or one large request says little of the next.
+	slownessGain = 0.2
 	failureGain  = 0.2
 	// estimateHalfLife is the time in which what is known of a searcher loses
 	// half of its weight, so that one that was slow or failing is tried again.
@@ -44,6 +46,7 @@
 	// maxSlowness bounds the estimate, so that one pause does not keep a
 	// searcher out of use for longer than a few half-lives.
 	maxSlowness = 12
+	minSlowness = 0.1
 	// coldSlowness is the usual slowness of a searcher that has just started.
 	coldSlowness = 1.6
 )
@@ -115,9 +118,8 @@
 	if usual <= 0 {
 		return
 	}
-	ratio := min(float64(took)/float64(usual), maxSlowness)
-	v := s.slownessAt(now)
-	s.slowness, s.slownessT = v+slownessGain*(ratio-v), now
+	ratio := min(max(float64(took)/float64(usual), minSlowness), maxSlowness)
+	s.slowness, s.slownessT = math.Pow(s.slownessAt(now), 1-slownessGain)*math.Pow(ratio, slownessGain), now
 }
 
 func (s *Searcher) slownessAt(now time.Time) float64 {
