Send no hedge to a searcher that is slower than an objective

Cause: once a gathered answer was late, a hedge was sent to any other searcher that could answer before the caller's deadline.

Change: a late request is hedged only at a searcher that is expected to answer within an objective.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -417,10 +417,7 @@
 	}
 	ask := Ask{Tried: l.tried(), Extra: l.arrived()}
 	if !needed {
-		ask.Within = r.cutoff.Sub(now)
-		if ask.Within <= 0 {
-			ask.Within = r.deadline.Sub(now)
-		}
+		ask.Within = r.useful(now)
 	}
 	s, busy := r.env.Begin(now, l.service, ask)
 	if s == nil && !busy && needed && len(l.attempts) > 0 && l.lastResult() == Rejected && !now.Before(l.notBefore) {
@@ -440,6 +437,21 @@
 	return true
 }
 
+// useful returns the longest expected time for which a hedge is of use: until
+// the answer is due or, once it is late, an objective. Shards whose searchers
+// are all slower than that are overloaded, and a hedge doubles what each late
+// request asks of them.
+func (r *Run) useful(now time.Time) time.Duration {
+	if left := r.cutoff.Sub(now); left > 0 {
+		return left
+	}
+	left := r.deadline.Sub(now)
+	if r.route.Objective > 0 {
+		left = min(left, r.route.Objective)
+	}
+	return left
+}
+
 func (l *leg) lastResult() Result { return l.attempts[len(l.attempts)-1].Result }
 
 // Attempts returns all attempts, for the log.
