Let voters that serve routes follow the leader

Cause: a voter of a host that serves the route plan polled two of the other voters.

Change: a voter polls the leader while it hears of one. A failure domain counts as near to the shards only with searchers of four fifths of them, since half of them is the usual share and the choice changed with every crash.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -76,15 +76,17 @@
 // feeds returns the hosts that this host may follow, best first: for a voter
 // the leader only, since two voters that followed each other would pass on
 // ever older confirmations; for others the live relays of the region, and the
-// voters. Where the route plan is served, voters follow like others: a plan is
-// ordered by its version alone, and a voter that was removed while it was down
-// learns of newer plans in no other way.
+// voters. Where the route plan is served, a voter without a leader follows like
+// others: a plan is ordered by its version alone, and a voter that was removed
+// while it was down learns of newer plans in no other way.
 func (c *Core) feeds() []follow.FeedHost {
-	if c.node != nil && !c.opts.ServePlan {
-		if c.leader.Name == "" || c.leader.Name == c.opts.Self {
+	if c.node != nil {
+		switch follows := c.leader.Name != "" && c.leader.Name != c.opts.Self; {
+		case follows:
+			return []follow.FeedHost{{Host: c.leader.Name}}
+		case !c.opts.ServePlan:
 			return nil
 		}
-		return []follow.FeedHost{{Host: c.leader.Name}}
 	}
 	var relays, voters []follow.FeedHost
 	for _, m := range c.members.Live() {
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -76,7 +76,7 @@
 
 // nearShare is the share of the gathered services of which a failure domain has
 // a searcher for it to count as near.
-const nearShare = 0.5
+const nearShare = 0.8
 
 // fleetOf returns what a snapshot knows of all hosts. The agreed list counts
 // also those that this host does not see.
