Leave a leader that does not answer when a route plan is submitted

Hosts without a log go on to submit to the frozen one and wait until the operator gives up after a second, at each host that the operator tries.

Change: a route plan, which changes nothing when it is taken twice, waits 400 ms for one host; a leader that did not answer is forgotten, and a host that another one names is asked at once. Reads wait 400 ms for one host as well.

--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return orders.Reply{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode the order")
 	}
-	result, err := l.d.submit(ctx, proposals.KindOrder, data)
+	result, err := l.d.submit(ctx, proposals.KindOrder, data, 0)
 	if err != nil {
 		return orders.Reply{}, err
 	}
--- a/internal/daemon/plan.go
+++ b/internal/daemon/plan.go
@@ -13,6 +13,11 @@
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
+// planPatience bounds the wait for one host with a route plan. A leader that
+// stands still does not answer, and the operator waits a second for a host. A
+// plan is ordered by its version, so one that is taken twice changes nothing.
+const planPatience = 400 * time.Millisecond
+
 // SubmitPlan submits an operator's text of a route plan. It returns once the
 // plan is on the disks of a majority of the voters.
 func (d *Daemon) SubmitPlan(ctx context.Context, source []byte) (routeplan.Result, error) {
@@ -20,7 +25,7 @@
 	if err != nil {
 		return routeplan.Result{}, err
 	}
-	data, err := d.submit(ctx, proposals.KindPlan, controlcodec.EncodePlan(time.Now(), doc))
+	data, err := d.submit(ctx, proposals.KindPlan, controlcodec.EncodePlan(time.Now(), doc), planPatience)
 	if err != nil {
 		return routeplan.Result{}, err
 	}
--- a/internal/daemon/reads.go
+++ b/internal/daemon/reads.go
@@ -16,8 +16,9 @@
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
-// readTimeout bounds a read at one host.
-const readTimeout = time.Second
+// readTimeout bounds a read at one host. The leader confirms a read with one
+// round of messages to a majority; one that stands still does not answer.
+const readTimeout = 400 * time.Millisecond
 
 // readPatience bounds a read at all hosts. An election takes one to two
 // seconds, so a read that meets one is answered by the new leader.
@@ -30,10 +31,14 @@
 	defer cancel()
 	var last error
 	for try := 0; ; try++ {
-		result, err := d.readAt(ctx, d.leaderCandidate(try), q, remote)
+		host := d.leaderCandidate(try)
+		result, err := d.readAt(ctx, host, q, remote)
 		if err == nil {
 			return result, nil
 		}
+		if verdict.CodeOf(err) == verdict.CodeUnavailable {
+			d.forgetLeader(host)
+		}
 		if last == nil || ctx.Err() == nil {
 			last = err // a read cut off by the end of patience says less than the one before
 		}
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return config.Result{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode the change")
 	}
-	result, err := d.submit(ctx, proposals.KindChange, data)
+	result, err := d.submit(ctx, proposals.KindChange, data, 0)
 	if err != nil {
 		return config.Result{}, err
 	}
@@ -46,21 +46,48 @@
 }
 
 // submit hands an encoded command to the leader and returns the encoded
-// result.
-func (d *Daemon) submit(ctx context.Context, kind proposals.Kind, data []byte) ([]byte, error) {
-	return d.atLeader(ctx, func(ctx context.Context, host string) ([]byte, error) {
+// result. With a patience, a host that has not answered by then is left for
+// another one, so the command must have the same effect when it is taken twice.
+func (d *Daemon) submit(ctx context.Context, kind proposals.Kind, data []byte, patience time.Duration) ([]byte, error) {
+	return d.atLeader(ctx, patience, func(ctx context.Context, host string) ([]byte, error) {
 		return d.submitTo(ctx, host, kind, data)
 	})
 }
 
-// atLeader calls f for the host that should lead the log. It looks for another
-// leader only while f has certainly had no effect.
-func (d *Daemon) atLeader(ctx context.Context, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
+// atLeader calls f for the host that should lead the log.
+func (d *Daemon) atLeader(ctx context.Context, patience time.Duration, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
+	search := leaderSearch{candidate: d.leaderCandidate, known: d.knownLeader, forget: d.forgetLeader, patience: patience}
+	return search.run(ctx, f)
+}
+
+// leaderSearch asks hosts in turn until one leads the log. It goes on only
+// while a command has certainly had no effect, or may be taken twice.
+type leaderSearch struct {
+	candidate func(try int) string // host to ask
+	known     func() string        // leader that some host named last
+	forget    func(host string)
+	patience  time.Duration // for one host; 0 for commands that must not be taken twice
+}
+
+func (s leaderSearch) run(ctx context.Context, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
+	followed := false
 	for try := 0; ; try++ {
-		result, err := f(ctx, d.leaderCandidate(try))
-		if err == nil || !retryElsewhere(err) {
+		host := s.candidate(try)
+		result, err := s.ask(ctx, host, f)
+		silent := err != nil && s.patience > 0 && ctx.Err() == nil && verdict.Of(err) == verdict.MayHaveRun
+		if err == nil || !silent && !retryElsewhere(err) {
 			return result, err
 		}
+		if silent {
+			s.forget(host)
+			continue
+		}
+		// A host that names another one is followed at once, but not twice in a
+		// row, since two hosts may name each other.
+		leader := s.known()
+		if followed = !followed && leader != "" && leader != host; followed {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return nil, err
@@ -69,6 +96,15 @@
 	}
 }
 
+func (s leaderSearch) ask(ctx context.Context, host string, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
+	if s.patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.patience)
+		defer cancel()
+	}
+	return f(ctx, host)
+}
+
 // retryElsewhere reports whether the command was certainly not taken and
 // another host may take it.
 func retryElsewhere(err error) bool {
@@ -82,14 +118,30 @@
 	return false
 }
 
-// leaderCandidate returns the known leader first and then each voter in turn.
-func (d *Daemon) leaderCandidate(try int) string {
-	if leader := d.loop.Snapshot().Leader.Name; leader != "" && try%2 == 0 {
+// knownLeader returns the leader that this host's own log knows or that another
+// host named last.
+func (d *Daemon) knownLeader() string {
+	if leader := d.loop.Snapshot().Leader.Name; leader != "" {
 		return leader
 	}
-	if hint := d.leaderHint.Load(); hint != nil && *hint != "" && try%2 == 0 {
+	if hint := d.leaderHint.Load(); hint != nil {
 		return *hint
 	}
+	return ""
+}
+
+// forgetLeader drops a leader that does not answer.
+func (d *Daemon) forgetLeader(host string) {
+	if hint := d.leaderHint.Load(); hint != nil && *hint == host {
+		d.leaderHint.CompareAndSwap(hint, nil)
+	}
+}
+
+// leaderCandidate returns the known leader first and then each voter in turn.
+func (d *Daemon) leaderCandidate(try int) string {
+	if leader := d.knownLeader(); leader != "" && try%2 == 0 {
+		return leader
+	}
 	voters := d.voterHosts()
 	if len(voters) == 0 {
 		return d.settings.Host // which answers that it holds no log
--- a/internal/daemon/voters.go
+++ b/internal/daemon/voters.go
@@ -13,7 +13,7 @@
 
 // ChangeVoters makes one change of the voter set.
 func (d *Daemon) ChangeVoters(ctx context.Context, op consensus.VoterOp, id consensus.Identity) error {
-	_, err := d.atLeader(ctx, func(ctx context.Context, host string) ([]byte, error) {
+	_, err := d.atLeader(ctx, 0, func(ctx context.Context, host string) ([]byte, error) {
 		if host == d.settings.Host {
 			return nil, d.changeVotersHere(ctx, op, id)
 		}
