Hedge gathers earlier while the budget has room

Cause: a gather ends with its slowest part, and hedges were sent after 1.3 times the time that 90 % of the attempts need.

Change: with 0.4 further attempts or more left for each request, a gather is hedged after the time that 80 % of the attempts need.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -64,6 +64,17 @@
 	return budgetUse*(b.limits.Ratio*float64(requests)+b.limits.Extra/float64(b.hosts)) - float64(extras)
 }
 
+// Spare returns how many further attempts are left for each request of the
+// window.
+func (b *Budget) Spare(now time.Time) float64 {
+	left := b.Left(now)
+	requests := 0
+	for _, n := range b.requests {
+		requests += n
+	}
+	return left / float64(max(requests, 1))
+}
+
 // Spend draws one further attempt and reports whether there was one.
 func (b *Budget) Spend(now time.Time) bool {
 	if b.Left(now) < 1 {
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -278,8 +278,12 @@
 		took: make(map[*forward.Attempt]*Reply, len(services)),
 		rng:  rng, parts: len(services),
 	}
+	spare := 0.0
+	if call.Route.Gather != nil { // a request to one service has no slowest part to wait for
+		spare = e.service(services[0]).spare(now)
+	}
 	e.routesMu.Lock()
-	r.timing.usual, r.timing.hedge = state.timing.Usual(), state.timing.HedgeAfter(call.Route.Objective)
+	r.timing.usual, r.timing.hedge = state.timing.Usual(), state.timing.HedgeAfter(call.Route.Objective, spare)
 	e.routesMu.Unlock()
 	run := forward.NewRun(r, call.Route, services, call.Arrived, call.Deadline)
 	answer, err := r.drive(ctx, run, now)
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -51,6 +51,13 @@
 	s.group.Budget().Request(now)
 }
 
+// spare returns how many further attempts the budget has left for each request.
+func (s *service) spare(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Budget().Spare(now)
+}
+
 // replace sets the searchers. Idle connections to those that left are closed;
 // attempts in progress go on.
 func (s *service) replace(offers []forward.Offer) {
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -247,7 +247,7 @@
 	for range 3000 {
 		timing.Observe(time.Duration(8+rng.IntN(6))*time.Millisecond, 1)
 	}
-	wait := timing.HedgeAfter(200 * time.Millisecond)
+	wait := timing.HedgeAfter(200*time.Millisecond, 0)
 	require.Greater(t, wait, 13*time.Millisecond)
 	require.Less(t, wait, 30*time.Millisecond)
 }
@@ -266,13 +266,38 @@
 	for range 30 {
 		gather(1)
 	}
-	steady := timing.HedgeAfter(time.Second)
+	steady := timing.HedgeAfter(time.Second, 0)
 	require.Less(t, steady, 80*time.Millisecond)
 	gather(5)
-	require.Less(t, timing.HedgeAfter(time.Second), steady*5/4)
+	require.Less(t, timing.HedgeAfter(time.Second, 0), steady*5/4)
 	require.Less(t, timing.Usual(), 60*time.Millisecond)
 }
 
+// Plays a gatherer of 90 shards with a fifth of a budget of 214 further attempts
+// in 10 s, at ten requests a second, and a host of twelve with a budget of 64.
+// Guards against a budget that stays unused while gathers wait for slow shards,
+// and against early hedges where the budget is small.
+func TestHedgeIsEarlyWhileTheBudgetHasRoom(t *testing.T) {
+	wait := func(limits BudgetLimits, hosts int, perSecond int) time.Duration {
+		timing, b := NewTiming(), NewBudget(limits)
+		b.SetHosts(hosts)
+		rng := rand.New(rand.NewPCG(13, 14))
+		now := start
+		for range 20 * perSecond {
+			now = now.Add(time.Second / time.Duration(perSecond))
+			b.Request(now)
+			for range 90 {
+				timing.Observe(time.Duration(20+rng.IntN(20))*time.Millisecond, 90)
+			}
+		}
+		return timing.HedgeAfter(200*time.Millisecond, b.Spare(now))
+	}
+	limits := BudgetLimits{Ratio: 0.2, Extra: 214, Window: 10 * time.Second}
+	require.Less(t, wait(limits, 5, 10), 40*time.Millisecond)
+	limits.Extra = 64
+	require.Greater(t, wait(limits, 12, 8), 45*time.Millisecond)
+}
+
 // Plays a queue that serves 60 requests a second, at a load of 90, with answers
 // due after 200 ms. Guards against an overload in which every answer is late,
 // and against a share that stays low after it.
--- a/internal/forward/timing.go
+++ b/internal/forward/timing.go
@@ -45,6 +45,7 @@
 // Timing follows how long the attempts of one route take.
 type Timing struct {
 	median quantile
+	early  quantile
 	high   quantile
 }
 
@@ -52,17 +53,23 @@
 const (
 	highQuantile = 0.9
 	hedgeFactor  = 1.3
+	// earlyQuantile is the wait while the budget has room for a hedge of every
+	// fifth attempt and more. Where hosts gather for others, few of them share
+	// the fixed part of the budget.
+	earlyQuantile = 0.8
+	earlySpare    = 0.4 // further attempts for each request
 )
 
 // NewTiming returns the timing of a route of which nothing is known.
 func NewTiming() *Timing {
-	return &Timing{median: quantile{q: 0.5}, high: quantile{q: highQuantile}}
+	return &Timing{median: quantile{q: 0.5}, early: quantile{q: earlyQuantile}, high: quantile{q: highQuantile}}
 }
 
 // Observe takes the time of a successful attempt of a request with a number of
 // parts.
 func (t *Timing) Observe(took time.Duration, parts int) {
 	t.median.observe(took.Seconds(), parts)
+	t.early.observe(took.Seconds(), parts)
 	t.high.observe(took.Seconds(), parts)
 }
 
@@ -83,12 +90,16 @@
 
 // HedgeAfter returns how long an attempt may take before a second searcher is
 // asked. It answers searchers that pause for longer than the objective allows:
-// with 20 shards more than half of the queries meet a pause.
-func (t *Timing) HedgeAfter(objective time.Duration) time.Duration {
+// with 20 shards more than half of the queries meet a pause. Spare is the number
+// of further attempts that the budget has left for each request.
+func (t *Timing) HedgeAfter(objective time.Duration, spare float64) time.Duration {
 	share := func(s float64) time.Duration { return time.Duration(s * float64(objective)) }
 	if t.high.seen < knownRequests {
 		return share(unknownHedgeShare)
 	}
 	wait := time.Duration(t.high.value * hedgeFactor * float64(time.Second))
+	if spare >= earlySpare {
+		wait = time.Duration(t.early.value * float64(time.Second))
+	}
 	return min(max(wait, share(minHedgeShare)), share(maxHedgeShare))
 }
