Spread the first elections after a start over a quarter of the timeout

Cause: after a stop of all hosts nothing is served until a leader is elected, and the first election waited between one and two timeouts of 0.6 s.

Change: the first wait of a process spreads over a quarter of the timeout. The time in which a started voter helps nobody is as before.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -9,8 +9,23 @@
 	votes            map[Identity]bool // granted votes or pre-votes
 }
 
-func (n *Node) resetElectionTimer() {
-	jitter := time.Duration(n.opts.Rand.Int64N(int64(n.opts.ElectionTimeout)))
+func (n *Node) resetElectionTimer() { n.setElectionTimer(n.opts.ElectionTimeout) }
+
+// startJitterShare is the share of the election timeout over which the first
+// elections after a start spread. Hosts that start together do so some
+// milliseconds apart already, and after a stop of all hosts nothing is served
+// until one leads.
+const startJitterShare = 0.25
+
+// startElectionTimer sets the timer of a node that has just started.
+func (n *Node) startElectionTimer() {
+	n.setElectionTimer(time.Duration(startJitterShare * float64(n.opts.ElectionTimeout)))
+}
+
+// setElectionTimer lets an election begin after an election timeout and a
+// random part of the spread.
+func (n *Node) setElectionTimer(spread time.Duration) {
+	jitter := time.Duration(n.opts.Rand.Int64N(int64(spread)))
 	n.electionDeadline = n.now.Add(n.opts.ElectionTimeout + jitter)
 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -117,7 +117,7 @@
 	}
 	n.started = true
 	n.lastContact = n.now
-	n.resetElectionTimer()
+	n.startElectionTimer()
 	if n.snapshot != nil {
 		n.emit(RestoreSnapshot{Snapshot: *n.snapshot})
 		n.emit(VotersChanged{Index: n.lastVoters().index, Voters: n.voters().Clone()})
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -285,3 +285,32 @@
 		require.Error(t, o.Validate(), name)
 	}
 }
+
+// Plays a stop of all voters that start again within 0.3 election timeouts.
+// Guards against a first election that waits for up to a second timeout, while
+// nothing is served, and against candidates that start so close together that
+// none is elected.
+func TestLeaderSoonAfterAStartOfAllVoters(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		late := 0
+		const plays = 40
+		for seed := range plays {
+			s := newSim(t.Fatalf, uint64(seed+1), voters)
+			s.recover()
+			for _, h := range s.hosts {
+				s.crash(h)
+			}
+			for i, h := range s.hosts {
+				if i > 0 {
+					s.run(3 * simElectionTimeout / 10 / time.Duration(voters-1))
+				}
+				s.start(h)
+			}
+			s.run(3 * simElectionTimeout / 2)
+			if s.leader() == nil {
+				late++
+			}
+		}
+		require.LessOrEqual(t, late, plays/10, "%d voters", voters)
+	}
+}
