Wait between hosts that fail a route plan at once

Cause: found while reading the change "Leave a leader that does not answer when a route plan is submitted": a host whose failure came at once, such as a reset connection, was followed by the next one without a wait, so that the search could spin until the operator's patience ended.

Change: only a host that was silent for the whole patience is left without a wait.

Measured: no figures; a test counts the tries.

--- a/internal/daemon/leader_search_test.go
+++ b/internal/daemon/leader_search_test.go
@@ -59,3 +59,24 @@
 		})
 	}
 }
+
+// Guards against a search that spins while every host fails at once.
+func TestSearchWaitsBetweenHostsThatFailAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := leaderSearch{
+			candidate: func(int) string { return "leader" },
+			known:     func() string { return "leader" },
+			forget:    func(string) {},
+			patience:  planPatience,
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		tries := 0
+		_, err := s.run(ctx, func(context.Context, string) ([]byte, error) {
+			tries++
+			return nil, verdict.New(verdict.MayHaveRun, proposals.CodeUnknownOutcome, "the connection was reset")
+		})
+		require.Error(t, err)
+		require.LessOrEqual(t, tries, int(time.Second/submitRetryDelay)+1)
+	})
+}
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -72,15 +72,17 @@
 func (s leaderSearch) run(ctx context.Context, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
 	followed := false
 	for try := 0; ; try++ {
-		host := s.candidate(try)
+		host, began := s.candidate(try), time.Now()
 		result, err := s.ask(ctx, host, f)
-		silent := err != nil && s.patience > 0 && ctx.Err() == nil && verdict.Of(err) == verdict.MayHaveRun
-		if err == nil || !silent && !retryElsewhere(err) {
+		unknown := err != nil && s.patience > 0 && ctx.Err() == nil && verdict.Of(err) == verdict.MayHaveRun
+		if err == nil || !unknown && !retryElsewhere(err) {
 			return result, err
 		}
-		if silent {
+		if unknown {
 			s.forget(host)
-			continue
+			if time.Since(began) >= s.patience {
+				continue
+			}
 		}
 		// A host that names another one is followed at once, but not twice in a
 		// row, since two hosts may name each other.
