Tell hosts that answer probes that they were declared dead

Cause: a host that was cut off declares all others dead and then has no neighbours. After the partition it probes the others every 200 ms. The probes did not carry the declaration, so nobody refuted it, and each probe counted as an exchange, so the others never started one of their own. The host answered and was answered forever without counting the others as live; it confirmed nothing to them either. Traced with the state of all hosts in the failing run of TestNoHostServesAnOldConfiguration: after 20 s without any fault, host 6 still had no neighbours.

Change: a probe carries the record that declares the probed host dead. The host refutes it with a higher incarnation.

A leader in the same state accepts no change, since it does not hear from a majority of the hosts, which is what TestChangesSurviveTheLeadersDeath showed once.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -157,8 +157,8 @@
 		}
 		s.seedsAt = now
 		var effects []Effect
-		for _, address := range s.probeAddresses() {
-			effects = append(effects, SendHeartbeat{Address: address, Heartbeat: s.newHeartbeat(now, "")})
+		for _, p := range s.probes() {
+			effects = append(effects, s.sendProbe(now, p))
 		}
 		return effects
 	}
@@ -166,32 +166,61 @@
 		return nil
 	}
 	s.probeAt = now
-	addresses := s.probeAddresses()
-	if len(addresses) == 0 {
+	probes := s.probes()
+	if len(probes) == 0 {
 		return nil
 	}
 	s.probeNext++
-	return []Effect{SendHeartbeat{Address: addresses[s.probeNext%len(addresses)], Heartbeat: s.newHeartbeat(now, "")}}
+	return []Effect{s.sendProbe(now, probes[s.probeNext%len(probes)])}
+}
+
+// probe is an address at which a dead host or an unknown one may run.
+type probe struct {
+	address netip.AddrPort
+	dead    *Member // last known at the address; nil for a seed that is not known
+}
+
+// sendProbe returns a heartbeat to a probed address. It carries the record that
+// declares the host there dead, which that host must refute: a host that never
+// learned of the declaration would answer all probes and still not count as
+// live, and it starts no exchange of its own while probes keep arriving.
+func (s *State) sendProbe(now time.Time, p probe) SendHeartbeat {
+	hb := s.newHeartbeat(now, "")
+	if p.dead != nil {
+		hb.Updates = []Member{*p.dead}
+	}
+	return SendHeartbeat{Address: p.address, Heartbeat: hb}
 }
 
 // maxProbed limits the dead hosts that are probed.
 const maxProbed = 64
 
-// probeAddresses returns the addresses of dead hosts and of seeds that belong
-// to no live host.
-func (s *State) probeAddresses() []netip.AddrPort {
+// probes returns the addresses of the seeds and of dead hosts that belong to no
+// live host.
+func (s *State) probes() []probe {
 	live := map[netip.AddrPort]bool{}
-	var dead []netip.AddrPort
+	dead := map[netip.AddrPort]*Member{}
 	for _, rec := range s.members {
 		if rec.Live() {
 			live[rec.PeerAddress] = true
-		} else if rec.State == Dead {
-			dead = append(dead, rec.PeerAddress)
+		} else if rec.State == Dead && rec.newerThan(dead[rec.PeerAddress]) {
+			dead[rec.PeerAddress] = &rec.Member
 		}
 	}
-	slices.SortFunc(dead, netip.AddrPort.Compare)
-	addresses := append(slices.Clone(s.settings.Seeds), dead[:min(len(dead), maxProbed)]...)
-	return slices.DeleteFunc(addresses, func(a netip.AddrPort) bool { return live[a] })
+	addresses := slices.SortedFunc(maps.Keys(dead), netip.AddrPort.Compare)
+	addresses = append(slices.Clone(s.settings.Seeds), addresses[:min(len(addresses), maxProbed)]...)
+	var out []probe
+	for _, a := range addresses {
+		if !live[a] {
+			out = append(out, probe{address: a, dead: dead[a]})
+		}
+	}
+	return out
+}
+
+// newerThan reports whether m replaces other, a member at the same address.
+func (m *Member) newerThan(other *Member) bool {
+	return other == nil || m.Incarnation > other.Incarnation || m.Incarnation == other.Incarnation && m.Host > other.Host
 }
 
 // newHeartbeat returns a heartbeat to a host, or to a seed if host is empty.
--- a/internal/spread/freshness_test.go
+++ b/internal/spread/freshness_test.go
@@ -196,6 +196,38 @@
 	})
 }
 
+// Guards against a host that declared all others dead while it was cut off and,
+// after the partition, answers them forever without counting them as live: its
+// probes kept the others from starting exchanges, and did not tell them that
+// they had to refute the declaration. The host then lost its last confirmation
+// when the voters died.
+func TestIsolatedHostTakesTheOthersForLiveAgain(t *testing.T) {
+	c := newCluster(0)
+	c.addHosts(7)
+	c.agree()
+	m := newLeaderModel(c)
+	advance := func(d time.Duration, change bool) {
+		for end := c.now.Add(d); c.now.Before(end); {
+			c.run(100 * time.Millisecond)
+			m.step(change)
+			m.check(t)
+		}
+	}
+	advance(6*time.Second, false)
+	last := c.hosts[6]
+	last.side = 1
+	c.delay = 88 * time.Millisecond
+	advance(4867*time.Millisecond, false)
+	last.side, c.delay = 0, 5*time.Millisecond
+	advance(5*time.Second, true)
+	require.Len(t, last.members.Live(), 7)
+	for _, v := range c.hosts[:3] {
+		v.crash()
+	}
+	advance(5*time.Second, true)
+	require.Equal(t, membership.ConfirmedByMajority, last.members.Freshness(c.now))
+}
+
 // Guards against a restarted host that helps to confirm an old configuration,
 // because it lost the record of the revisions that it had seen.
 func TestRestartedHostConfirmsNothing(t *testing.T) {
