Try every voter in the search for the leader

Cause: the index of the voter to try was (try/2+try) mod n. With three voters that is 0, 1, 0, 1, ..., and only voter 1 on the odd tries that remain while a leader is known, even if that leader is dead and voter 1 is it.

Change: a search counts the voters that it has tried and takes the next one.

Result: TestSearchTriesEveryVoter covers 3 to 5 voters and leaders that are known always, never and now and then.

--- a/internal/daemon/leader_search_test.go
+++ b/internal/daemon/leader_search_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +80,29 @@
 		require.LessOrEqual(t, tries, int(time.Second/submitRetryDelay)+1)
 	})
 }
+
+// Guards against a search that never tries one of the voters, which may be the
+// only one that leads or knows the leader, and against one that leaves out voters
+// while the known leader comes and goes.
+func TestSearchTriesEveryVoter(t *testing.T) {
+	for name, leader := range map[string]func(try int) string{
+		"no known leader":      func(int) string { return "" },
+		"dead leader":          func(int) string { return "c" },
+		"leader every 2nd try": func(try int) string { return []string{"c", ""}[try%2] },
+		"leader every 3rd try": func(try int) string { return []string{"c", "", ""}[try%3] },
+	} {
+		for _, voters := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d"}, {"a", "b", "c", "d", "e"}} {
+			t.Run(fmt.Sprint(name, len(voters)), func(t *testing.T) {
+				var c candidates
+				seen := map[string]bool{}
+				for try := range 2*len(voters) + 2 {
+					seen[c.next(try, leader(try), voters)] = true
+				}
+				require.Len(t, seen, len(voters))
+			})
+		}
+	}
+	var c candidates
+	require.Empty(t, c.next(1, "", nil))
+	require.Equal(t, "c", c.next(1, "c", nil))
+}
--- a/internal/daemon/reads.go
+++ b/internal/daemon/reads.go
@@ -31,8 +31,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readRetryTimeout)
 	defer cancel()
 	var last error
+	candidate := d.leaderCandidates()
 	for try := 0; ; try++ {
-		host := d.leaderCandidate(try)
+		host := candidate(try)
 		result, err := d.readAt(ctx, host, q, remote)
 		if err == nil {
 			return result, nil
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -56,7 +56,7 @@
 
 // atLeader calls f for one host after another until one leads the log.
 func (d *Daemon) atLeader(ctx context.Context, attemptTimeout time.Duration, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
-	search := leaderSearch{candidate: d.leaderCandidate, known: d.knownLeader, forget: d.clearLeaderHint, attemptTimeout: attemptTimeout}
+	search := leaderSearch{candidate: d.leaderCandidates(), known: d.knownLeader, forget: d.clearLeaderHint, attemptTimeout: attemptTimeout}
 	return search.run(ctx, f)
 }
 
@@ -139,16 +139,31 @@
 	}
 }
 
-// leaderCandidate returns the known leader on even tries and otherwise a voter.
-func (d *Daemon) leaderCandidate(try int) string {
-	if leader := d.knownLeader(); leader != "" && try%2 == 0 {
-		return leader
-	}
-	voters := d.voterHosts()
-	if len(voters) == 0 {
+// leaderCandidates returns the choice of the host to try for one search.
+func (d *Daemon) leaderCandidates() func(try int) string {
+	var c candidates
+	return func(try int) string {
+		if host := c.next(try, d.knownLeader(), d.voterHosts()); host != "" {
+			return host
+		}
 		return d.settings.Host // which answers that it holds no log
 	}
-	return voters[(try/2+try)%len(voters)]
+}
+
+// candidates chooses the hosts that a search for the leader tries.
+type candidates struct {
+	tried int // voters tried so far
+}
+
+// next returns the known leader on even tries and otherwise the next voter, so
+// that every voter is tried however often the known leader changes. It returns ""
+// if no host is known.
+func (c *candidates) next(try int, leader string, voters []string) string {
+	if leader != "" && try%2 == 0 || len(voters) == 0 {
+		return leader
+	}
+	c.tried++
+	return voters[(c.tried-1)%len(voters)]
 }
 
 // voterHosts returns the hosts that may hold the replicated log: the voters in
