Release a claim that is granted after its order has ended

Cause: if the outcome of a claim is unknown and the order then ends, for example since the ledger is full, the claim may still be granted later. The driver dropped that grant, so the request ID stayed in progress until the host's next incarnation. An order that waits for its own delayed claim did not notice the grant either, because the driver's watch ended only with the claim of another execution.

Change: the driver waits for claims that are in flight when an execution ends, and releases the claim if it was granted or its outcome is unknown. The watch also ends when the execution's own claim is open.

--- a/internal/orders/ordersrun/driver.go
+++ b/internal/orders/ordersrun/driver.go
@@ -91,7 +91,9 @@
 		driver: d, dispatch: dispatch, deadline: req.Deadline, claimant: d.Claimant(),
 		events: make(chan orders.Event, 16), answer: make(chan orders.Answer, 1), caller: ctx.Done(),
 	}
-	e.run = orders.NewExecution(req, e.claimant, d.fence.Add(fenceStep))
+	fence := d.fence.Add(fenceStep)
+	e.release = orders.Release{RequestID: req.ID, Token: orders.Token{Claimant: e.claimant, Fence: fence}}
+	e.run = orders.NewExecution(req, e.claimant, fence)
 	go e.loop()
 	a := <-e.answer
 	return a.Result, a.Err
@@ -125,6 +127,11 @@
 	answered bool
 	timer    *time.Timer
 	calls    sync.WaitGroup
+	watching context.Context // ends with the execution
+	// unresolved is set once the outcome of a claim is not known: it may still be
+	// granted after the execution has ended. release gives that claim back.
+	unresolved atomic.Bool
+	release    orders.Release
 }
 
 func (e *execution) loop() {
@@ -135,6 +142,9 @@
 	ctx, cancel := context.WithCancel(e.driver.ctx)
 	defer e.calls.Wait()
 	defer cancel()
+	watching, endWatch := context.WithCancel(ctx)
+	defer endWatch()
+	e.watching = watching
 	e.step(ctx, orders.Start{})
 	for !e.run.Closed() {
 		select {
@@ -151,6 +161,55 @@
 			return
 		}
 	}
+	endWatch()
+	e.releaseLateClaim(ctx)
+}
+
+// releaseLateClaim waits for the claims that are in flight when an execution ends,
+// and releases the claim if one was granted or may yet be granted. It would
+// otherwise keep the request ID in progress until this host's next incarnation.
+func (e *execution) releaseLateClaim(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		e.calls.Wait()
+		close(done)
+	}()
+	granted := false
+	for waiting := true; waiting; {
+		select {
+		case ev := <-e.events:
+			granted = granted || isGrant(ev)
+		case <-done:
+			waiting = false
+		}
+	}
+	for len(e.events) > 0 {
+		granted = isGrant(<-e.events) || granted
+	}
+	if !granted && !e.unresolved.Load() {
+		return
+	}
+	for wait := firstReleaseRetry; ; wait = min(2*wait, maxReleaseRetry) {
+		if _, failed := e.settle(ctx, e.release).(orders.SettleFailed); !failed {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return // the leader ends the claims of a process that is gone
+		}
+	}
+}
+
+// Delays between attempts to release a claim after the execution has ended.
+const (
+	firstReleaseRetry = 100 * time.Millisecond
+	maxReleaseRetry   = 5 * time.Second
+)
+
+func isGrant(ev orders.Event) bool {
+	answer, ok := ev.(orders.ClaimAnswered)
+	return ok && answer.Reply.Outcome == orders.Granted
 }
 
 func (e *execution) reply(a orders.Answer) {
@@ -170,7 +229,7 @@
 		case orders.ProposeSettle:
 			e.call(ctx, func(ctx context.Context) orders.Event { return e.settle(ctx, effect.Command) })
 		case orders.Watch:
-			e.call(ctx, func(ctx context.Context) orders.Event { return e.watch(ctx, effect.RequestID) })
+			e.call(e.watching, func(ctx context.Context) orders.Event { return e.watch(ctx, effect.RequestID) })
 		case orders.WakeAt:
 			e.timer.Reset(time.Until(effect.At))
 		case orders.Answer:
@@ -200,7 +259,11 @@
 	defer cancel()
 	reply, err := e.driver.ledger.Commit(ctx, c)
 	if err != nil {
-		return orders.ClaimFailed{Sent: verdict.Of(err) != verdict.NotRun}
+		sent := verdict.Of(err) != verdict.NotRun
+		if sent {
+			e.unresolved.Store(true)
+		}
+		return orders.ClaimFailed{Sent: sent}
 	}
 	if reply.Outcome == orders.ClaimEnded {
 		e.driver.renew(time.Now(), e.claimant)
@@ -224,13 +287,15 @@
 	return e.dispatch(ctx)
 }
 
-// watch polls a request until another host's claim on it has ended.
+// watch polls a request until another claim on it has ended, or until a delayed copy
+// of this execution's own claim has been granted.
 func (e *execution) watch(ctx context.Context, requestID string) orders.Event {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		reply, err := e.driver.ledger.LookUp(ctx, requestID)
-		if err == nil && reply.Outcome != orders.InProgress && reply.Outcome != orders.Unknown {
+		own := reply.Outcome == orders.InProgress && reply.Token == e.release.Token
+		if err == nil && (own || reply.Outcome != orders.InProgress && reply.Outcome != orders.Unknown) {
 			return orders.RequestChanged{Reply: reply}
 		}
 		select {
