Correct verdicts, hints and events that reading found

- A leadership transfer that ended before the transferee was told counted as 'may have run'.
- The client repeated the removal of a voter at the next host after an attempt that may have run; the next host refuses it as 'not run'.
- Event 6200 (overload) also counted refusals of unknown groups.
- 'ask one of' named nobody on a platform where voters find each other.
- Two unused declarations are gone.

The first three have tests that fail before the change; the others are texts.

--- a/internal/admission/admissionrun/controller.go
+++ b/internal/admission/admissionrun/controller.go
@@ -129,6 +129,9 @@
 }
 
 func (c *Controller) countRefusalLocked(now time.Time, err *verdict.Error) {
+	if err.Code == routing.CodeUnknownGroup {
+		return // the caller's mistake, which says nothing about the load
+	}
 	c.refused++
 	if now.Sub(c.lastLog) < logInterval {
 		return
--- a/internal/admission/admissionrun/controller_test.go
+++ b/internal/admission/admissionrun/controller_test.go
@@ -93,3 +93,16 @@
 		require.Empty(t, c.waiting)
 	})
 }
+
+// Guards against an alarm for overload when queries are refused for another reason.
+func TestUnknownGroupsAreNotLoggedAsOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		c := newController(eventlog.New(&log, zerolog.InfoLevel, "h"), 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := c.Admit(ctx, Query{Group: "none"})
+		require.Equal(t, routing.CodeUnknownGroup, verdict.CodeOf(err))
+		require.NotContains(t, log.String(), `"event":6200`)
+	})
+}
--- a/internal/balance/balancerun/balancer.go
+++ b/internal/balance/balancerun/balancer.go
@@ -277,19 +277,6 @@
 	close(p.ready)
 }
 
-// Forget removes the records of a target that restarted.
-func (b *Balancer) Forget(target string) {
-	now := time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state.Forget(target)
-	for k := range b.queues {
-		if k.Target == target {
-			b.grantFreeSlotsLocked(now, k)
-		}
-	}
-}
-
 // Snapshot returns the records of all searchers and the number of sub-requests
 // that wait for each.
 func (b *Balancer) Snapshot() ([]balance.Stats, map[balance.Key]int) {
--- a/internal/config/confighttp/client.go
+++ b/internal/config/confighttp/client.go
@@ -134,9 +134,13 @@
 
 // RemoveVoter permanently revokes the vote of an identity.
 func (c *Client) RemoveVoter(ctx context.Context, identity string) error {
-	return c.do(ctx, http.MethodPost, "/voters/"+url.PathEscape(identity)+"/remove", struct{}{}, &Name{})
+	return c.doUntil(ctx, mayHaveRun, http.MethodPost, "/voters/"+url.PathEscape(identity)+"/remove", struct{}{}, &Name{})
 }
 
+// mayHaveRun reports whether a failed request may have had an effect. Sent again,
+// a request that is not idempotent would then be refused although it took effect.
+func mayHaveRun(err error) bool { return errVerdict(err) != verdict.NotRun }
+
 // ResumeHost ends the drain of a host.
 func (c *Client) ResumeHost(ctx context.Context, host string) error {
 	return c.do(ctx, http.MethodPost, "/hosts/"+url.PathEscape(host)+"/resume", struct{}{}, &Name{})
@@ -146,6 +150,11 @@
 // false. If no host is left, it returns the last reply of a host, or the last
 // failed attempt if none replied, with a verdict that covers all attempts.
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	return c.doUntil(ctx, func(error) bool { return false }, method, path, in, out)
+}
+
+// doUntil is like do, and also ends with an attempt whose error is final.
+func (c *Client) doUntil(ctx context.Context, final func(error) bool, method, path string, in, out any) error {
 	var body []byte
 	if in != nil {
 		var err error
@@ -163,7 +172,7 @@
 			break
 		}
 		latest := c.try(ctx, method, "http://"+addr+"/v1/admin"+path, body, out)
-		if !shouldTryNext(latest) {
+		if !shouldTryNext(latest) || final(latest) {
 			return latest
 		}
 		attempts = verdict.Join(attempts, errVerdict(latest))
--- a/internal/config/confighttp/server_test.go
+++ b/internal/config/confighttp/server_test.go
@@ -336,3 +336,27 @@
 	require.Equal(t, verdict.MayHaveRun, VerdictOf(err))
 	require.ErrorContains(t, err, "unexpected EOF") // not the later connection failure
 }
+
+// Guards against a request that is not idempotent and is sent to a second host after
+// it may have had an effect: the second host would refuse it as "not run".
+func TestRemovalOfAVoterIsNotRepeated(t *testing.T) {
+	var asked []string
+	host := func(name string, handler http.HandlerFunc) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked = append(asked, name)
+			handler(w, r)
+		}))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	refuse := func(v string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"error":{"code":"unavailable","message":"m","verdict":"`+v+`"}}`)
+		}
+	}
+	c := Client{HTTP: http.DefaultClient, Addresses: []string{host("a", refuse("not_run")), host("b", refuse("may_have_run")), host("c", refuse("not_run"))}}
+	err := c.RemoveVoter(t.Context(), "id1")
+	require.Equal(t, verdict.MayHaveRun, VerdictOf(err))
+	require.Equal(t, []string{"a", "b"}, asked)
+}
--- a/internal/consensus/events.go
+++ b/internal/consensus/events.go
@@ -20,11 +20,11 @@
 	EventSnapshotRestored = eventlog.Define(4003, zerolog.InfoLevel, "state restored from a snapshot",
 		"The node started, or lagged so far that the leader sent it a snapshot.",
 		"None.")
-	EventStorageFull = eventlog.Define(4004, zerolog.ErrorLevel, "consensus stopped writing: data directory full",
-		"The journal refused a write for lack of space.",
-		"Free space in the data directory. Writing resumes by itself.")
+	EventStorageFull = eventlog.Define(4004, zerolog.ErrorLevel, "consensus stopped writing: the journal refuses writes",
+		"The data directory is full, or the disk is so slow that the journal's queue is full.",
+		"Free space in the data directory, or check the disk. Writing resumes by itself.")
 	EventStorageRecovered = eventlog.Define(4005, zerolog.InfoLevel, "consensus resumed writing",
-		"The data directory has space again.",
+		"The journal accepts writes again.",
 		"None.")
 	EventInitialVotersDiffer = eventlog.Define(4006, zerolog.WarnLevel, "hosts have different lists of initial voters",
 		"The settings of two empty hosts name different initial voters, so no cluster is founded.",
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -42,7 +42,7 @@
 	n.role = Follower
 	n.leader = Member{}
 	n.refuseAllReads()
-	n.endTransfer(verdict.New(verdict.MayHaveRun, CodeNotLeader, "leadership ended during the transfer"))
+	n.endTransfer(verdict.New(n.leading.transfer.verdict(), CodeNotLeader, "leadership ended during the transfer"))
 	n.leading = leaderState{}
 }
 
@@ -80,7 +80,7 @@
 	case n.leading.transfer != nil:
 		return verdict.New(verdict.NotRun, CodeTransferring, "a leadership transfer is in progress")
 	case n.storage.full:
-		return verdict.New(verdict.NotRun, CodeStorageFull, "the data directory of %s is full", n.opts.Self.Name)
+		return verdict.New(verdict.NotRun, CodeStorageFull, "the journal of %s refuses writes: its data directory or its queue is full", n.opts.Self.Name)
 	case size > n.opts.MaxProposalBytes:
 		return verdict.New(verdict.NotRun, CodeProposalTooLarge,
 			"proposal of %d bytes exceeds the limit of %d", size, n.opts.MaxProposalBytes)
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
 // newVoter returns voter a of three in term 2, with one entry after the initial
@@ -161,3 +163,44 @@
 	deliver(n, now, "b", 3, AppendReply{PrevIndex: 3, Match: 4})
 	require.IsType(t, ProposalAppended{}, add("e"))
 }
+
+// Guards against "may have run" for a leadership transfer of which the transferee
+// was not told, and against "not run" for one that it may carry out.
+func TestTransferThatEndsWithLeadershipHasATrueVerdict(t *testing.T) {
+	for name, c := range map[string]struct {
+		upToDate bool
+		want     verdict.Verdict
+	}{"transferee behind": {false, verdict.NotRun}, "transferee told": {true, verdict.MayHaveRun}} {
+		t.Run(name, func(t *testing.T) {
+			n, now := newVoter(t)
+			for range 40 {
+				now = now.Add(100 * time.Millisecond)
+				n.Step(now, Tick{})
+				n.Step(now, Persisted{Seq: n.storage.seq})
+				if n.role == Leader {
+					break
+				}
+				deliver(n, now, "b", n.hard.Term+1, PreVoteReply{Granted: true})
+				deliver(n, now, "b", n.hard.Term, VoteReply{Granted: true})
+			}
+			require.Equal(t, Leader, n.role)
+			p := n.leading.progress["b"]
+			p.match = 0
+			if c.upToDate {
+				p.match = n.log.lastIndex()
+			}
+			n.leading.transfer = &transfer{id: "x", to: "b", deadline: now.Add(time.Hour)}
+			n.advanceTransfer()
+			n.effects = nil
+			n.stopLeading()
+			var ended []TransferEnded
+			for _, e := range n.effects {
+				if e, ok := e.(TransferEnded); ok {
+					ended = append(ended, e)
+				}
+			}
+			require.Len(t, ended, 1)
+			require.Equal(t, c.want, ended[0].Err.Verdict)
+		})
+	}
+}
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -15,6 +15,14 @@
 	sent     bool // TimeoutNow was sent
 }
 
+// verdict returns whether the transferee may have been told to take over.
+func (t *transfer) verdict() verdict.Verdict {
+	if t != nil && t.sent {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
 func (n *Node) transferLeadership(t TransferLeadership) {
 	switch {
 	case n.role != Leader:
@@ -60,11 +68,7 @@
 	}
 	p := n.leading.progress[t.to]
 	if p == nil || !n.now.Before(t.deadline) {
-		v := verdict.NotRun
-		if t.sent {
-			v = verdict.MayHaveRun
-		}
-		n.endTransfer(verdict.New(v, verdict.CodeDeadlineExceeded, "leadership transfer to %s timed out", t.to))
+		n.endTransfer(verdict.New(t.verdict(), verdict.CodeDeadlineExceeded, "leadership transfer to %s timed out", t.to))
 		return
 	}
 	if p.match == n.log.lastIndex() && !t.sent {
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -168,7 +168,7 @@
 // Voters returns the hosts that hold the replicated log.
 func (b backend) Voters() ([]confighttp.Voter, error) {
 	if b.d.journal == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host holds no replicated log; ask one of %s", b.d.voterNames())
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host holds no replicated log; %s", b.d.whomToAsk())
 	}
 	var out []confighttp.Voter
 	for _, v := range b.d.loop.Snapshot().Voters {
@@ -182,12 +182,13 @@
 	return b.d.ChangeVoters(ctx, consensus.Remove, consensus.Identity(identity))
 }
 
-func (d *Daemon) voterNames() string {
-	names := make([]string, len(d.settings.Voters))
-	for i, v := range d.settings.Voters {
-		names[i] = v.Host
+// whomToAsk names the hosts that hold the replicated log.
+func (d *Daemon) whomToAsk() string {
+	names := d.voterHosts()
+	if len(names) == 0 {
+		return "no host that holds it is known yet"
 	}
-	return strings.Join(names, ", ")
+	return "ask one of " + strings.Join(names, ", ")
 }
 
 func (b backend) lifecycleClient(host string) (lifecyclerpc.Lifecycle, error) {
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -15,8 +15,8 @@
 		"The process ended after a graceful shutdown.",
 		"None.")
 	eventFailed = eventlog.Define(1102, zerolog.ErrorLevel, "host stops because of an internal failure",
-		"The host's state can no longer be trusted, for example after a failed sync of its disk.",
-		"Read the error. Check the disk; replace the host if it fails again.")
+		"The host's state can no longer be trusted, for example after a failed sync of its disk, or a listener failed.",
+		"Read the error. After an error of the journal, check the disk, and replace the host if it fails again. After an error of a listener, check the number of open files.")
 	eventConnectionsLeft = eventlog.Define(1104, zerolog.WarnLevel, "connections to targets were still open when the host stopped",
 		"A target did not answer a request in time while the host stopped.",
 		"None. The target sees the connections close.")
--- a/internal/query/types.go
+++ b/internal/query/types.go
@@ -19,10 +19,9 @@
 
 // Codes of errors in replies that a query handles.
 const (
-	CodeSnapshotGone  verdict.Code = "snapshot_gone"
-	CodeShed          verdict.Code = "shed"
-	CodeDraining      verdict.Code = "draining"
-	CodeWrongSnapshot verdict.Code = "wrong_snapshot"
+	CodeSnapshotGone verdict.Code = "snapshot_gone"
+	CodeShed         verdict.Code = "shed"
+	CodeDraining     verdict.Code = "draining"
 )
 
 // Query is a validated query of a caller.
