Follow the other records when one is malformed, and keep leaving targets drained

Malformed records. Cause: the decoder failed a whole message for one malformed item, and the sender repeats a failed message with all its items. One odd record of another writer, for example of a newer version with other bounds, kept the receiver from following all others, and a malformed member record in a heartbeat made its sender look silent. Names that are not UTF-8 were accepted at the edge, and the encoding between hosts fails for a whole message that has one.

Leaving targets. Cause: an observed drain ended with a later announcement, and a record with a higher seq undid it. Change: a target that said in a reply that it leaves is marked in its record. Within the incarnation such a record replaces all others, and no announcement or renewal ends the drain.

A layout that another host has from the replicated log now counts as committed (control dropped that mark), and the reference page of events includes those of the platform adapter.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -132,7 +132,11 @@
 		case spread.Deliver:
 			out = append(out, c.delivered(now, e)...)
 		case spread.Log:
-			out = append(out, Log{Event: e.Event, Fields: []Field{{"peer", e.Peer}}})
+			fields := []Field{{"peer", e.Peer}}
+			if e.Detail != "" {
+				fields = append(fields, Field{"detail", e.Detail})
+			}
+			out = append(out, Log{Event: e.Event, Fields: fields})
 		}
 	}
 	return out
@@ -147,7 +151,7 @@
 		case item.Target != nil:
 			out = append(out, c.targetEffects(now, c.registry.Step(now, targets.RecordReceived{From: e.From, Record: item.Target, ExpiredFor: item.Age}))...)
 		case item.Layout != nil:
-			out = append(out, c.targetEffects(now, c.registry.Step(now, targets.LayoutReceived{From: e.From, Layout: item.Layout}))...)
+			out = append(out, c.targetEffects(now, c.registry.Step(now, targets.LayoutReceived{From: e.From, Layout: item.Layout, Committed: item.Committed()}))...)
 		}
 	}
 	return out
--- a/internal/control/targets_test.go
+++ b/internal/control/targets_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
+	"github.com/hawthornlock/hawthornlock/internal/spread"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
 )
 
 // Guards against computing coverage from an announced layout instead of the one
@@ -31,3 +33,21 @@
 	require.True(t, ok)
 	require.Equal(t, []string{"x", "y"}, s.Shards)
 }
+
+// Guards against a layout from another host's log that is taken for an announced
+// one: it must win over a layout that this host learned from an announcement.
+func TestLayoutFromTheLogOfAnotherHostWins(t *testing.T) {
+	c, now := benchCore(0)
+	c.Step(now, Announced{Announcement: benchAnnouncement(1, 1)})
+	announced, _, ok := c.registry.Layout("g0-v1")
+	require.True(t, ok)
+	for _, shards := range [][]string{{"x"}, {"y"}} {
+		l := targets.NewLayout("g0-v1", 1, shards)
+		item := spread.Item{Key: spread.Key{Kind: spread.KindLayout, Name: "g0-v1"}, Version: spread.Version{Rank: 1, Tie: l.Hash}, Layout: l}
+		c.Step(now, ExchangeReceived{Token: 1, Request: spread.Request{From: "h2", Session: 1, ID: 1, Items: []spread.Item{item}}})
+		got, committed, ok := c.registry.Layout("g0-v1")
+		require.True(t, ok)
+		require.True(t, committed)
+		require.NotEqual(t, announced.Hash, got.Hash)
+	}
+}
--- a/internal/docgen/docgen_test.go
+++ b/internal/docgen/docgen_test.go
@@ -10,6 +10,7 @@
 
 	// Links all packages that define events.
 	_ "github.com/hawthornlock/hawthornlock/internal/daemon"
+	_ "github.com/hawthornlock/hawthornlock/platform"
 )
 
 var update = flag.Bool("update", false, "write the pages instead of comparing them")
--- a/internal/membership/membershiprpc/codec.go
+++ b/internal/membership/membershiprpc/codec.go
@@ -47,8 +47,9 @@
 	return msg
 }
 
-// Decode returns the heartbeat of a wire message. It fails on a malformed
-// member and on lists over their maximum length.
+// Decode returns the heartbeat of a wire message, without malformed records of
+// other hosts. It fails on a malformed record of the sender and on lists over
+// their maximum length.
 func Decode(msg *Heartbeat) (membership.Heartbeat, error) {
 	hb := membership.Heartbeat{
 		Host:        msg.GetHost(),
@@ -88,7 +89,7 @@
 	for _, m := range msg.News {
 		update, err := DecodeMember(m)
 		if err != nil {
-			return hb, err
+			continue // a record of a third host says nothing about the sender, whose heartbeat counts
 		}
 		hb.Updates = append(hb.Updates, update)
 	}
--- a/internal/spread/item.go
+++ b/internal/spread/item.go
@@ -155,7 +155,7 @@
 func targetItem(rec *targets.Record, expiredFor time.Duration) Item {
 	return Item{
 		Key:     Key{Kind: KindTarget, Name: rec.Target},
-		Version: Version{Incarnation: rec.Incarnation, Seq: rec.Seq, Rank: uint8(rec.Status), Tie: rec.ContentHash()},
+		Version: Version{Incarnation: rec.Incarnation, Seq: rec.Order(), Rank: uint8(rec.Status), Tie: rec.ContentHash()},
 		Target:  rec,
 		Age:     expiredFor,
 		Bytes:   itemOverhead + targetBytes(rec),
@@ -179,13 +179,19 @@
 	return n
 }
 
+// committedRank is the rank of a layout that the replicated log holds.
+const committedRank = 1
+
+// Committed reports whether the sender of a layout has it from the replicated log.
+func (i *Item) Committed() bool { return i.Layout != nil && i.Version.Rank == committedRank }
+
 // layoutItem returns the item of a layout. A layout committed in the replicated
 // log ranks above others; otherwise layouts of one index snapshot are ordered by
 // hash.
 func layoutItem(l *targets.Layout, committed bool) Item {
 	v := Version{Tie: l.Hash}
 	if committed {
-		v.Rank = 1
+		v.Rank = committedRank
 	}
 	return Item{
 		Key:     Key{Kind: KindLayout, Name: l.IndexSnapshot},
--- a/internal/spread/messages.go
+++ b/internal/spread/messages.go
@@ -10,6 +10,10 @@
 	ID      uint64
 	Items   []Item
 	Digest  *Digest // asks for the receiver's digest
+	// Malformed counts the items that could not be decoded and are left out, and
+	// MalformedReason says what was wrong with the first one.
+	Malformed       int
+	MalformedReason string
 }
 
 // Response acknowledges a request. Wanted lists the keys of the offers whose
@@ -102,8 +106,9 @@
 
 // Log writes a numbered event.
 type Log struct {
-	Event eventlog.Event
-	Peer  string
+	Event  eventlog.Event
+	Peer   string
+	Detail string // may be empty
 }
 
 func (Send) isSpreadEffect()    {}
--- a/internal/spread/spreadrpc/codec.go
+++ b/internal/spread/spreadrpc/codec.go
@@ -27,8 +27,10 @@
 	return msg
 }
 
-// DecodeRequest returns the request of a wire message. It fails on malformed
-// items and on lists beyond their bounds.
+// DecodeRequest returns the request of a wire message. It leaves malformed items
+// out and counts them: the sender repeats a failed request with all its items, so
+// that one malformed item would keep the others away. It fails on lists beyond
+// their bounds.
 func DecodeRequest(msg *ExchangeRequest) (spread.Request, error) {
 	req := spread.Request{From: msg.GetFrom(), Session: msg.GetSession(), ID: msg.GetId()}
 	if len(msg.GetItems()) > maxItems {
@@ -40,10 +42,14 @@
 	}
 	for _, m := range msg.GetItems() {
 		item, err := decodeItem(m)
-		if err != nil {
-			return req, err
+		if err == nil {
+			req.Items = append(req.Items, item)
+			continue
+		}
+		if req.Malformed == 0 {
+			req.MalformedReason = err.Error()
 		}
-		req.Items = append(req.Items, item)
+		req.Malformed++
 	}
 	return req, nil
 }
--- a/internal/spread/state.go
+++ b/internal/spread/state.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -205,6 +206,9 @@
 	p := s.peers[req.From]
 	effects := s.checkSession(p, req.Session)
 	resp := Response{From: s.self, Session: s.session, ID: req.ID}
+	if req.Malformed > 0 {
+		effects = append(effects, Log{Event: eventMalformed, Peer: req.From, Detail: fmt.Sprintf("%d items, first: %s", req.Malformed, req.MalformedReason)})
+	}
 	var newer []Item
 	for i := range req.Items {
 		item := &req.Items[i]
--- a/internal/targets/announcement.go
+++ b/internal/targets/announcement.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"unicode/utf8"
 
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -20,6 +21,7 @@
 	MaxNameBytes   = 128
 	MaxConnections = 100_000
 	MaxSlots       = 10_000
+	MaxSeq         = 1 << 62
 )
 
 // Error codes of rejected announcements.
@@ -84,14 +86,6 @@
 	Reported        Reported
 }
 
-// Newer reports whether a was sent after b by the same target.
-func (a *Announcement) Newer(b *Announcement) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return a.Seq > b.Seq
-}
-
 // Validate checks the announcement and returns the first fault it finds.
 func (a *Announcement) Validate() error {
 	if err := a.validateIdentity(); err != nil {
@@ -107,9 +101,11 @@
 func (a *Announcement) validateIdentity() error {
 	switch {
 	case !validName(a.Target):
-		return invalid("target name %q is empty or too long", a.Target)
+		return invalid("target name %q is empty, too long or not UTF-8", a.Target)
 	case a.Incarnation == 0:
 		return invalid("incarnation is missing")
+	case a.Seq > MaxSeq:
+		return invalid("seq %d is greater than %d", a.Seq, uint64(MaxSeq))
 	case !a.Address.IsValid() || a.Address.Port() == 0:
 		return invalid("address %q is not an IP address and port", a.Address)
 	case a.Address.Addr().IsUnspecified() || a.Address.Addr().IsMulticast():
@@ -124,8 +120,8 @@
 		return invalid("%d labels, at most %d are allowed", len(a.Labels), MaxLabels)
 	}
 	for k, v := range a.Labels {
-		if !validName(k) || len(v) > MaxNameBytes {
-			return invalid("label %q has an empty or too long name, or a too long value", k)
+		if !validName(k) || !validText(v) {
+			return invalid("label %q has an empty, too long or malformed name or value", k)
 		}
 	}
 	return nil
@@ -190,7 +186,11 @@
 	return nil
 }
 
-func validName(s string) bool { return s != "" && len(s) <= MaxNameBytes }
+// validName reports whether a name can be stored and sent. The encoding between
+// hosts fails for a whole message if one of its texts is not UTF-8.
+func validName(s string) bool { return s != "" && validText(s) }
+
+func validText(s string) bool { return len(s) <= MaxNameBytes && utf8.ValidString(s) }
 
 func invalid(format string, args ...any) error {
 	return verdict.New(verdict.NotRun, CodeInvalid, format, args...)
--- a/internal/targets/lease.go
+++ b/internal/targets/lease.go
@@ -176,7 +176,7 @@
 		e.renewedSeq = renewal.Seq
 		e.renewedAt = e.leaseStart
 		if e.rec.Status == StatusExpired {
-			effects = append(effects, r.revive(now, e, renewal.Seq)...)
+			effects = append(effects, r.revive(now, e, renewal.Seq, false)...)
 		}
 	}
 	return effects
--- a/internal/targets/messages.go
+++ b/internal/targets/messages.go
@@ -40,10 +40,13 @@
 	Renewals []Renewal
 }
 
-// DrainObserved reports that a reply from a target said that it is draining.
+// DrainObserved reports that a target takes no new work. Leaving is set if a
+// reply of the target itself said so, which holds for the rest of its
+// incarnation. Otherwise a later announcement ends the drain.
 type DrainObserved struct {
 	Target      string
 	Incarnation uint64
+	Leaving     bool
 }
 
 // MembersChanged lists the live hosts. Quorate is set if this host hears from a
--- a/internal/targets/record.go
+++ b/internal/targets/record.go
@@ -39,21 +39,38 @@
 	Announcement
 	Status       Status
 	LayoutHashes []uint64
-	contentHash  uint64
+	// Leaving is set once the target itself has said in a reply that it leaves.
+	// It takes no new work again in this incarnation, whatever it announces.
+	Leaving     bool
+	contentHash uint64
 }
 
 // Compare orders the records of one target: the result is positive if r
-// replaces other. Records of equal incarnation, seq and status are ordered by
-// content hash, so that all hosts keep the same one.
+// replaces other. Within an incarnation, a record of a leaving target replaces
+// all others, since a delayed announcement may have a higher seq. Records of
+// equal incarnation, seq and status are ordered by content hash, so that all
+// hosts keep the same one.
 func (r *Record) Compare(other *Record) int {
 	return cmp.Or(
 		cmp.Compare(r.Incarnation, other.Incarnation),
-		cmp.Compare(r.Seq, other.Seq),
+		cmp.Compare(r.Order(), other.Order()),
 		cmp.Compare(r.Status, other.Status),
 		cmp.Compare(r.contentHash, other.contentHash),
 	)
 }
 
+// leavingBit marks the order of a leaving target's record. A seq is at most
+// MaxSeq, so the bit is free.
+const leavingBit = 1 << 63
+
+// Order returns a number that orders the records of one incarnation.
+func (r *Record) Order() uint64 {
+	if r.Leaving {
+		return r.Seq | leavingBit
+	}
+	return r.Seq
+}
+
 // ContentHash returns the hash of everything the target announced except
 // Incarnation, Seq and Reported. It is zero until the registry holds the record.
 func (r *Record) ContentHash() uint64 { return r.contentHash }
@@ -67,6 +84,9 @@
 	if r.Status > StatusExpired {
 		return invalid("status %d is unknown", r.Status)
 	}
+	if r.Leaving && r.Status == StatusAlive {
+		return invalid("a leaving target has status %q", r.Status)
+	}
 	if len(r.IndexSnapshots) > MaxSnapshots || len(r.LayoutHashes) != len(r.IndexSnapshots) {
 		return invalid("%d index snapshots with %d layout hashes", len(r.IndexSnapshots), len(r.LayoutHashes))
 	}
@@ -86,6 +106,13 @@
 	return nil
 }
 
+// asLeaving returns a copy of r for a target that leaves.
+func (r *Record) asLeaving() *Record {
+	c := r.with(r.Seq, max(r.Status, StatusDraining))
+	c.Leaving = true
+	return c
+}
+
 // with returns a copy of r with another seq and status.
 func (r *Record) with(seq uint64, status Status) *Record {
 	c := *r
--- a/internal/targets/registry.go
+++ b/internal/targets/registry.go
@@ -162,6 +162,9 @@
 	rec = r.intern.canonical(rec)
 	e := r.entries[a.Target]
 	if e != nil {
+		if e.rec.Leaving && e.rec.Incarnation == rec.Incarnation {
+			rec = rec.asLeaving()
+		}
 		if e.repeats(rec) {
 			return nil, nil
 		}
@@ -200,13 +203,16 @@
 	return rec.Seq <= max(e.rec.Seq, e.renewedSeq)
 }
 
-// renewedBy reports whether rec only extends the lease. A drain known from a
-// reply outlasts announcements that may have been sent before it: only one that
+// renewedBy reports whether rec only extends the lease. Nothing that a leaving
+// target announces matters any more. Any other drain known from a reply outlasts announcements that may have been sent before it: only one that
 // arrives at least a lease period later ends the drain.
 func (e *entry) renewedBy(now time.Time, rec *Record, leasePeriod time.Duration) bool {
 	if rec.Incarnation != e.rec.Incarnation || e.rec.Status == StatusExpired {
 		return false
 	}
+	if e.rec.Leaving {
+		return true
+	}
 	if e.rec.observedDrain() && rec.Status == StatusAlive {
 		return now.UnixNano()-e.statusSince < int64(leasePeriod)
 	}
@@ -309,7 +315,7 @@
 		return nil
 	}
 	if e != nil && rec.Status == StatusExpired && e.refutes(now, rec, r.leasePeriod) {
-		return r.revive(now, e, e.renewedSeq)
+		return r.revive(now, e, e.renewedSeq, rec.Leaving)
 	}
 	e = r.store(now, rec)
 	if rec.Status == StatusExpired {
@@ -326,13 +332,19 @@
 }
 
 // revive gives a record a newer seq, so that it replaces its expiry at all hosts.
-func (r *Registry) revive(now time.Time, e *entry, seq uint64) []Effect {
+// leaving is set if the expiry is that of a leaving target.
+func (r *Registry) revive(now time.Time, e *entry, seq uint64, leaving bool) []Effect {
+	leaving = leaving || e.rec.Leaving
 	status := e.rec.Status
-	if status == StatusExpired {
+	switch {
+	case leaving:
+		status = StatusDraining
+	case status == StatusExpired:
 		status = statusOf(e.rec.Phase)
 	}
 	renewedAt := e.renewedAt
 	rec := e.rec.with(seq, status)
+	rec.Leaving = leaving
 	effects := logTransition(e, rec)
 	e = r.store(now, rec)
 	e.renewedSeq, e.renewedAt = seq, renewedAt
@@ -343,10 +355,14 @@
 
 func (r *Registry) drainObserved(now time.Time, ev DrainObserved) []Effect {
 	e := r.entries[ev.Target]
-	if e == nil || e.rec.Incarnation != ev.Incarnation || e.rec.Status != StatusAlive {
+	switch {
+	case e == nil, e.rec.Incarnation != ev.Incarnation, e.rec.Status == StatusExpired, e.rec.Leaving:
+		return nil
+	case e.rec.Status == StatusDraining && !ev.Leaving:
 		return nil
 	}
 	rec := e.rec.with(e.rec.Seq, StatusDraining)
+	rec.Leaving = ev.Leaving
 	leaseAt := e.leaseStart
 	effects := logTransition(e, rec)
 	e = r.store(now, rec)
--- a/internal/targets/registry_test.go
+++ b/internal/targets/registry_test.go
@@ -168,6 +168,84 @@
 	require.Equal(t, StatusAlive, rec.Status)
 }
 
+// leave returns the registry of a host that saw a reply of t1 saying that it
+// leaves.
+func leave(t *testing.T) *Registry {
+	t.Helper()
+	r := NewRegistry("h1")
+	announce(t, r, start, announcement("t1", 1, 1001))
+	effects := r.Step(start, DrainObserved{Target: "t1", Incarnation: 1, Leaving: true})
+	require.Len(t, disseminated(effects), 1)
+	require.True(t, disseminated(effects)[0].Urgent)
+	return r
+}
+
+func record(t *testing.T, r *Registry, now time.Time) *Record {
+	t.Helper()
+	rec, _, ok := r.Record(now, "t1")
+	require.True(t, ok)
+	return rec
+}
+
+// Guards against new work for a target that said in a reply that it leaves,
+// because of a delayed announcement that still says ready, however late it
+// arrives, before or after the lease has expired. Only a new incarnation takes work
+// again.
+func TestLeavingTargetTakesNoWorkAgain(t *testing.T) {
+	r := leave(t)
+	now := start
+	for seq := uint64(2); seq < 12; seq++ {
+		now = now.Add(time.Second)
+		announce(t, r, now, announcement("t1", seq, 1001))
+		r.Step(now, Tick{})
+		require.Equal(t, StatusDraining, record(t, r, now).Status)
+	}
+	for range 60 {
+		now = now.Add(100 * time.Millisecond)
+		r.Step(now, Tick{})
+	}
+	require.Equal(t, StatusExpired, record(t, r, now).Status)
+	announce(t, r, now, announcement("t1", 50, 1001))
+	require.Equal(t, StatusDraining, record(t, r, now).Status)
+	next := announcement("t1", 1, 1001)
+	next.Incarnation = 2
+	announce(t, r, now, next)
+	require.Equal(t, StatusAlive, record(t, r, now).Status)
+	require.Nil(t, r.Step(now, DrainObserved{Target: "t1", Incarnation: 1, Leaving: true}), "a late reply of the earlier incarnation")
+}
+
+// Guards against hosts that disagree on a leaving target: a host that knows a newer
+// announcement, a drain, or a renewal that refutes the expiry must take over that
+// the target leaves, and no older record may undo it.
+func TestLeavingSpreadsOverNewerAnnouncements(t *testing.T) {
+	leaving := record(t, leave(t), start)
+	expired := leaving.with(1, StatusExpired)
+	for name, received := range map[string]*Record{"leaving": leaving, "leaving and expired": expired} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegistry("h2")
+			for seq := uint64(1); seq < 9; seq++ {
+				announce(t, r, start, announcement("t1", seq, 1001))
+			}
+			alive := record(t, r, start)
+			require.Positive(t, received.Compare(alive))
+			effects := r.Step(start, RecordReceived{From: "h1", Record: received})
+			require.NotEmpty(t, disseminated(effects))
+			got := record(t, r, start)
+			require.True(t, got.Leaving)
+			require.NotEqual(t, StatusAlive, got.Status)
+			require.Empty(t, r.Step(start, RecordReceived{From: "h3", Record: alive.with(9, StatusAlive)}))
+			require.Empty(t, r.Step(start, DrainObserved{Target: "t1", Incarnation: 1}))
+		})
+	}
+	r := NewRegistry("h2")
+	draining := announcement("t1", 2, 1001)
+	draining.Phase = Draining
+	announce(t, r, start, draining)
+	require.NotEmpty(t, r.Step(start, DrainObserved{Target: "t1", Incarnation: 1, Leaving: true}))
+	announce(t, r, start, announcement("t1", 3, 1001))
+	require.Equal(t, StatusDraining, record(t, r, start).Status)
+}
+
 // Guards against an owner that expires live targets because it could not receive
 // their renewals: before it owned the leases, during a pause, or in a minority.
 func TestOwnersExtendLeasesAfterMissedRenewals(t *testing.T) {
--- a/internal/targets/targetsrpc/codec.go
+++ b/internal/targets/targetsrpc/codec.go
@@ -47,6 +47,7 @@
 		Phase:           string(r.Phase),
 		Healthy:         r.Reported.Healthy,
 		Load:            r.Reported.Load,
+		Leaving:         r.Leaving,
 	}
 	position := make(map[string]uint32, len(r.IndexSnapshots))
 	for i, s := range r.IndexSnapshots {
@@ -84,7 +85,8 @@
 			Phase:           targets.Phase(msg.GetPhase()),
 			Reported:        targets.Reported{Healthy: msg.GetHealthy(), Load: msg.GetLoad()},
 		},
-		Status: targets.Status(msg.GetStatus()),
+		Status:  targets.Status(msg.GetStatus()),
+		Leaving: msg.GetLeaving(),
 	}
 	for _, s := range msg.GetIndexSnapshots() {
 		r.IndexSnapshots = append(r.IndexSnapshots, targets.IndexSnapshot{Name: s.GetName(), Generation: s.GetGeneration()})
