Honor searchers that leave or ask for a pause, and bound their replies

Leaving and pauses. Cause: nothing read Server-Leaving or the Retry-After of a searcher. Change: the group of a service keeps both as decisions of their own (forward/notice.go): such a searcher is not chosen, not warmed, and not sent a request that was assigned before; the memory outlasts its removal from the list. A request waits for the end of a pause only if it can still be served, and is otherwise refused at once with the soonest end that helps. A gatherer reports leaving searchers to the host that asked.

Cause: the head of a reply had no bound and a body 16 MB on each connection. Change: bounds on heads, interim responses, parts and bodies, and one budget of memory for all replies of a process (an eighth of the new setting -memory-limit, from which the garbage collector's limit is set too). Responses of other hosts and heads of callers are bounded as well.

Second copies. Cause: a refusal without a request ID on a used connection, or a second copy of a refusal of the same request, was taken for 'not run'. Change: the first ends the exchange as one that may have run; a request that may run once is never sent twice over one connection.

--- a/cmd/hawthornlockd/main.go
+++ b/cmd/hawthornlockd/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -34,6 +35,9 @@
 	if s.Seed == 0 {
 		s.Seed = uint64(time.Now().UnixNano())
 	}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(s.MemoryLimit)))
+	}
 	output := eventlog.NonBlocking(os.Stdout)
 	defer func() { _ = output.Close() }()
 	log := eventlog.New(output, s.LogLevel, s.Host)
@@ -56,6 +60,11 @@
 	return 0
 }
 
+// collectorShare is the share of the memory limit from which the garbage collector
+// works harder. The rest is for memory that the collector does not count, such as
+// socket buffers and the program itself.
+const collectorShare = 0.8
+
 // load reads the settings from the platform's settings file, if the environment
 // names one, or from flags and environment variables.
 func load(args []string) (*settings.Settings, []daemon.Adapter, error) {
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -38,18 +38,36 @@
 		OnMisdirected: func(target string, incarnation uint64) {
 			d.observeDrain(query.DrainObserved{Target: target, Incarnation: incarnation})
 		},
+		OnLeaving: func(target string, incarnation uint64) {
+			d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: target, Incarnation: incarnation, Leaving: true}})
+		},
+		ReplyMemory: int64(d.settings.MemoryLimit) / replyMemoryDivisor,
 		Budget: forward.BudgetLimits{
 			Ratio: float64(d.settings.RetryPermille) / 1000, Extra: float64(d.settings.RetryExtra), Window: d.settings.RetryWindow,
 		},
 	})
 }
 
+// replyMemoryDivisor is the part of the process's memory that replies of searchers
+// may hold. The rest is needed for connections, the garbage collector's headroom and
+// the state of the control goroutine.
+const replyMemoryDivisor = 8
+
 // Log returns the logger of the host.
 func (d *Daemon) Log() *eventlog.Logger { return d.log }
 
 // Plan returns the routes in force, or nil before the first plan.
 func (d *Daemon) Plan() *routeplan.Table { return d.loop.Snapshot().Plan }
 
+// callerIdleTimeout returns how long a caller's connection may be idle, 0 for no
+// limit.
+func (d *Daemon) callerIdleTimeout() time.Duration {
+	if plan := d.Plan(); plan != nil {
+		return plan.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // Ready reports whether the load balancer should send work to this host.
 func (d *Daemon) Ready() bool { return d.loop.Snapshot().Ready }
 
@@ -66,9 +84,14 @@
 	return err
 }
 
+// Target returns the current record of a target that takes work or drains.
+func (d *Daemon) Target(name string) (*targets.Record, bool) {
+	return d.loop.Snapshot().Targets.Target(name)
+}
+
 // DrainTarget marks a target as draining. An unknown target is ignored.
 func (d *Daemon) DrainTarget(ctx context.Context, target string) error {
-	r, ok := d.loop.Snapshot().Targets.Target(target)
+	r, ok := d.Target(target)
 	if !ok {
 		return nil
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,10 @@
 // readHeaderTimeout bounds how long a client may take to send its headers.
 const readHeaderTimeout = 5 * time.Second
 
+// maxHeaderBytes bounds the headers that a client may send. The configuration may
+// set a lower limit for callers.
+const maxHeaderBytes = 128 << 10
+
 // Daemon is one running host.
 type Daemon struct {
 	settings  *settings.Settings
@@ -193,7 +197,12 @@
 	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics, d.timeouts(), d.log)
 	d.servers = make(map[string]*http.Server)
 	for name := range d.listeners {
-		d.servers[name] = &http.Server{Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: d.log.Standard(eventHTTPServer)}
+		d.servers[name] = &http.Server{
+			Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.log.Standard(eventHTTPServer),
+		}
+	}
+	if caller := d.servers["caller"]; caller != nil {
+		caller.ConnState = newIdleCloser(d.callerIdleTimeout).changed
 	}
 	return nil
 }
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -161,7 +160,7 @@
 	d.gather.mu.Lock()
 	order := d.gather.chooser.Order(time.Now(), gatherers, d.settings.FailureDomain)
 	d.gather.mu.Unlock()
-	request := encodeGather(d.settings.Host, call, version, path)
+	request := gatheringrpc.EncodeCall(d.settings.Host, call, version, path)
 	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no host gathers for this route").WithRetryAfter(retryAfterGatherer)
 	for _, g := range order[:min(len(order), maxGatherers)] {
 		answer, err := d.gatherAt(ctx, g.Name, call, request)
@@ -189,28 +188,6 @@
 // answers within the objective if enough shards do.
 const slowGathererFactor = 1.5
 
-func encodeGather(from string, c *forwardrun.Call, version uint64, path string) *gatheringrpc.GatherRequest {
-	m := &gatheringrpc.GatherRequest{From: from, Plan: version, RequestId: c.ID, Method: c.Method, Uri: c.URI, Host: c.Host, Body: c.Body, Path: path}
-	m.Headers = encodeHeader(c.Header)
-	return m
-}
-
-func encodeHeader(h http.Header) []*gatheringrpc.Header {
-	out := make([]*gatheringrpc.Header, 0, len(h))
-	for name, values := range h {
-		out = append(out, &gatheringrpc.Header{Name: name, Values: values})
-	}
-	return out
-}
-
-func decodeHeader(headers []*gatheringrpc.Header) http.Header {
-	out := make(http.Header, len(headers))
-	for _, h := range headers {
-		out[h.GetName()] = h.GetValues()
-	}
-	return out
-}
-
 // gatherAt sends a request to a gatherer. An error with an answer is final;
 // after an error without one, another gatherer may be tried.
 func (d *Daemon) gatherAt(ctx context.Context, host string, call *forwardrun.Call, m *gatheringrpc.GatherRequest) (*forwardrun.Answer, *verdict.Error) {
@@ -221,11 +198,14 @@
 	now := time.Now()
 	slow := time.AfterFunc(time.Duration(slowGathererFactor*float64(call.Route.Objective)), func() { d.recordGatherer(ctx, host, errSlowGatherer) })
 	defer slow.Stop()
-	m.ElapsedUs, m.LeftUs = now.Sub(call.Arrived).Microseconds(), call.Deadline.Sub(now).Microseconds()
+	m.SetTimes(now, call)
 	attempt, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), d.links.Client()).Gather(attempt, m)
 	d.recordGatherer(ctx, host, err)
+	for _, s := range reply.GetLeaving() {
+		d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: s.GetTarget(), Incarnation: s.GetIncarnation(), Leaving: true}})
+	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return &forwardrun.Answer{}, verdict.New(verdict.MayHaveRun, forwardrun.CodeCallerGone, "the caller closed its connection")
@@ -257,10 +237,7 @@
 }
 
 func decodeGathered(m *gatheringrpc.GatherReply, host string) (*forwardrun.Answer, *verdict.Error) {
-	a := &forwardrun.Answer{Signatures: m.GetSignatures(), Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: host}
-	if m.GetStatus() > 0 {
-		a.Body, a.Reply = nil, &forwardrun.Reply{Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody()}
-	}
+	a := gatheringrpc.DecodeAnswer(m, host)
 	if m.GetFailure() == nil {
 		return a, nil
 	}
@@ -284,7 +261,7 @@
 	defer s.d.inFlight.Begin()()
 	now := time.Now()
 	snapshot := s.d.loop.Snapshot()
-	record := forwardrun.CallRecord{RequestID: m.GetRequestId(), From: m.GetFrom()}
+	record := forwardrun.CallRecord{RequestID: string(m.GetRequestId()), From: m.GetFrom()}
 	defer func() {
 		record.Took = time.Since(now)
 		s.d.gather.log.Record(record)
@@ -295,15 +272,9 @@
 		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(refusal)}, nil
 	}
 	record.Plan, record.Route, record.Objective = snapshot.Plan.Version, route.Name, route.Objective
-	answer, failure := s.d.engine.Do(ctx, &forwardrun.Call{
-		ID: m.GetRequestId(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(), Route: route,
-		Arrived: now.Add(-time.Duration(m.GetElapsedUs()) * time.Microsecond), Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
-	})
+	answer, failure := s.d.engine.Do(ctx, gatheringrpc.DecodeCall(now, m, route))
 	record.Answer, record.Err = answer, failure
-	reply := &gatheringrpc.GatherReply{Signatures: answer.Signatures, Body: answer.Body, Missing: uint32(answer.Missing), Attempts: uint32(len(answer.Attempts))}
-	if answer.Reply != nil {
-		reply.Status, reply.Headers, reply.Body = uint32(answer.Reply.Status), encodeHeader(answer.Reply.Header), answer.Reply.Body
-	}
+	reply := gatheringrpc.EncodeAnswer(answer)
 	if failure != nil {
 		reply.Failure = s.d.encodeFailure(failure)
 	}
@@ -321,7 +292,7 @@
 	case snapshot.Plan == nil || snapshot.Plan.Version < m.GetPlan():
 		return nil, verdict.New(verdict.NotRun, codePlanBehind, "this host lacks route plan %d", m.GetPlan())
 	}
-	route := snapshot.Plan.Route(m.GetHost(), m.GetPath())
+	route := snapshot.Plan.Route(string(m.GetHost()), string(m.GetPath()))
 	p := s.d.gather.placement.Load()
 	switch {
 	case route == nil:
--- a/internal/daemon/plan.go
+++ b/internal/daemon/plan.go
@@ -22,6 +22,9 @@
 // the disks of a majority of the voters.
 func (d *Daemon) SubmitPlan(ctx context.Context, source []byte) (routeplan.Result, error) {
 	doc, err := plancodec.NewDocument(source, d.adapter.Plans)
+	if err == nil && doc.Version > d.planVersion() {
+		err = doc.Plan.ValidateNew()
+	}
 	if err != nil {
 		return routeplan.Result{}, err
 	}
@@ -32,6 +35,15 @@
 	return plancodec.DecodeResult(data)
 }
 
+// planVersion returns the version of the route plan in force at this host, 0 before
+// the first one.
+func (d *Daemon) planVersion() uint64 {
+	if plan := d.Plan(); plan != nil {
+		return plan.Version
+	}
+	return 0
+}
+
 // ReadPlan returns the route plan in force, confirmed by a majority of the
 // voters after the call began. It is nil before the first plan.
 func (d *Daemon) ReadPlan(ctx context.Context) (*routeplan.Document, error) {
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -29,6 +29,9 @@
 	Header    http.Header
 	Body      []byte
 	Signature string // proves that the searcher made the reply
+
+	meta    ReplyMeta
+	charged int64 // bytes of the memory for replies
 }
 
 // ReplyMeta holds what the headers of a reply state about it.
@@ -36,6 +39,7 @@
 	RequestID string // echoed by the searcher
 	Signature string
 	NotRun    bool // the searcher states that the request did not run
+	Notice    forward.Notice
 }
 
 // Wire encodes requests to searchers and parses the headers of their replies.
@@ -44,8 +48,8 @@
 	// AppendRequest appends the encoded request to the searcher named target,
 	// which is to stop work after timeLeft.
 	AppendRequest(buf []byte, c *Call, target string, timeLeft time.Duration) []byte
-	// ParseHeader parses the headers of a reply.
-	ParseHeader(h http.Header) ReplyMeta
+	// ParseHeader parses the headers of a reply with the given status.
+	ParseHeader(status int, h http.Header) ReplyMeta
 }
 
 // Answer is the outcome of a call.
@@ -57,8 +61,9 @@
 	Body       []byte   // the greatest records of the replies
 	Missing    int      // shards without a reply
 
-	Attempts []AttemptRecord // made by this host
-	Gatherer string          // host that gathered the answer, if not this one
+	Attempts []AttemptRecord    // made by this host
+	Leaving  []forward.Identity // searchers whose replies said that they leave
+	Gatherer string             // host that gathered the answer, if not this one
 }
 
 // AttemptRecord describes an attempt for the log.
@@ -66,16 +71,16 @@
 	Service string
 	Target  string
 	Result  string
-	Took    time.Duration // from the start of the attempt to the end of the call
+	Took    time.Duration // until its end, or until the end of the call if it was still open then
 }
 
 func attemptRecords(run *forward.Run, now time.Time) []AttemptRecord {
 	attempts := run.Attempts()
 	out := make([]AttemptRecord, 0, len(attempts))
 	for _, a := range attempts {
-		r := AttemptRecord{Service: a.Service, Target: a.Searcher.Target, Result: a.Result.String(), Took: now.Sub(a.Began)}
+		r := AttemptRecord{Service: a.Service, Target: a.Searcher.Target, Result: a.Result.String(), Took: a.Ended.Sub(a.Began)}
 		if a.Open {
-			r.Result = "open"
+			r.Result, r.Took = "open", now.Sub(a.Began)
 		}
 		out = append(out, r)
 	}
--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -2,12 +2,9 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,12 +16,6 @@
 // Limits of a connection.
 const (
 	readBufferSize = 4 << 10 // bytes; holds the headers and most shards' replies
-	// maxReplySize bounds the body of a reply in bytes.
-	maxReplySize = 16 << 20
-	// maxForeignReplies is how many replies to other requests are skipped. A
-	// faulty searcher may send a reply twice, and the second one arrives where
-	// the next reply is expected.
-	maxForeignReplies = 2
 	// maxInlineWrite is the size up to which the goroutine of the run writes a
 	// request itself. A larger write may block until the searcher reads.
 	maxInlineWrite = 8 << 10
@@ -35,14 +26,18 @@
 	// idleMargin is how long before the searcher's idle timeout a connection is
 	// dropped, so that no request is sent while the searcher closes it.
 	idleMargin = 700 * time.Millisecond
+	// maxKeepAlive bounds the idle timeout in seconds that a searcher can state.
+	maxKeepAlive = 24 * 60 * 60
 )
 
 // conn is a connection to a searcher. Its reader goroutine owns br; mu guards
 // the fields below it.
 type conn struct {
 	net    net.Conn
+	in     *headLimiter // over net
 	br     *bufio.Reader
 	wire   Wire
+	memory *replyMemory
 	opened time.Time
 	// answered reports whether any reply arrived. The reader goroutine owns it
 	// until it has released the connection.
@@ -50,6 +45,7 @@
 
 	mu        sync.Mutex
 	current   *exchange // in flight
+	sent      int       // requests
 	written   bool      // the whole request was written
 	closed    bool
 	idleUntil time.Time // when it is no longer used if idle; zero if unknown
@@ -63,6 +59,9 @@
 	done  func(x *exchange, result forward.Result)
 	reply *Reply
 	conn  *conn
+	// notice is what the searcher stated about itself. The reader goroutine of the
+	// connection sets it before the exchange ends.
+	notice forward.Notice
 
 	mu        sync.Mutex
 	abandoned bool
@@ -107,8 +106,16 @@
 	return !x.abandoned
 }
 
-func newConn(nc net.Conn, wire Wire, onRelease func(*conn, bool)) *conn {
-	return &conn{net: nc, br: bufio.NewReaderSize(nc, readBufferSize), wire: wire, opened: time.Now(), onRelease: onRelease}
+func newConn(nc net.Conn, wire Wire, memory *replyMemory, onRelease func(*conn, bool)) *conn {
+	in := &headLimiter{r: nc}
+	return &conn{net: nc, in: in, br: bufio.NewReaderSize(in, readBufferSize), wire: wire, memory: memory, opened: time.Now(), onRelease: onRelease}
+}
+
+// requests returns the number of requests that were sent.
+func (c *conn) requests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent
 }
 
 // usable reports whether the searcher should still have the idle connection
@@ -140,6 +147,7 @@
 		return
 	}
 	c.current, c.written = x, false
+	c.sent++
 	c.mu.Unlock()
 	left := time.Until(x.call.Deadline)
 	_ = c.net.SetDeadline(time.Now().Add(left + readGrace))
@@ -195,63 +203,6 @@
 	}
 }
 
-// Reasons for closing a connection.
-var (
-	errUnsolicited = errors.New("the searcher sent bytes without a pending request")
-	errForeign     = errors.New("the searcher sent replies to other requests")
-)
-
-// readReply reads the reply to a request and skips replies to other requests.
-func (c *conn) readReply(x *exchange) (reply *Reply, keep bool, err error) {
-	keep = true
-	for range maxForeignReplies + 1 {
-		resp, err := c.readResponse(x)
-		if err != nil {
-			return nil, false, err
-		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplySize+1))
-		if err != nil || len(body) > maxReplySize {
-			return nil, false, errors.CombineErrors(err, errors.Newf("reply of %d bytes", len(body)))
-		}
-		keep = keep && !resp.Close && resp.ContentLength >= 0 || keep && !resp.Close && len(resp.TransferEncoding) > 0
-		meta := c.wire.ParseHeader(resp.Header)
-		if meta.RequestID == "" && meta.Signature == "" || meta.RequestID == x.call.ID {
-			c.parseKeepAlive(resp.Header)
-			return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Signature: meta.Signature}, keep, nil
-		}
-		keep = false
-	}
-	return nil, false, errForeign
-}
-
-// readResponse reads the next final response.
-func (c *conn) readResponse(x *exchange) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: x.call.Method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
-		}
-	}
-}
-
-// parseKeepAlive sets idleUntil from the timeout in the Keep-Alive header.
-func (c *conn) parseKeepAlive(h http.Header) {
-	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
-		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !ok {
-			continue
-		}
-		if seconds, err := strconv.Atoi(text); err == nil {
-			c.mu.Lock()
-			c.idleUntil = time.Now().Add(time.Duration(seconds)*time.Second - idleMargin)
-			c.mu.Unlock()
-		}
-	}
-}
-
 // finish reports the reply of an exchange and returns whether the connection
 // stays open.
 func (c *conn) finish(x *exchange, reply *Reply, keep bool) bool {
@@ -269,7 +220,7 @@
 		_ = c.net.Close()
 	}
 	c.onRelease(c, keep)
-	x.end(classify(reply, c.wire.ParseHeader(reply.Header)), reply)
+	x.end(classify(reply), reply)
 	return keep
 }
 
@@ -298,8 +249,8 @@
 // without the searcher's signature, or with an encoded body, does not come from
 // the searcher itself and counts as lost, unless it states that the request did
 // not run.
-func classify(r *Reply, meta ReplyMeta) forward.Result {
-	success := r.Status >= 200 && r.Status < 300
+func classify(r *Reply) forward.Result {
+	success, meta := r.Status >= 200 && r.Status < 300, r.meta
 	switch {
 	case r.Status == statusMisdirected:
 		return forward.Misdirected
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -23,8 +23,17 @@
 	// OnMisdirected is called when another searcher answered at the address of a
 	// target. It must not block.
 	OnMisdirected func(target string, incarnation uint64)
+	// OnLeaving is called when a reply of a target said that it leaves. It must not
+	// block, and may be called more than once for one target.
+	OnLeaving func(target string, incarnation uint64)
+	// ReplyMemory bounds the bytes that replies hold at any time, all calls
+	// together. 0 means DefaultReplyMemory.
+	ReplyMemory int64
 }
 
+// DefaultReplyMemory is the default of Config.ReplyMemory in bytes.
+const DefaultReplyMemory = 64 << 20
+
 // dialTimeout bounds a dial. A packet that a full accept queue drops is sent
 // again only after a second.
 const dialTimeout = 900 * time.Millisecond
@@ -35,6 +44,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	dialer net.Dialer
+	memory replyMemory
 
 	mu             sync.RWMutex
 	services       map[string]*service
@@ -66,6 +76,10 @@
 	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), hosts: 1}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	e.memory.limit = config.ReplyMemory
+	if e.memory.limit <= 0 {
+		e.memory.limit = DefaultReplyMemory
+	}
 	return e
 }
 
@@ -212,8 +226,13 @@
 	replies     map[*forward.Attempt]*Reply
 	rng         *rand.Rand
 	subRequests int
+	leaving     []forward.Identity
 	ended       atomic.Bool // the run needs no more events
-	timing      struct{ median, hedgeDelay time.Duration }
+
+	mu      sync.Mutex
+	closed  bool  // the answer no longer needs the replies
+	charged int64 // bytes of the memory for replies that the run holds
+	timing  struct{ median, hedgeDelay time.Duration }
 }
 
 // retryAfterShed is the retry hint for a request that was not admitted. It lets
@@ -298,6 +317,7 @@
 func (r *runner) drive(ctx context.Context, run *forward.Run, now time.Time) (*Answer, *verdict.Error) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	defer r.releaseReplies()
 	defer r.ended.Store(true)
 	effects := run.Start(now)
 	for {
@@ -318,6 +338,27 @@
 	}
 }
 
+// holdReply counts the memory of a reply until the run ends.
+func (r *runner) holdReply(reply *Reply) {
+	if reply == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		r.engine.memory.release(reply.charged)
+		return
+	}
+	r.charged += reply.charged
+}
+
+func (r *runner) releaseReplies() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.engine.memory.release(r.charged)
+}
+
 // CodeCallerGone is the code of a call whose caller closed its connection.
 const CodeCallerGone verdict.Code = "caller_gone"
 
@@ -339,6 +380,9 @@
 	if i >= 0 {
 		r.open = slices.Delete(r.open, i, i+1)
 	}
+	if ev.exchange.notice.Leaving {
+		r.leaving = append(r.leaving, ev.exchange.Searcher.Identity)
+	}
 	if ev.exchange.reply != nil {
 		r.replies[ev.exchange.Attempt] = ev.exchange.reply
 	}
@@ -379,6 +423,7 @@
 		case forward.Rejected:
 			st.Rejected.Add(1)
 		}
+		r.holdReply(x.reply)
 		svc.ended(x, median, result)
 		r.events <- event{exchange: x, result: result}
 	}
@@ -390,7 +435,7 @@
 
 // answer builds the answer from the replies of an outcome.
 func (r *runner) answer(run *forward.Run, o forward.Outcome) (*Answer, *verdict.Error) {
-	a := &Answer{Missing: o.Missing, Attempts: attemptRecords(run, time.Now())}
+	a := &Answer{Missing: o.Missing, Attempts: attemptRecords(run, time.Now()), Leaving: r.leaving}
 	if r.call.Route.Gather == nil {
 		if len(o.Replies) > 0 {
 			a.Reply = r.replies[o.Replies[0]]
@@ -416,6 +461,11 @@
 	return r.engine.service(name).expected(now, r.criteria())
 }
 
+// Resume implements forward.Environment.
+func (r *runner) Resume(now time.Time, name string, opts forward.AttemptOptions) time.Time {
+	return r.engine.service(name).resume(now, opts)
+}
+
 // IntN implements forward.Environment.
 func (r *runner) IntN(n int) int { return r.rng.IntN(n) }
 
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -62,7 +62,7 @@
 // attempts in flight go on.
 func (s *service) replace(specs []forward.SearcherSpec) {
 	s.mu.Lock()
-	s.group.Replace(specs)
+	s.group.Replace(time.Now(), specs)
 	var idle []*conn
 	for id, p := range s.pools {
 		if !slices.ContainsFunc(specs, func(spec forward.SearcherSpec) bool { return spec.Identity == id }) {
@@ -140,15 +140,31 @@
 }
 
 // send sends an attempt over an idle connection, or dials one for it.
+//
+// A request that may run only once is not sent again over a connection that it was
+// sent over before: a delayed second copy of the refusal would have the same
+// request ID and would be taken for the reply to the new attempt.
 func (s *service) send(x *exchange) {
 	id := x.Searcher.Identity
-	if c := s.takeIdle(id); c != nil {
+	c := s.takeIdle(id)
+	if c != nil && x.Again && !x.call.Route.Idempotent {
+		c.close() // its reader goroutine releases it
+		s.countOpen(id)
+		c = nil
+	}
+	if c != nil {
 		c.send(x)
 		return
 	}
 	go s.dial(id, x)
 }
 
+func (s *service) countOpen(id forward.Identity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poolOf(id).open++
+}
+
 // takeIdle returns the most recently used idle connection that the searcher
 // still keeps open. If there is none, it returns nil and counts a new one as
 // open.
@@ -197,15 +213,19 @@
 	s.mu.Lock()
 	s.poolOf(id).probing = false
 	s.group.RecordDial(id, true)
+	mayReceive := s.group.MayReceive(time.Now(), id)
 	s.mu.Unlock()
-	c := newConn(nc, s.engine.config.Wire, func(c *conn, reusable bool) { s.released(id, c, reusable) })
-	if x != nil {
+	c := newConn(nc, s.engine.config.Wire, &s.engine.memory, func(c *conn, reusable bool) { s.released(id, c, reusable) })
+	if x != nil && mayReceive {
 		go c.read()
 		c.send(x)
 		return
 	}
 	s.released(id, c, true)
 	go c.read()
+	if x != nil {
+		x.end(forward.Unsent, nil) // the searcher refused further requests meanwhile
+	}
 }
 
 // released puts a reusable connection of a current searcher into its pool, and
@@ -244,6 +264,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.group.End(now, x.Began, x.Searcher, median, result)
+	s.group.Note(now, x.Searcher.Identity, x.notice)
 	var idle []*conn
 	if result == forward.Lost && x.timedOut {
 		// All connections to this searcher may be dead.
@@ -255,6 +276,9 @@
 	if result == forward.Misdirected && s.engine.config.OnMisdirected != nil {
 		s.engine.config.OnMisdirected(x.Searcher.Target, x.Searcher.Incarnation)
 	}
+	if x.notice.Leaving {
+		s.reportLeaving(x.Searcher.Identity)
+	}
 	for _, c := range idle {
 		c.close()
 	}
@@ -263,14 +287,27 @@
 	}
 }
 
+func (s *service) reportLeaving(id forward.Identity) {
+	if s.engine.config.OnLeaving != nil {
+		s.engine.config.OnLeaving(id.Target, id.Incarnation)
+	}
+}
+
+func (s *service) resume(now time.Time, opts forward.AttemptOptions) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Resume(now, opts)
+}
+
 func (s *service) expected(now time.Time, c forward.Criteria) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.group.Expected(now, c)
 }
 
-// warm opens a connection to each searcher that has none. It, rather than a
-// caller's request, finds a searcher that is back.
+// warm opens a connection to each searcher that has none and takes requests. It,
+// rather than a caller's request, finds a searcher that is back. It also reports
+// again which searchers leave, in case a report was dropped.
 func (s *service) warm() {
 	if s.engine.ctx.Err() != nil {
 		return
@@ -278,9 +315,12 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, id := range s.group.Leaving() {
+		s.reportLeaving(id)
+	}
 	for _, searcher := range s.group.Searchers() {
 		p := s.poolOf(searcher.Identity)
-		if p.open > 0 || p.probing || s.group.Gone(searcher.Identity) || !p.backoff.Due(now) {
+		if p.open > 0 || p.probing || !s.group.MayReceive(now, searcher.Identity) || !p.backoff.Due(now) {
 			continue
 		}
 		p.open++
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -11,11 +11,13 @@
 	Service   string
 	searchers []*Searcher
 	budget    Budget
+
+	restrictions map[Identity]restriction // of searchers that are not in the group
 }
 
 // NewGroup returns a group without searchers.
 func NewGroup(service string, limits BudgetLimits) *Group {
-	return &Group{Service: service, budget: NewBudget(limits)}
+	return &Group{Service: service, budget: NewBudget(limits), restrictions: make(map[Identity]restriction)}
 }
 
 // Budget returns the budget of extra attempts at this service.
@@ -33,7 +35,7 @@
 }
 
 // Replace sets the searchers. Those that remain keep their statistics.
-func (g *Group) Replace(specs []SearcherSpec) {
+func (g *Group) Replace(now time.Time, specs []SearcherSpec) {
 	old := g.searchers
 	g.searchers = make([]*Searcher, 0, len(specs))
 	for _, spec := range specs {
@@ -43,10 +45,17 @@
 			s = old[i]
 		} else {
 			s = &Searcher{Identity: spec.Identity}
+			g.restore(s)
 		}
 		s.Slots, s.Cold, s.capacity = max(spec.Slots, 1), spec.Cold, max(spec.Capacity, 1)
 		g.searchers = append(g.searchers, s)
 	}
+	for _, s := range old {
+		if !slices.Contains(g.searchers, s) {
+			g.remember(now, s)
+		}
+	}
+	g.forgetRestrictions(now)
 }
 
 // Criteria holds what Choose takes into account besides the searchers.
@@ -84,8 +93,8 @@
 // at its capacity.
 //
 // It handles searchers of one shard that differ in speed or pause for longer
-// than the objective allows, and searchers that fail while their health checks
-// pass.
+// than the objective allows, searchers that fail while their health checks pass,
+// and searchers that leave or asked for a pause.
 func (g *Group) Choose(now time.Time, c Criteria, rng *rand.Rand) (chosen *Searcher, busy bool) {
 	var best, ejected *Searcher
 	var bestTime time.Duration
@@ -93,7 +102,7 @@
 		if !c.AllowTried && slices.Contains(c.Tried, s) {
 			continue
 		}
-		if !s.usable() {
+		if !s.usable() || s.pausedAt(now) {
 			continue
 		}
 		if s.inFlight >= s.capacity {
@@ -139,27 +148,22 @@
 	return t + time.Duration(decay(s.failureRate, 0, s.failureRateTime, now)*float64(failurePenalty))
 }
 
-// Expected returns the least expected time of an attempt. It is not ok if no
-// searcher is usable: the last dial to each one failed, or another searcher has
-// its address.
+// Expected returns the least expected time of an attempt, including the rest of
+// a pause. It is not ok if no searcher is usable: the last dial to each one
+// failed, it leaves, or another searcher has its address.
 func (g *Group) Expected(now time.Time, c Criteria) (least time.Duration, ok bool) {
 	for _, s := range g.searchers {
 		if !s.usable() {
 			continue
 		}
-		if t := s.expected(now, c); !ok || t < least {
+		if t := s.expected(now, c) + max(s.pausedUntil.Sub(now), 0); !ok || t < least {
 			least, ok = t, true
 		}
 	}
 	return least, ok
 }
 
-func (s *Searcher) usable() bool { return !s.down && !s.gone }
-
-// Gone reports whether another searcher now answers at the address of id.
-func (g *Group) Gone(id Identity) bool {
-	return slices.ContainsFunc(g.searchers, func(s *Searcher) bool { return s.Identity == id && s.gone })
-}
+func (s *Searcher) usable() bool { return !s.down && !s.gone && !s.leaving }
 
 // RecordDial records whether a connection to a searcher could be opened.
 func (g *Group) RecordDial(id Identity, ok bool) {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -99,6 +100,26 @@
 // did not answer in time. Their queues hold about a dozen requests.
 const retryAfterOverload = 150 * time.Millisecond
 
+// resumeAt returns when enough searchers end the pauses that they asked for that
+// the request could be served, or the zero time if no pause is the reason.
+func (r *Run) resumeAt() time.Time {
+	var resumes []time.Time
+	for _, sub := range r.subs {
+		if sub.givenUp && sub.good == nil && !sub.resume.IsZero() {
+			resumes = append(resumes, sub.resume)
+		}
+	}
+	needed := 1
+	if r.route.Gather != nil {
+		needed = r.minShards - (len(r.subs) - r.unanswerable())
+	}
+	if needed < 1 || needed > len(resumes) {
+		return time.Time{}
+	}
+	slices.SortFunc(resumes, time.Time.Compare)
+	return resumes[needed-1]
+}
+
 // failure returns the error of a run without a usable answer.
 func (r *Run) failure(now time.Time, subject string) *verdict.Error {
 	v, rejected := verdict.NotRun, false
@@ -112,7 +133,10 @@
 			rejected = rejected || !a.Open && a.Result == Rejected
 		}
 	}
+	resume := r.resumeAt()
 	switch {
+	case v == verdict.NotRun && resume.After(now):
+		return verdict.New(v, CodePaused, "%s asked for no requests until after the deadline", subject).WithRetryAfter(resume.Sub(now))
 	case !now.Before(r.deadline):
 		return verdict.New(v, verdict.CodeDeadlineExceeded, "%s did not answer in time", subject).WithRetryAfter(retryAfterOverload)
 	case v == verdict.NotRun && rejected:
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -15,6 +15,7 @@
 	CodeOverloaded  verdict.Code = "searchers_overloaded"
 	CodeFewShards   verdict.Code = "too_few_shards"
 	CodeLostAttempt verdict.Code = "attempt_lost"
+	CodePaused      verdict.Code = "searchers_paused"
 )
 
 // Result is how an attempt ended.
@@ -54,9 +55,11 @@
 	Number     int // among the attempts of the sub-request, from 0
 	Service    string
 	Searcher   *Searcher
+	Again      bool // the searcher had an earlier attempt of the sub-request
 	Began      time.Time
 	Open       bool   // in flight
 	Result     Result // valid once Open is false
+	Ended      time.Time
 }
 
 // subRequest is the part of a run that one service answers.
@@ -67,6 +70,7 @@
 	failed    *Attempt  // ended with SearcherFailed; its reply goes to callers of a single service
 	notBefore time.Time // earliest retry at a searcher that rejected the request
 	nextHedge time.Time // earliest next hedge, after one was not possible
+	resume    time.Time // end of the pauses that all of its searchers asked for; zero for none
 	waiting   bool      // for capacity at a searcher
 	givenUp   bool      // no further attempt is made
 }
@@ -92,6 +96,9 @@
 	// Expected returns the time that an attempt at a service is expected to
 	// take. It is not ok if none of its searchers is usable.
 	Expected(now time.Time, service string) (expected time.Duration, ok bool)
+	// Resume returns when the first searcher that may get an attempt ends the
+	// pause that it asked for. It is the zero time if no pause is in the way.
+	Resume(now time.Time, service string, opts AttemptOptions) time.Time
 	// IntN returns a random number from 0 to n-1.
 	IntN(n int) int
 }
@@ -199,6 +206,8 @@
 		switch {
 		case !ok:
 			r.giveUp(sub)
+		case expected > r.deadline.Sub(now) && r.pausedTooLong(now, sub, AttemptOptions{}):
+			r.giveUp(sub)
 		case expected > r.cutoff.Sub(now):
 			jitter := 1 + skipJitter*float64(r.env.IntN(skipJitterSteps))/skipJitterSteps
 			late = append(late, lateSubRequest{sub, jitter * expected.Seconds()})
@@ -244,7 +253,7 @@
 	if !a.Open {
 		return nil
 	}
-	a.Open, a.Result = false, result
+	a.Open, a.Result, a.Ended = false, result, now
 	if r.finished {
 		return nil
 	}
@@ -428,19 +437,48 @@
 		opts.AllowTried = true
 		s, busy = r.env.Begin(now, sub.service, opts)
 	}
-	if s == nil {
-		if needed && busy {
-			sub.waiting = true
-			r.effects = append(r.effects, AwaitCapacity{SubRequest: i, Service: sub.service})
-		}
+	switch {
+	case s != nil:
+	case needed && busy:
+		sub.waiting = true
+		r.effects = append(r.effects, AwaitCapacity{SubRequest: i, Service: sub.service})
+		return false
+	case needed:
+		r.awaitResume(now, sub, opts)
+		return false
+	default:
 		return false
 	}
-	a := &Attempt{SubRequest: i, Number: len(sub.attempts), Service: sub.service, Searcher: s, Began: now, Open: true}
+	a := &Attempt{SubRequest: i, Number: len(sub.attempts), Service: sub.service, Searcher: s, Again: slices.Contains(opts.Tried, s), Began: now, Open: true}
 	sub.attempts = append(sub.attempts, a)
 	r.effects = append(r.effects, Send{Attempt: a})
 	return true
 }
 
+// awaitResume delays the next attempt of a sub-request whose searchers all asked
+// for a pause. If none resumes before the deadline, it only records when one
+// will, for the retry hint.
+func (r *Run) awaitResume(now time.Time, sub *subRequest, opts AttemptOptions) {
+	opts.AllowTried = len(sub.attempts) > 0 && sub.lastResult() == Rejected
+	if r.pausedTooLong(now, sub, opts) {
+		return
+	}
+	if resume := r.env.Resume(now, sub.service, opts); !resume.IsZero() {
+		sub.notBefore = later(sub.notBefore, resume)
+	}
+}
+
+// pausedTooLong reports whether all searchers of a sub-request asked for pauses
+// that end after the deadline, and records the end of the first one.
+func (r *Run) pausedTooLong(now time.Time, sub *subRequest, opts AttemptOptions) bool {
+	resume := r.env.Resume(now, sub.service, opts)
+	if resume.IsZero() || resume.Before(r.deadline) {
+		return false
+	}
+	sub.resume = resume
+	return true
+}
+
 // maxHedgeTime returns the longest expected time for which a hedge is useful:
 // until the answer is due or, once it is late, the objective. A shard whose
 // searchers are all slower than that is overloaded, and a hedge would double
--- a/internal/forward/searcher.go
+++ b/internal/forward/searcher.go
@@ -30,6 +30,8 @@
 	failureRateTime time.Time
 	down            bool      // the last dial failed
 	gone            bool      // another searcher has its address
+	leaving         bool      // it said so in a reply
+	pausedUntil     time.Time // it asked for no requests before this time
 	consecutiveLost int       // lost attempts in a row
 	ejectedUntil    time.Time // no attempt before this time while other searchers can serve
 	started         []time.Time
--- /dev/null
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -0,0 +1,85 @@
+// Package gatheringrpc sends requests to the hosts that gather, and their answers,
+// between hosts with twirp.
+package gatheringrpc
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+)
+
+// EncodeCall returns the request that hands a call of a host over to a gatherer.
+// path selects the route in the plan of the given version. The message lacks the
+// times, which SetTimes sets for each gatherer that is tried.
+func EncodeCall(from string, c *forwardrun.Call, version uint64, path string) *GatherRequest {
+	return &GatherRequest{
+		From: from, Plan: version, RequestId: []byte(c.ID), Method: []byte(c.Method), Uri: []byte(c.URI), Host: []byte(c.Host),
+		Headers: encodeHeader(c.Header), Body: c.Body, Path: []byte(path),
+	}
+}
+
+// SetTimes sets the times of a request that is sent now.
+func (m *GatherRequest) SetTimes(now time.Time, c *forwardrun.Call) {
+	m.ElapsedUs, m.LeftUs = now.Sub(c.Arrived).Microseconds(), c.Deadline.Sub(now).Microseconds()
+}
+
+// DecodeCall returns the call of a request that arrived now, on its route.
+func DecodeCall(now time.Time, m *GatherRequest, route *routeplan.Route) *forwardrun.Call {
+	return &forwardrun.Call{
+		ID: string(m.GetRequestId()), Method: string(m.GetMethod()), URI: string(m.GetUri()), Host: string(m.GetHost()),
+		Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(), Route: route,
+		Arrived:  now.Add(-time.Duration(m.GetElapsedUs()) * time.Microsecond),
+		Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
+	}
+}
+
+// EncodeAnswer returns the reply that carries an answer, without a failure.
+func EncodeAnswer(a *forwardrun.Answer) *GatherReply {
+	m := &GatherReply{Body: a.Body, Missing: uint32(a.Missing), Attempts: uint32(len(a.Attempts))}
+	for _, s := range a.Signatures {
+		m.Signatures = append(m.Signatures, []byte(s))
+	}
+	for _, id := range a.Leaving {
+		m.Leaving = append(m.Leaving, &Searcher{Target: id.Target, Incarnation: id.Incarnation})
+	}
+	if a.Reply != nil {
+		m.Status, m.Headers, m.Body = uint32(a.Reply.Status), encodeHeader(a.Reply.Header), a.Reply.Body
+	}
+	return m
+}
+
+// DecodeAnswer returns the answer in the reply of a gatherer.
+func DecodeAnswer(m *GatherReply, gatherer string) *forwardrun.Answer {
+	a := &forwardrun.Answer{Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: gatherer}
+	for _, s := range m.GetSignatures() {
+		a.Signatures = append(a.Signatures, string(s))
+	}
+	if m.GetStatus() > 0 {
+		a.Body, a.Reply = nil, &forwardrun.Reply{Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody()}
+	}
+	return a
+}
+
+func encodeHeader(h http.Header) []*Header {
+	out := make([]*Header, 0, len(h))
+	for name, values := range h {
+		m := &Header{Name: []byte(name)}
+		for _, v := range values {
+			m.Values = append(m.Values, []byte(v))
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func decodeHeader(headers []*Header) http.Header {
+	out := make(http.Header, len(headers))
+	for _, h := range headers {
+		for _, v := range h.GetValues() {
+			out[string(h.GetName())] = append(out[string(h.GetName())], string(v))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peerlink/bounded.go
@@ -0,0 +1,42 @@
+package peerlink
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// boundedTransport fails the read of a response body after maxResponseBody bytes.
+type boundedTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxResponseBody}
+	return resp, nil
+}
+
+var errResponseTooLarge = errors.Newf("the response of a host is larger than %d bytes", maxResponseBody)
+
+type boundedBody struct {
+	io.ReadCloser
+	left int // bytes
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		var one [1]byte
+		if n, err := b.ReadCloser.Read(one[:]); n == 0 {
+			return 0, err
+		}
+		return 0, errResponseTooLarge
+	}
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -25,6 +25,11 @@
 	idleConnTimeout = 30 * time.Second
 	// idleLinkTimeout is how long a link without messages is kept.
 	idleLinkTimeout = time.Minute
+	// maxResponseHead and maxResponseBody bound a response in bytes. The largest one
+	// carries the whole configuration. A process that took over the address of a
+	// host may send anything.
+	maxResponseHead = 64 << 10
+	maxResponseBody = 32 << 20
 )
 
 // Call sends one message to a peer. baseURL is the peer's address.
@@ -51,12 +56,13 @@
 func New() *Links {
 	ctx, stop := context.WithCancel(context.Background())
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: workersPerPeer,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    workersPerPeer,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
-	return &Links{client: &http.Client{Transport: transport}, ctx: ctx, stop: stop, links: make(map[netip.AddrPort]*link)}
+	return &Links{client: &http.Client{Transport: boundedTransport{transport}}, ctx: ctx, stop: stop, links: make(map[netip.AddrPort]*link)}
 }
 
 // Client returns the HTTP client that all links share, for calls that wait for
--- a/internal/proposals/proposalsrpc/codec.go
+++ b/internal/proposals/proposalsrpc/codec.go
@@ -3,6 +3,7 @@
 package proposalsrpc
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +15,7 @@
 // try instead, if known.
 func EncodeFailure(err error, leaderHost string) *Failure {
 	f := &Failure{
-		Code: string(verdict.CodeOf(err)), Message: err.Error(), Verdict: verdict.Of(err).String(), LeaderHost: leaderHost,
+		Code: string(verdict.CodeOf(err)), Message: strings.ToValidUTF8(err.Error(), "?"), Verdict: verdict.Of(err).String(), LeaderHost: leaderHost,
 	}
 	var e *verdict.Error
 	if errors.As(err, &e) {
--- a/internal/routeplan/plan.go
+++ b/internal/routeplan/plan.go
@@ -89,8 +89,7 @@
 type CallerLimits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	IdleTimeout    time.Duration // of a connection between two requests
 }
 
 // Services returns the services that a route may use.
@@ -129,6 +128,25 @@
 	return nil
 }
 
+// ValidateNew returns an error for the first fault that only a newly submitted plan
+// must not have. Validate does not check for it, because plans that were accepted
+// before the check existed must still be readable from the log.
+//
+// Routes whose host names differ only in case, port or a trailing dot match the same
+// requests, so one of them would never be used.
+func (p *Plan) ValidateNew() error {
+	first := make(map[routeKey]string, len(p.Routes))
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		key := routeKey{canonicalHost(r.Host), r.PathPrefix}
+		if name, ok := first[key]; ok {
+			return invalid("routes %q and %q match the same requests: host %q, prefix %q", name, r.Name, r.Host, r.PathPrefix)
+		}
+		first[key] = r.Name
+	}
+	return nil
+}
+
 func (r *Route) validate(services map[string]bool) error {
 	switch {
 	case r.Host == "":
--- a/internal/routeplan/plan_test.go
+++ b/internal/routeplan/plan_test.go
@@ -21,6 +21,20 @@
 	}
 }
 
+// Guards against a new plan in which one route hides another, and against a plan in
+// the log that can no longer be read because of a newer check.
+func TestRoutesThatMatchTheSameRequests(t *testing.T) {
+	require.NoError(t, validPlan().ValidateNew())
+	for _, host := range []string{"X.Example", "x.example.", "x.example:80", "X.EXAMPLE.:8080"} {
+		p := validPlan()
+		p.Routes[1].Host, p.Routes[1].PathPrefix = host, "/p/"
+		require.NoError(t, p.Validate(), host)
+		err := p.ValidateNew()
+		require.Equal(t, CodeInvalidPlan, verdict.CodeOf(err), host)
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+	}
+}
+
 // Guards against accepting an invalid plan and rejecting a valid one.
 func TestValidate(t *testing.T) {
 	require.NoError(t, validPlan().Validate())
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,6 +22,7 @@
 	// maxLossTolerance is a minority of five voters, the most that a log has.
 	maxLossTolerance = 2
 	maxCapacity      = 1_000_000_000
+	minMemoryLimit   = 64 << 20 // bytes; a host at rest needs about half of it
 )
 
 func (r *raw) check(c *checker) *Settings {
@@ -107,6 +108,9 @@
 }
 
 func (s *Settings) checkNumbers(c *checker) {
+	if s.MemoryLimit != 0 && s.MemoryLimit < minMemoryLimit {
+		c.add("-memory-limit %d is not 0 and less than %d", s.MemoryLimit, minMemoryLimit)
+	}
 	if s.ConfigStaleness < minStaleness || s.ConfigStaleness > maxStaleness {
 		c.add("-config-staleness %s is outside %s..%s", s.ConfigStaleness, minStaleness, maxStaleness)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,7 @@
 	LeasePeriod   time.Duration // of targets
 	RetryExtra    int           // with ServePlan: extra attempts at a service per RetryWindow by all hosts, in addition to RetryPermille of its requests
 	RetryWindow   time.Duration // with ServePlan
+	MemoryLimit   uint64        // of the process in bytes; 0 for none
 	Capacity      uint          // for work on behalf of other hosts, relative to theirs
 
 	AdminTokenFile   string
@@ -117,6 +118,7 @@
 	fs.DurationVar(&r.LeasePeriod, "lease-period", 3*time.Second, "how long a target counts as alive after its last announcement, 1s to 1m")
 	fs.IntVar(&r.RetryExtra, "retry-extra", 60, "with -serve-plan: extra attempts at one service per -retry-window by all hosts, in addition to -retry-permille of its requests")
 	fs.DurationVar(&r.RetryWindow, "retry-window", 10*time.Second, "with -serve-plan: time window of the limit on extra attempts")
+	fs.Uint64Var(&r.MemoryLimit, "memory-limit", 0, "bytes of memory that the process may use; 0 for no limit, otherwise at least 67108864")
 	fs.UintVar(&r.Capacity, "capacity", 1, "capacity of this host for work on behalf of other hosts, relative to theirs, 1 to 1000000000")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "minimum level of the events to log: debug, info, warn, error")
