Count the way to the caller in the latency objective of a gather

Cause: an answer without all shards is given 7 ms before the objective of 100 ms, counted from the arrival of the request. The caller counts from the set-up of its connection: with 3 ms one way, the way there and back and the set-up take 12 ms, so every such answer is late.

Change: the host takes the round trip time from the kernel, twice for the first request on a connection, and a host that hands a request over adds the measured way to the gatherer and back. The time to answer is earlier by that much.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -203,6 +203,7 @@
 	}
 	if caller := d.servers["caller"]; caller != nil {
 		caller.ConnState = newIdleCloser(d.callerIdleTimeout).changed
+		caller.ConnContext = withCallerConn
 	}
 	return nil
 }
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -148,6 +148,7 @@
 	log       *forwardrun.CallLog // of requests from other hosts
 	mu        sync.Mutex
 	chooser   *gathering.Chooser
+	hop       gathering.Hop
 }
 
 // Forward sends a caller's request to searchers, or to a gatherer if this host
@@ -198,11 +199,14 @@
 	now := time.Now()
 	slow := time.AfterFunc(time.Duration(slowGathererFactor*float64(call.Route.Objective)), func() { d.recordGatherer(ctx, host, errSlowGatherer) })
 	defer slow.Stop()
-	m.SetTimes(now, call)
+	m.SetTimes(now, call, d.hopTime(call.Route))
 	attempt, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), d.links.Client()).Gather(attempt, m)
 	d.recordGatherer(ctx, host, err)
+	if err == nil {
+		d.recordHop(time.Since(now) - time.Duration(reply.GetTookUs())*time.Microsecond)
+	}
 	for _, s := range reply.GetLeaving() {
 		d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: s.GetTarget(), Incarnation: s.GetIncarnation(), Leaving: true}})
 	}
@@ -219,6 +223,20 @@
 	return decodeGathered(reply, host)
 }
 
+// hopTime returns how much of a route's objective passes on the way to a gatherer
+// and back.
+func (d *Daemon) hopTime(r *routeplan.Route) time.Duration {
+	d.gather.mu.Lock()
+	defer d.gather.mu.Unlock()
+	return d.gather.hop.Time(r.Objective)
+}
+
+func (d *Daemon) recordHop(took time.Duration) {
+	d.gather.mu.Lock()
+	defer d.gather.mu.Unlock()
+	d.gather.hop.Observe(took)
+}
+
 // errSlowGatherer is recorded for a gatherer that takes too long to answer.
 var errSlowGatherer = errors.New("the gatherer has not answered yet")
 
@@ -274,7 +292,7 @@
 	record.Plan, record.Route, record.Objective = snapshot.Plan.Version, route.Name, route.Objective
 	answer, failure := s.d.engine.Do(ctx, gatheringrpc.DecodeCall(now, m, route))
 	record.Answer, record.Err = answer, failure
-	reply := gatheringrpc.EncodeAnswer(answer)
+	reply := gatheringrpc.EncodeAnswer(answer, time.Since(now))
 	if failure != nil {
 		reply.Failure = s.d.encodeFailure(failure)
 	}
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -21,8 +21,15 @@
 	Route    *routeplan.Route
 	Arrived  time.Time
 	Deadline time.Time
+	// Delay is the part of the latency that passes outside of this host: on the
+	// network to the caller and, at a gatherer, on the way to the host that asked.
+	Delay time.Duration
 }
 
+// began returns the time from which the latency objective counts here: an answer
+// that leaves this host within the objective after it reaches the caller in time.
+func (c *Call) began() time.Time { return c.Arrived.Add(-c.Delay) }
+
 // Reply is a complete HTTP response from a searcher.
 type Reply struct {
 	Status    int
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -271,7 +271,7 @@
 	now := time.Now()
 	e.routesMu.Lock()
 	defer e.routesMu.Unlock()
-	if err == nil && now.Sub(call.Arrived) <= call.Route.Objective {
+	if err == nil && now.Sub(call.began()) <= call.Route.Objective {
 		state.admission.RecordInTime(now)
 		return
 	}
@@ -308,7 +308,7 @@
 	e.routesMu.Lock()
 	r.timing.median, r.timing.hedgeDelay = state.timing.MedianTime(), state.timing.HedgeDelay(call.Route.Objective, left)
 	e.routesMu.Unlock()
-	run := forward.NewRun(r, call.Route, services, call.Arrived, call.Deadline)
+	run := forward.NewRun(r, call.Route, services, call.began(), call.Deadline)
 	answer, err := r.drive(ctx, run, now)
 	e.recordEnd(call, state, err)
 	return answer, err
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -16,8 +16,8 @@
 	Err     *verdict.Error
 }
 
-// The answer margin is how long before its objective a gathered answer is given
-// without its outstanding shards, to leave time for the way to the caller.
+// The answer margin is how long before it should leave a gathered answer is given
+// without its outstanding shards, to leave time for merging and writing it.
 const (
 	answerMarginShare = 0.07 // of the objective
 	minAnswerMargin   = 5 * time.Millisecond
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -152,14 +152,14 @@
 func (AwaitCapacity) isForwardEffect() {}
 func (Finish) isForwardEffect()        {}
 
-// NewRun returns the run of a request that arrived at the given time and must
-// end by the deadline. The services are the shards of a gathered route, or the
-// one service that a split selected.
-func NewRun(env Environment, route *routeplan.Route, services []string, arrived, deadline time.Time) *Run {
+// NewRun returns the run of a request whose latency objective counts from began and
+// which must end by the deadline. The services are the shards of a gathered route,
+// or the one service that a split selected.
+func NewRun(env Environment, route *routeplan.Route, services []string, began, deadline time.Time) *Run {
 	r := &Run{env: env, route: route, deadline: deadline, cutoff: deadline, hedgeDelay: env.HedgeDelay()}
 	if route.Gather != nil && route.Objective > 0 {
 		margin := max(minAnswerMargin, time.Duration(answerMarginShare*float64(route.Objective)))
-		r.cutoff = arrived.Add(route.Objective - margin)
+		r.cutoff = began.Add(route.Objective - margin)
 	}
 	if route.Gather != nil {
 		r.minShards = route.Gather.MinShards()
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -272,3 +272,21 @@
 	env.end(start.Add(time.Millisecond), held[0], Good)
 	require.Len(t, sends(run.CapacityFreed(start.Add(time.Millisecond), 0)), 1)
 }
+
+// Guards against an answer without all shards that leaves within the objective and
+// reaches the caller after it: the time on the network counts.
+func TestCutoffLeavesTimeForTheNetwork(t *testing.T) {
+	env, services := newTestEnvironment(10, 1)
+	delay := 12 * time.Millisecond
+	run := NewRun(env, gatherRoute(services, 0.5), services, start.Add(-delay), start.Add(time.Second))
+	for i, a := range sends(run.Start(start)) {
+		if i > 0 {
+			env.end(start.Add(20*time.Millisecond), a, Good)
+			require.Empty(t, run.Ended(start.Add(20*time.Millisecond), a, Good))
+		}
+	}
+	cutoff := start.Add(100*time.Millisecond - 7*time.Millisecond - delay)
+	require.Empty(t, run.Tick(cutoff.Add(-1)))
+	effects := run.Tick(cutoff)
+	require.Equal(t, 1, effects[len(effects)-1].(Finish).Outcome.Missing)
+}
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -20,9 +20,11 @@
 	}
 }
 
-// SetTimes sets the times of a request that is sent now.
-func (m *GatherRequest) SetTimes(now time.Time, c *forwardrun.Call) {
+// SetTimes sets the times of a request that is sent now. hop is the time that passes
+// on the way to the gatherer and back.
+func (m *GatherRequest) SetTimes(now time.Time, c *forwardrun.Call, hop time.Duration) {
 	m.ElapsedUs, m.LeftUs = now.Sub(c.Arrived).Microseconds(), c.Deadline.Sub(now).Microseconds()
+	m.DelayUs = (c.Delay + hop).Microseconds()
 }
 
 // DecodeCall returns the call of a request that arrived now, on its route.
@@ -32,12 +34,14 @@
 		Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(), Route: route,
 		Arrived:  now.Add(-time.Duration(m.GetElapsedUs()) * time.Microsecond),
 		Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
+		Delay:    time.Duration(m.GetDelayUs()) * time.Microsecond,
 	}
 }
 
-// EncodeAnswer returns the reply that carries an answer, without a failure.
-func EncodeAnswer(a *forwardrun.Answer) *GatherReply {
-	m := &GatherReply{Body: a.Body, Missing: uint32(a.Missing), Attempts: uint32(len(a.Attempts))}
+// EncodeAnswer returns the reply that carries an answer, without a failure. took is
+// the time since the request arrived.
+func EncodeAnswer(a *forwardrun.Answer, took time.Duration) *GatherReply {
+	m := &GatherReply{Body: a.Body, Missing: uint32(a.Missing), Attempts: uint32(len(a.Attempts)), TookUs: took.Microseconds()}
 	for _, s := range a.Signatures {
 		m.Signatures = append(m.Signatures, []byte(s))
 	}
