Divide a gather of many shards among gatherers in several failure domains

Cause: on the large site a gather of 180 shards runs on one strong host, where the replies take 56 ms of processor time one after the other, and half of the shards have no copy in the gatherer's failure domain. In the small twin with 24 hosts, every host gathered for itself, which takes a weak one 150 ms.

Change: gathers of more than 60 shards are divided into parts of about 60, each carried out by a gatherer in a failure domain that holds the shards of the part; the host that received the request merges the parts. Every part has its share of the missing shards that an answer may have. A part names the shards by index and the set that its sender has, so that parts of different versions are never mixed. Fleets whose gathers have more than 60 shards use their strong hosts, whatever their size.

--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -25,13 +25,15 @@
 // Error codes with which a gatherer rejects a request.
 const (
 	codePlanBehind  verdict.Code = "route_plan_behind"
+	codePlanDiffers verdict.Code = "route_plan_differs"
 	codeNotGatherer verdict.Code = "not_a_gatherer"
 )
 
 // placement records which hosts gather from each service. It is immutable.
 type placement struct {
-	gatherers map[string][]gathering.Host // by service; absent if every host gathers for itself
-	chosen    map[int][]gathering.Host    // by usedConnections of a service
+	gatherers map[string][]gathering.Host   // by service; absent if every host gathers for itself
+	chosen    map[int][]gathering.Host      // by usedConnections of a service
+	splits    map[uint64][][]gathering.Part // ways to divide gathers, by the set of shards
 	// unknown is true until this host has found the other hosts. Until then it
 	// opens no connections for gathers, since it can't know its share.
 	unknown bool
@@ -50,7 +52,8 @@
 	if s.Plan == nil {
 		return p
 	}
-	fleet := fleetOf(s)
+	holders := gatheredServices(s)
+	fleet := fleetOf(s, holders)
 	starting := age < discoveryTimeout
 	p.unknown = starting && s.AgreedMembers.Epoch == 0
 	keep := previous != nil && !previous.unknown && 2*len(fleet.Hosts) < fleet.Size
@@ -71,6 +74,7 @@
 			p.gatherers[name] = g
 		}
 	}
+	p.splits = splitGathers(s.Plan, p.gatherers, holders)
 	return p
 }
 
@@ -80,7 +84,7 @@
 
 // fleetOf returns the hosts that a snapshot knows. Size also counts agreed
 // members that this host does not see.
-func fleetOf(s *control.Snapshot) gathering.Fleet {
+func fleetOf(s *control.Snapshot, holders map[string]map[string]bool) gathering.Fleet {
 	f := gathering.Fleet{Near: make(map[string]bool)}
 	for _, h := range s.Hosts {
 		if h.Live {
@@ -88,9 +92,12 @@
 		}
 	}
 	f.Size = max(len(f.Hosts), len(s.AgreedMembers.Hosts))
-	for domain, services := range gatheredServices(s) {
+	for domain, services := range holders {
 		f.Near[domain] = float64(len(services)) >= nearShare*float64(len(s.Plan.Gathered()))
 	}
+	for _, g := range s.Plan.Gathers() {
+		f.Shards = max(f.Shards, len(g.Services))
+	}
 	return f
 }
 
@@ -149,21 +156,39 @@
 	mu        sync.Mutex
 	chooser   *gathering.Chooser
 	hop       gathering.Hop
+	splitTurn atomic.Uint64
+}
+
+// handOver is what the attempts to have a request carried out by other hosts share.
+type handOver struct {
+	now       time.Time
+	gatherers []gathering.Host
+	version   uint64 // of the plan that routes the request
+	path      string // that selects the route
 }
 
-// Forward sends a caller's request to searchers, or to a gatherer if this host
-// has no connections of its own.
+// Forward sends a caller's request to searchers, or to gatherers if this host has no
+// connections of its own or the gather is divided.
 func (d *Daemon) Forward(ctx context.Context, call *forwardrun.Call, version uint64, path string) (*forwardrun.Answer, *verdict.Error) {
-	gatherers := d.gather.placement.Load().gatherersOf(call.Route)
-	if gatherers == nil || gathering.Contains(gatherers, d.settings.Host) {
+	p := d.gather.placement.Load()
+	h := handOver{now: time.Now(), gatherers: p.gatherersOf(call.Route), version: version, path: path}
+	if parts := d.nextSplit(p, call.Route); parts != nil {
+		return d.gatherParts(ctx, call, h, parts)
+	}
+	if h.gatherers == nil || gathering.Contains(h.gatherers, d.settings.Host) {
 		return d.engine.Do(ctx, call)
 	}
-	d.gather.mu.Lock()
-	order := d.gather.chooser.Order(time.Now(), gatherers, d.settings.FailureDomain)
-	d.gather.mu.Unlock()
-	request := gatheringrpc.EncodeCall(d.settings.Host, call, version, path)
+	return d.gatherPart(ctx, call, h, d.settings.FailureDomain)
+}
+
+// gatherAmong has a request carried out by the first of the gatherers that takes it.
+func (d *Daemon) gatherAmong(ctx context.Context, call *forwardrun.Call, h handOver, order []gathering.Host) (*forwardrun.Answer, *verdict.Error) {
+	request := gatheringrpc.EncodeCall(d.settings.Host, call, h.version, h.path)
 	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no host gathers for this route").WithRetryAfter(retryAfterGatherer)
 	for _, g := range order[:min(len(order), maxGatherers)] {
+		if g.Name == d.settings.Host {
+			return d.engine.Do(ctx, call)
+		}
 		answer, err := d.gatherAt(ctx, g.Name, call, request)
 		if err == nil || answer != nil {
 			return answer, err
@@ -177,6 +202,10 @@
 	return &forwardrun.Answer{}, failure
 }
 
+func callerGone() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, forwardrun.CodeCallerGone, "the caller closed its connection")
+}
+
 // maxGatherers bounds the number of gatherers that one request tries.
 const maxGatherers = 3
 
@@ -212,7 +241,7 @@
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return &forwardrun.Answer{}, verdict.New(verdict.MayHaveRun, forwardrun.CodeCallerGone, "the caller closed its connection")
+		return &forwardrun.Answer{}, callerGone()
 	case err != nil && !time.Now().Before(call.Deadline):
 		return &forwardrun.Answer{}, verdict.New(verdict.MayHaveRun, verdict.CodeDeadlineExceeded, "host %s did not answer in time", host)
 	case err != nil && peerlink.NotSent(err):
@@ -263,7 +292,7 @@
 	failure := verdict.New(verdict.Of(err), verdict.CodeOf(err), "%s", err.Error()).
 		WithRetryAfter(time.Duration(m.GetFailure().GetRetryAfterMs()) * time.Millisecond)
 	switch failure.Code {
-	case codePlanBehind, codeNotGatherer, codeHostStopping:
+	case codePlanBehind, codePlanDiffers, codeNotGatherer, codeHostStopping:
 		return nil, failure
 	}
 	return a, failure
@@ -317,6 +346,8 @@
 		return nil, verdict.New(verdict.NotRun, codePlanBehind, "route plan %d has no route for this path", snapshot.Plan.Version)
 	case p != nil && p.unknown:
 		return nil, verdict.New(verdict.NotRun, codeNotGatherer, "this host has not found the other hosts yet")
+	case !gatheringrpc.SameShards(m, route):
+		return nil, verdict.New(verdict.NotRun, codePlanDiffers, "the shards of the route differ between this host's plan %d and plan %d", snapshot.Plan.Version, m.GetPlan())
 	}
 	return route, nil
 }
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -21,6 +21,9 @@
 	Route    *routeplan.Route
 	Arrived  time.Time
 	Deadline time.Time
+	// Shards are the indexes of the services of a gathered route that this call is
+	// about, if it is a part of a divided gather; nil for all.
+	Shards []int
 	// Delay is the part of the latency that passes outside of this host: on the
 	// network to the caller and, at a gatherer, on the way to the host that asked.
 	Delay time.Duration
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -9,8 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hawthornlock/hawthornlock/internal/forward"
-	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -161,9 +162,17 @@
 	return r
 }
 
-// servicesOf returns the services that answer a call: all shards of a gathered
-// route, or the one that the split selects.
-func (e *Engine) servicesOf(r *routeplan.Route, state *routeState) []string {
+// servicesOf returns the services that answer a call: the shards of a gathered
+// route that it is about, or the one that the split selects.
+func (e *Engine) servicesOf(call *Call, state *routeState) []string {
+	r := call.Route
+	if r.Gather != nil && call.Shards != nil {
+		out := make([]string, len(call.Shards))
+		for i, k := range call.Shards {
+			out[i] = r.Gather.Services[k]
+		}
+		return out
+	}
 	if r.Gather != nil {
 		return r.Gather.Services
 	}
@@ -239,6 +248,11 @@
 // the searchers' queues drain and is within the time that callers wait.
 const retryAfterShed = 300 * time.Millisecond
 
+// shareOf returns a number from 0 to 1 for a request ID. The parts of a divided gather
+// have the same number, so that gatherers that admit the same share of the requests
+// admit the same requests.
+func shareOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
 // admit decides whether a gathered request is admitted. The admitted share of a
 // route never exceeds that of a more urgent one over the same shards.
 func (e *Engine) admit(call *Call, state *routeState, random float64) *verdict.Error {
@@ -287,10 +301,10 @@
 func (e *Engine) Do(ctx context.Context, call *Call) (*Answer, *verdict.Error) {
 	e.stats.Calls.Add(1)
 	state := e.route(call.Route.Name)
-	services := e.servicesOf(call.Route, state)
+	services := e.servicesOf(call, state)
 	now := time.Now()
 	rng := rand.New(rand.NewPCG(e.config.Seed, uint64(e.stats.Calls.Load())))
-	if err := e.admit(call, state, rng.Float64()); err != nil {
+	if err := e.admit(call, state, shareOf(call.ID)); err != nil {
 		return &Answer{}, err
 	}
 	for _, name := range services {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -153,8 +153,8 @@
 func (Finish) isForwardEffect()        {}
 
 // NewRun returns the run of a request whose latency objective counts from began and
-// which must end by the deadline. The services are the shards of a gathered route,
-// or the one service that a split selected.
+// which must end by the deadline. The services are the shards of a gathered route, a
+// part of them, or the one service that a split selected.
 func NewRun(env Environment, route *routeplan.Route, services []string, began, deadline time.Time) *Run {
 	r := &Run{env: env, route: route, deadline: deadline, cutoff: deadline, hedgeDelay: env.HedgeDelay()}
 	if route.Gather != nil && route.Objective > 0 {
@@ -162,7 +162,7 @@
 		r.cutoff = began.Add(route.Objective - margin)
 	}
 	if route.Gather != nil {
-		r.minShards = route.Gather.MinShards()
+		r.minShards = route.Gather.MinShardsOf(len(services))
 	}
 	subs := make([]subRequest, len(services))
 	r.subs = make([]*subRequest, len(services))
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -37,6 +37,10 @@
 	// left out. A single one would carry all gathers, and its loss would leave no
 	// gatherer.
 	minNear = 2
+	// maxOwnShards is the maximum number of shards for which every host gathers for
+	// itself. With more, a weak host's processor takes longer than the latency
+	// objective allows.
+	maxOwnShards = 60
 )
 
 // Fleet is a host's view of all hosts when it chooses gatherers.
@@ -44,6 +48,8 @@
 	Hosts []Host          // hosts known to be live
 	Size  int             // number of hosts, including unknown ones
 	Near  map[string]bool // failure domains with searchers of most shards
+
+	Shards int // of the largest gather
 }
 
 // Decided reports whether enough hosts are known to choose gatherers: there are
@@ -51,7 +57,7 @@
 // strong and weak hosts are known. In the last case a strong host gathers and a
 // weak one doesn't, however many more hosts there are.
 func (f Fleet) Decided(connections int) bool {
-	if f.Size <= connections || 2*len(f.Hosts) >= f.Size {
+	if f.Size <= connections && f.Shards <= maxOwnShards || 2*len(f.Hosts) >= f.Size {
 		return true
 	}
 	strong := f.strong()
@@ -90,7 +96,7 @@
 // only some of the failure domains: a gather from another failure domain moves
 // every shard's reply between failure domains.
 func (f Fleet) Choose(connections int) []Host {
-	if size := max(f.Size, len(f.Hosts)); size <= max(connections, 1) {
+	if size := max(f.Size, len(f.Hosts)); size <= max(connections, 1) && f.Shards <= maxOwnShards {
 		return f.pooled(connections, size)
 	}
 	strong := f.strong()
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -14,10 +14,36 @@
 // path selects the route in the plan of the given version. The message lacks the
 // times, which SetTimes sets for each gatherer that is tried.
 func EncodeCall(from string, c *forwardrun.Call, version uint64, path string) *GatherRequest {
-	return &GatherRequest{
+	m := &GatherRequest{
 		From: from, Plan: version, RequestId: []byte(c.ID), Method: []byte(c.Method), Uri: []byte(c.URI), Host: []byte(c.Host),
 		Headers: encodeHeader(c.Header), Body: c.Body, Path: []byte(path),
 	}
+	if c.Shards != nil {
+		m.ShardSet = c.Route.Gather.SetID()
+	}
+	for _, i := range c.Shards {
+		m.Shards = append(m.Shards, uint32(i))
+	}
+	return m
+}
+
+// SameShards reports whether the shards of a request are shards of a route. A request
+// for a whole gather fits every route.
+func SameShards(m *GatherRequest, route *routeplan.Route) bool {
+	if len(m.GetShards()) == 0 {
+		return true
+	}
+	if route.Gather == nil || m.GetShardSet() != route.Gather.SetID() {
+		return false
+	}
+	next := uint32(0)
+	for _, i := range m.GetShards() {
+		if i < next || int(i) >= len(route.Gather.Services) {
+			return false
+		}
+		next = i + 1
+	}
+	return true
 }
 
 // SetTimes sets the times of a request that is sent now. hop is the time that passes
@@ -29,13 +55,17 @@
 
 // DecodeCall returns the call of a request that arrived now, on its route.
 func DecodeCall(now time.Time, m *GatherRequest, route *routeplan.Route) *forwardrun.Call {
-	return &forwardrun.Call{
+	c := &forwardrun.Call{
 		ID: string(m.GetRequestId()), Method: string(m.GetMethod()), URI: string(m.GetUri()), Host: string(m.GetHost()),
 		Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(), Route: route,
 		Arrived:  now.Add(-time.Duration(m.GetElapsedUs()) * time.Microsecond),
 		Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
 		Delay:    time.Duration(m.GetDelayUs()) * time.Microsecond,
 	}
+	for _, i := range m.GetShards() {
+		c.Shards = append(c.Shards, int(i))
+	}
+	return c
 }
 
 // EncodeAnswer returns the reply that carries an answer, without a failure. took is
--- a/internal/gathering/gatheringrpc/codec_test.go
+++ b/internal/gathering/gatheringrpc/codec_test.go
@@ -48,3 +48,25 @@
 		require.Equal(t, a, got)
 	}
 }
+
+// Guards against a part of a gather that is taken for one of other shards, because the
+// two hosts have different versions of the route, and against shards out of range or
+// twice, whose replies would be in the answer twice.
+func TestPartsNameTheShardsOfTheRoute(t *testing.T) {
+	route := &routeplan.Route{Gather: &routeplan.Gather{Services: []string{"a", "b", "c"}}}
+	call := &forwardrun.Call{Route: route, Shards: []int{0, 2}}
+	m := EncodeCall("h1", call, 7, "/")
+	require.True(t, SameShards(m, route))
+	require.Equal(t, []int{0, 2}, DecodeCall(time.Unix(1, 0), m, route).Shards)
+	for _, services := range [][]string{{"a", "b"}, {"a", "c", "b"}, {"a", "b", "c", "d"}, {"ab", "", "c"}} {
+		require.False(t, SameShards(m, &routeplan.Route{Gather: &routeplan.Gather{Services: services}}), services)
+	}
+	require.False(t, SameShards(m, &routeplan.Route{}))
+	for _, shards := range [][]uint32{{0, 0}, {2, 1}, {3}, {0, 1 << 31}} {
+		m.Shards = shards
+		require.False(t, SameShards(m, route), shards)
+	}
+	whole := EncodeCall("h1", &forwardrun.Call{Route: route}, 7, "/")
+	require.True(t, SameShards(whole, &routeplan.Route{}))
+	require.Nil(t, DecodeCall(time.Unix(1, 0), whole, route).Shards)
+}
--- a/internal/routeplan/plan.go
+++ b/internal/routeplan/plan.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -75,6 +77,25 @@
 	return n
 }
 
+// MinShardsOf returns the smallest number of shards in a successful part of a gather
+// that has n of the shards. If every part of a divided gather has that many, the
+// whole answer has at least MinShards.
+func (g *Gather) MinShardsOf(n int) int {
+	missing := len(g.Services) - g.MinShards()
+	return n - missing*n/len(g.Services)
+}
+
+// SetID identifies the services of a gather, in their order.
+func (g *Gather) SetID() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range g.Services {
+		_, _ = d.WriteString(s) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 // ratioTolerance absorbs the rounding of a ratio that was written in decimal.
 const ratioTolerance = 1e-9
 
--- a/internal/routeplan/table.go
+++ b/internal/routeplan/table.go
@@ -13,6 +13,7 @@
 	routes   map[routeKey]*Route
 	services map[string]*Service
 	gathered []string // names of the services from which some route gathers, sorted
+	gathers  map[uint64]*Gather
 }
 
 // routeKey is the host name and path prefix of a route.
@@ -20,7 +21,7 @@
 
 // NewTable returns the table of a valid plan.
 func NewTable(p *Plan) *Table {
-	t := &Table{Version: p.Version, Limits: p.Limits, routes: make(map[routeKey]*Route, len(p.Routes)), services: make(map[string]*Service, len(p.Services))}
+	t := &Table{Version: p.Version, Limits: p.Limits, routes: make(map[routeKey]*Route, len(p.Routes)), services: make(map[string]*Service, len(p.Services)), gathers: make(map[uint64]*Gather)}
 	for i := range p.Services {
 		t.services[p.Services[i].Name] = &p.Services[i]
 	}
@@ -28,9 +29,12 @@
 		r := &p.Routes[i]
 		t.routes[routeKey{canonicalHost(r.Host), r.PathPrefix}] = r
 		if r.Gather != nil {
-			t.gathered = append(t.gathered, r.Gather.Services...)
+			t.gathers[r.Gather.SetID()] = r.Gather
 		}
 	}
+	for _, g := range t.gathers {
+		t.gathered = append(t.gathered, g.Services...)
+	}
 	slices.Sort(t.gathered)
 	t.gathered = slices.Compact(t.gathered)
 	return t
@@ -63,6 +67,10 @@
 // sorted. The caller must not modify the result.
 func (t *Table) Gathered() []string { return t.gathered }
 
+// Gathers returns, by Gather.SetID, one gather for each set of shards. The caller must
+// not modify the result.
+func (t *Table) Gathers() map[uint64]*Gather { return t.gathers }
+
 // canonicalHost returns a host name in lower case, without a port or a trailing
 // dot.
 func canonicalHost(host string) string {
