Keep messages between hosts and announcements within the failure domain

Cause: most of the bytes between failure domains, which are the dearest price of the grown sites, are messages between hosts.

Change: on the users' platform a failure domain is a region of relays, so that hosts exchange heartbeats and records within it and only relays with each other; a host follows the voter of its own domain first, and the others in an order that differs between hosts (before, all polled the same two voters); a target is told to announce itself at a host in its own domain; messages between hosts carry one header.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -1,11 +1,14 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
@@ -81,8 +84,9 @@
 // without a log: plans are ordered by their version alone, and a voter that was
 // removed while it was down learns of newer plans in no other way.
 //
-// Other hosts follow the live relays of their region, then the live voters, or,
-// if there is neither, the voters in the settings. A relay follows voters only.
+// Other hosts follow the live relays of their region, then the live voters, the near
+// ones first, or, if there is neither, the voters in the settings. A relay follows
+// voters only.
 func (c *Core) feeds() []follow.FeedHost {
 	if c.node != nil {
 		switch follows := c.leader.Name != "" && c.leader.Name != c.opts.Self; {
@@ -105,7 +109,24 @@
 	if len(relays)+len(voters) == 0 {
 		return c.opts.Voters
 	}
-	return append(relays, voters...)
+	return append(c.nearestFirst(relays), c.nearestFirst(voters)...)
+}
+
+// nearestFirst returns feeds in the order in which this host uses them: those in its
+// own failure domain first, and otherwise in an order that differs between hosts, so
+// that the feeds share the load.
+func (c *Core) nearestFirst(feeds []follow.FeedHost) []follow.FeedHost {
+	weight := func(f follow.FeedHost) uint64 { return xxhash.Sum64String(c.opts.Self + "\x00" + f.Host) }
+	far := func(f follow.FeedHost) int {
+		if f.FailureDomain == c.opts.Member.FailureDomain {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(feeds, func(a, b follow.FeedHost) int {
+		return cmp.Or(far(a)-far(b), cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Host, b.Host))
+	})
+	return feeds
 }
 
 func (c *Core) proposeMembers(e membership.ProposeMemberList) []Effect {
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -84,6 +85,29 @@
 	return err
 }
 
+// AnnounceAddress returns the address at which a target in a failure domain should
+// announce itself from now on: this host if it is in that domain and serving, or else a
+// live host there. It is not ok if there is none. Announcements are the most frequent
+// messages of targets, and bytes between failure domains are expensive. All hosts serve
+// targets on the same port.
+func (d *Daemon) AnnounceAddress(target, failureDomain string) (netip.AddrPort, bool) {
+	s := d.loop.Snapshot()
+	own := d.Address("target")
+	if d.settings.FailureDomain == failureDomain && s.Phase == lifecycle.Serving {
+		return own, true
+	}
+	var near []gathering.Host
+	peers := make(map[string]netip.AddrPort)
+	for _, h := range s.Hosts {
+		if h.Live && h.FailureDomain == failureDomain && h.Host != d.settings.Host {
+			near = append(near, gathering.Host{Name: h.Host})
+			peers[h.Host] = h.Peer
+		}
+	}
+	chosen, ok := gathering.Heaviest(near, target)
+	return netip.AddrPortFrom(peers[chosen.Name].Addr(), own.Port()), ok
+}
+
 // Target returns the current record of a target that takes work or drains.
 func (d *Daemon) Target(name string) (*targets.Record, bool) {
 	return d.loop.Snapshot().Targets.Target(name)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -48,7 +48,7 @@
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
-	return http.MaxBytesHandler(r, maxPeerBody)
+	return withoutDate(http.MaxBytesHandler(r, maxPeerBody))
 }
 
 type followService struct{ d *Daemon }
@@ -94,3 +94,11 @@
 func (s *lifecycleService) Resume(ctx context.Context, _ *lifecyclerpc.ResumeRequest) (*lifecyclerpc.ResumeReply, error) {
 	return &lifecyclerpc.ResumeReply{}, backend{s.d}.ResumeHost(ctx, s.d.settings.Host)
 }
+
+// withoutDate leaves the Date header out of responses, which no host reads.
+func withoutDate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -12,6 +12,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Host is a host that can gather.
@@ -141,6 +143,18 @@
 	return slices.ContainsFunc(gatherers, func(h Host) bool { return h.Name == name })
 }
 
+// Heaviest returns the host with the greatest rendezvous weight for a key. It is not ok
+// without hosts. Few keys move when a host joins or leaves.
+func Heaviest(hosts []Host, key string) (chosen Host, ok bool) {
+	var most uint64
+	for _, h := range hosts {
+		if w := xxhash.Sum64String(h.Name + "\x00" + key); !ok || w > most {
+			chosen, most, ok = h, w, true
+		}
+	}
+	return chosen, ok
+}
+
 // avoidFor is how long a gatherer that did not answer is ordered last. It covers
 // the time until the membership detects a lost host.
 const avoidFor = 3 * time.Second
--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -62,7 +62,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHead,
 	}
-	return &Links{client: &http.Client{Transport: boundedTransport{transport}}, ctx: ctx, stop: stop, links: make(map[netip.AddrPort]*link)}
+	return &Links{client: &http.Client{Transport: peerTransport{transport}}, ctx: ctx, stop: stop, links: make(map[netip.AddrPort]*link)}
 }
 
 // Client returns the HTTP client that all links share, for calls that wait for
--- a/internal/peerlink/bounded.go
+++ b/internal/peerlink/transport.go
@@ -7,12 +7,19 @@
 	"github.com/cockroachdb/errors"
 )
 
-// boundedTransport fails the read of a response body after maxResponseBody bytes.
-type boundedTransport struct{ *http.Transport }
+// peerTransport sends requests with the only header that other hosts need, and fails
+// the read of a response body after maxResponseBody bytes. Most messages between hosts
+// are smaller than the usual headers, and bytes between failure domains are expensive.
+type peerTransport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
-func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+func (t peerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	small := *r
+	small.Header = http.Header{
+		"Content-Type": r.Header["Content-Type"],
+		"User-Agent":   {""}, // not sent
+	}
+	resp, err := t.Transport.RoundTrip(&small)
 	if err != nil {
 		return nil, err
 	}
