Let a part of a gather lack what the others may not

Cause: with a fixed share of the missing shards for each part, a gather failed when three shards of one part were lost although the answer may lack four.

Change: a part answers early only within its share, but once there is nothing more to wait for it may lack as many as the whole answer; the host that merges sees the sum. Each gatherer counts the shards of the whole gather that are down, so that all parts are refused, before anything is sent, when too many are. The time for the way to a gatherer is one deviation above the mean and at most a tenth of the objective.

--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -178,7 +178,7 @@
 	if h.gatherers == nil || gathering.Contains(h.gatherers, d.settings.Host) {
 		return d.engine.Do(ctx, call)
 	}
-	return d.gatherPart(ctx, call, h, d.settings.FailureDomain)
+	return d.handOverNear(ctx, call, h, d.settings.FailureDomain)
 }
 
 // gatherAmong has a request carried out by the first of the gatherers that takes it.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -35,8 +35,8 @@
 	return out
 }
 
-// nextSplit returns the parts into which the next request of a route is divided, or
-// nil if it is not divided.
+// nextSplit returns the parts into which the next request of a route is divided, or nil
+// if it is not divided. The ways take turns.
 func (d *Daemon) nextSplit(p *placement, r *routeplan.Route) []gathering.Part {
 	if p == nil || r.Gather == nil || len(p.splits) == 0 {
 		return nil
@@ -85,8 +85,18 @@
 	return forwardrun.MergeParts(call.Route.Gather, results, len(parts)-len(results))
 }
 
-// gatherPart has a part of a gather carried out by this host or another gatherer.
+// gatherPart has a part of a gather carried out: the one of this host's failure domain
+// by this host, if it is a gatherer, and any other by a gatherer of its domain if
+// possible.
 func (d *Daemon) gatherPart(ctx context.Context, call *forwardrun.Call, h handOver, domain string) (*forwardrun.Answer, *verdict.Error) {
+	if domain == d.settings.FailureDomain && gathering.Contains(h.gatherers, d.settings.Host) {
+		return d.engine.Do(ctx, call)
+	}
+	return d.handOverNear(ctx, call, h, domain)
+}
+
+// handOverNear has a request carried out by a gatherer, of a failure domain if possible.
+func (d *Daemon) handOverNear(ctx context.Context, call *forwardrun.Call, h handOver, domain string) (*forwardrun.Answer, *verdict.Error) {
 	d.gather.mu.Lock()
 	order := d.gather.chooser.Order(h.now, h.gatherers, domain)
 	d.gather.mu.Unlock()
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -184,6 +184,29 @@
 	return []string{r.Splits[state.splitter.Next(r.Splits)].Service}
 }
 
+// allowance returns how many of its shards a part of a divided gather may lack, or why
+// it is refused. This host has connections to the searchers of all shards of the gather,
+// so the gatherers of all parts come to the same decision.
+func (e *Engine) allowance(call *Call) (forward.Allowance, *verdict.Error) {
+	g := call.Route.Gather
+	a, ok := forward.PartAllowance(e.unanswerable(time.Now(), g.Services), call.Shards, g.MaxMissing())
+	if !ok {
+		return a, forward.RefusePart(len(g.Services))
+	}
+	return a, nil
+}
+
+// unanswerable returns, for each of the services, whether none of its searchers can be
+// used now.
+func (e *Engine) unanswerable(now time.Time, services []string) []bool {
+	out := make([]bool, len(services))
+	for i, name := range services {
+		_, ok := e.service(name).expected(now, forward.Criteria{})
+		out[i] = !ok
+	}
+	return out
+}
+
 // Close closes idle connections and cancels dials. Attempts in flight go on.
 func (e *Engine) Close() {
 	e.cancel()
@@ -307,6 +330,13 @@
 	if err := e.admit(call, state, shareOf(call.ID)); err != nil {
 		return &Answer{}, err
 	}
+	var allowance forward.Allowance
+	if call.Shards != nil {
+		var err *verdict.Error
+		if allowance, err = e.allowance(call); err != nil {
+			return &Answer{}, err
+		}
+	}
 	for _, name := range services {
 		e.service(name).recordRequest(now)
 	}
@@ -323,6 +353,9 @@
 	r.timing.median, r.timing.hedgeDelay = state.timing.MedianTime(), state.timing.HedgeDelay(call.Route.Objective, left)
 	e.routesMu.Unlock()
 	run := forward.NewRun(r, call.Route, services, call.began(), call.Deadline)
+	if call.Shards != nil {
+		run.AllowMissing(allowance)
+	}
 	answer, err := r.drive(ctx, run, now)
 	e.recordEnd(call, state, err)
 	return answer, err
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -58,7 +58,7 @@
 func (r *Run) gatherOutcome(now time.Time) (Outcome, bool) {
 	settled := r.good + r.unanswerable()
 	switch {
-	case r.good >= r.minShards && (settled == len(r.subs) || !now.Before(r.cutoff)):
+	case settled == len(r.subs) && r.good >= r.minShards, !now.Before(r.cutoff) && r.good >= r.minEarly:
 		return r.answer(), true
 	case len(r.subs)-r.unanswerable() < r.minShards, !now.Before(r.deadline):
 		return Outcome{Missing: len(r.subs) - r.good, Err: r.failure(now, "too many shards")}, true
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -126,6 +126,7 @@
 	cutoff     time.Time     // when an answer without all shards may be given
 	hedgeDelay time.Duration // after which an attempt is hedged
 	minShards  int           // least number of replies in a successful answer
+	minEarly   int           // least number of replies in one that is given before all are there
 	anyGivenUp bool          // a sub-request was given up at some time
 	good       int           // sub-requests with a good reply
 	finished   bool
@@ -162,7 +163,8 @@
 		r.cutoff = began.Add(route.Objective - margin)
 	}
 	if route.Gather != nil {
-		r.minShards = route.Gather.MinShardsOf(len(services))
+		r.minShards = len(services) - min(route.Gather.MaxMissing(), len(services))
+		r.minEarly = r.minShards
 	}
 	subs := make([]subRequest, len(services))
 	r.subs = make([]*subRequest, len(services))
@@ -173,6 +175,12 @@
 	return r
 }
 
+// AllowMissing sets how many shards an answer may lack, for a part of a divided
+// gather. It must be called before Start.
+func (r *Run) AllowMissing(a Allowance) {
+	r.minEarly, r.minShards = len(r.subs)-a.Early, len(r.subs)-a.Settled
+}
+
 // Start sends the first attempts.
 //
 // A gathered request that too few shards can answer fails before anything is
@@ -234,7 +242,7 @@
 	if r.route.Gather == nil {
 		return
 	}
-	allowed := len(r.subs) - r.unanswerable() - r.minShards
+	allowed := len(r.subs) - r.unanswerable() - r.minEarly
 	slices.SortFunc(late, func(a, b lateSubRequest) int { return cmp.Compare(b.weight, a.weight) })
 	for _, sub := range late[:min(max(allowed, 0), len(late))] {
 		r.giveUp(sub.subRequest)
--- a/internal/gathering/hop.go
+++ b/internal/gathering/hop.go
@@ -16,10 +16,10 @@
 	hopGain = 0.1 // weight of an observation in the mean and the deviation
 	// hopDeviations is how many mean deviations above the mean an answer is
 	// expected to take at most.
-	hopDeviations = 2
+	hopDeviations = 1
 	// maxHopShare bounds the estimate as a share of the objective. The searchers
 	// need the rest of the time.
-	maxHopShare = 0.2
+	maxHopShare = 0.1
 )
 
 // Observe records the time that a request spent outside of its gatherer.
--- a/internal/routeplan/plan.go
+++ b/internal/routeplan/plan.go
@@ -77,13 +77,8 @@
 	return n
 }
 
-// MinShardsOf returns the smallest number of shards in a successful part of a gather
-// that has n of the shards. If every part of a divided gather has that many, the
-// whole answer has at least MinShards.
-func (g *Gather) MinShardsOf(n int) int {
-	missing := len(g.Services) - g.MinShards()
-	return n - missing*n/len(g.Services)
-}
+// MaxMissing returns the greatest number of shards that a successful answer may lack.
+func (g *Gather) MaxMissing() int { return len(g.Services) - g.MinShards() }
 
 // SetID identifies the services of a gather, in their order.
 func (g *Gather) SetID() uint64 {
