Decide whether a divided gather is admitted before its parts are sent

Cause: each gatherer admitted its part by itself.

Change: gatherers report the share of a route's requests that they admit with their answers. The host that divides a gather refuses by the least recent share, with 503 and Retry-After, before it sends anything (gathering.Shares); parts are not refused.

--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -156,6 +156,7 @@
 	mu        sync.Mutex
 	chooser   *gathering.Chooser
 	hop       gathering.Hop
+	shares    gathering.Shares
 	splitTurn atomic.Uint64
 }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/gathering"
@@ -54,6 +55,10 @@
 // parts then go on in the background: their searchers are at work, and breaking them
 // off would only waste what they have done.
 func (d *Daemon) gatherParts(ctx context.Context, call *forwardrun.Call, h handOver, parts []gathering.Part) (*forwardrun.Answer, *verdict.Error) {
+	if share := d.leastShare(call.Route); !forwardrun.Admits(call.ID, share) {
+		d.engine.Stats().Shed.Add(1)
+		return &forwardrun.Answer{}, forwardrun.NotAdmitted(share)
+	}
 	// The handler's context ends with the response, the parts' only if the caller leaves.
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
@@ -63,6 +68,7 @@
 			part := *call
 			part.Shards = p.Shards
 			answer, err := d.gatherPart(running, &part, h, p.Domain)
+			d.recordShare(call.Route, answer, p.Domain)
 			ended <- forwardrun.PartResult{Shards: len(p.Shards), Answer: answer, Err: err}
 		}()
 	}
@@ -102,3 +108,21 @@
 	d.gather.mu.Unlock()
 	return d.gatherAmong(ctx, call, h, order)
 }
+
+// leastShare returns the share of a route's requests that all gatherers admit.
+func (d *Daemon) leastShare(r *routeplan.Route) float64 {
+	d.gather.mu.Lock()
+	defer d.gather.mu.Unlock()
+	return d.gather.shares.Least(time.Now(), r.Name)
+}
+
+// recordShare records the share of a route's requests that the gatherer of a part, for
+// the searchers in a failure domain, admits.
+func (d *Daemon) recordShare(r *routeplan.Route, a *forwardrun.Answer, domain string) {
+	if a == nil || a.Admitted == 0 {
+		return
+	}
+	d.gather.mu.Lock()
+	defer d.gather.mu.Unlock()
+	d.gather.shares.Record(time.Now(), r.Name, domain, a.Admitted)
+}
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -71,6 +71,10 @@
 	Body       []byte   // the greatest records of the replies
 	Missing    int      // shards without a reply
 
+	// Admitted is the share of the route's requests that the gatherer admits, 0 if it
+	// is not known.
+	Admitted float64
+
 	Attempts []AttemptRecord    // made by this host
 	Leaving  []forward.Identity // searchers whose replies said that they leave
 	Gatherer string             // host that gathered the answer, if not this one
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -271,16 +271,24 @@
 // the searchers' queues drain and is within the time that callers wait.
 const retryAfterShed = 300 * time.Millisecond
 
-// shareOf returns a number from 0 to 1 for a request ID. The parts of a divided gather
-// have the same number, so that gatherers that admit the same share of the requests
-// admit the same requests.
+// shareOf returns a number from 0 to 1 for a request ID.
 func shareOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
-// admit decides whether a gathered request is admitted. The admitted share of a
-// route never exceeds that of a more urgent one over the same shards.
-func (e *Engine) admit(call *Call, state *routeState, random float64) *verdict.Error {
+// Admits reports whether a request is among the given share of the requests that are
+// admitted.
+func Admits(id string, share float64) bool { return shareOf(id) < share }
+
+// NotAdmitted returns the error of a request that is not admitted.
+func NotAdmitted(share float64) *verdict.Error {
+	return verdict.New(verdict.NotRun, forward.CodeOverloaded, "the shards can't answer in time; %.0f %% of the requests are admitted", 100*share).
+		WithRetryAfter(retryAfterShed)
+}
+
+// admittedShare returns the share of the requests of a gathered route that this host
+// admits. It never exceeds that of a more urgent route over the same shards.
+func (e *Engine) admittedShare(call *Call, state *routeState) float64 {
 	if call.Route.Gather == nil {
-		return nil
+		return 1
 	}
 	e.routesMu.Lock()
 	defer e.routesMu.Unlock()
@@ -291,12 +299,7 @@
 			share = min(share, o.admission.Share())
 		}
 	}
-	if random < share {
-		return nil
-	}
-	e.stats.Shed.Add(1)
-	return verdict.New(verdict.NotRun, forward.CodeOverloaded, "the shards can't answer in time; %.0f %% of the requests are admitted", 100*share).
-		WithRetryAfter(retryAfterShed)
+	return share
 }
 
 // recordEnd tells the admission of a gathered route whether a request was
@@ -327,8 +330,11 @@
 	services := e.servicesOf(call, state)
 	now := time.Now()
 	rng := rand.New(rand.NewPCG(e.config.Seed, uint64(e.stats.Calls.Load())))
-	if err := e.admit(call, state, shareOf(call.ID)); err != nil {
-		return &Answer{}, err
+	share := e.admittedShare(call, state)
+	// Whether a divided gather is admitted is decided before its parts are sent.
+	if call.Shards == nil && !Admits(call.ID, share) {
+		e.stats.Shed.Add(1)
+		return &Answer{}, NotAdmitted(share)
 	}
 	var allowance forward.Allowance
 	if call.Shards != nil {
@@ -358,6 +364,7 @@
 	}
 	answer, err := r.drive(ctx, run, now)
 	e.recordEnd(call, state, err)
+	answer.Admitted = share
 	return answer, err
 }
 
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -71,7 +71,7 @@
 // EncodeAnswer returns the reply that carries an answer, without a failure. took is
 // the time since the request arrived.
 func EncodeAnswer(a *forwardrun.Answer, took time.Duration) *GatherReply {
-	m := &GatherReply{Body: a.Body, Missing: uint32(a.Missing), Attempts: uint32(len(a.Attempts)), TookUs: took.Microseconds()}
+	m := &GatherReply{Body: a.Body, Missing: uint32(a.Missing), Attempts: uint32(len(a.Attempts)), TookUs: took.Microseconds(), AdmittedPermille: uint32(1000 * a.Admitted)}
 	for _, s := range a.Signatures {
 		m.Signatures = append(m.Signatures, []byte(s))
 	}
@@ -86,7 +86,7 @@
 
 // DecodeAnswer returns the answer in the reply of a gatherer.
 func DecodeAnswer(m *GatherReply, gatherer string) *forwardrun.Answer {
-	a := &forwardrun.Answer{Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: gatherer}
+	a := &forwardrun.Answer{Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: gatherer, Admitted: float64(m.GetAdmittedPermille()) / 1000}
 	for _, s := range m.GetSignatures() {
 		a.Signatures = append(a.Signatures, string(s))
 	}
--- a/internal/gathering/gatheringrpc/codec_test.go
+++ b/internal/gathering/gatheringrpc/codec_test.go
@@ -33,7 +33,7 @@
 	require.Equal(t, &want, DecodeCall(now, &request, call.Route))
 
 	for _, a := range []*forwardrun.Answer{
-		{Signatures: []string{odd, "s"}, Body: []byte(odd), Missing: 2, Leaving: []forward.Identity{{Target: "t", Incarnation: 3}}},
+		{Signatures: []string{odd, "s"}, Body: []byte(odd), Missing: 2, Admitted: 0.75, Leaving: []forward.Identity{{Target: "t", Incarnation: 3}}},
 		{Reply: &forwardrun.Reply{Status: 500, Header: http.Header{"X-B": {odd}}, Body: []byte(odd)}},
 	} {
 		data, err := proto.Marshal(EncodeAnswer(a, 40*time.Millisecond))
