--- a/internal/forward/forwardrun/engine_test.go
+++ b/internal/forward/forwardrun/engine_test.go
@@ -353,7 +353,9 @@
 func (oneSearcher) Begin(time.Time, string, forward.AttemptOptions) (*forward.Searcher, bool) {
 	return &forward.Searcher{}, false
 }
-func (oneSearcher) HedgeDelay() time.Duration                                       { return time.Second }
+
+func (oneSearcher) HedgeDelay() time.Duration { return time.Second }
+
 func (oneSearcher) Expected(time.Time, string) (time.Duration, bool)                { return time.Millisecond, true }
 func (oneSearcher) Resume(time.Time, string, forward.AttemptOptions) (at time.Time) { return at }
 func (oneSearcher) IntN(int) int                                                    { return 0 }
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -51,6 +51,7 @@
 func (env *testEnvironment) Begin(now time.Time, service string, opts AttemptOptions) (*Searcher, bool) {
 	return env.groups[service].Begin(now, Criteria{MedianTime: env.median}, opts, env.rng)
 }
+
 func (env *testEnvironment) Resume(now time.Time, service string, opts AttemptOptions) time.Time {
 	return env.groups[service].Resume(now, opts)
 }
