Put all live hosts into the first member list

Cause, traced with logs in six of six runs with -race beside load: the leader knows itself some milliseconds longer than the other hosts, so five seconds after the start it proposed a list of itself alone, and the whole list five seconds later. A change is reported as accepted only once a majority of each replaced list has seen the list that replaced it. When the leader was killed right after the second list, the majority of the first one was that leader, and no change was accepted until it returned. This is what TestChangesSurviveTheLeadersDeath showed.

Change: the first list has all live hosts as soon as the leader itself has been there long enough.

--- a/internal/membership/agreed.go
+++ b/internal/membership/agreed.go
@@ -122,7 +122,7 @@
 	}
 	kept := len(hosts)
 	for h, rec := range s.members {
-		if !s.isAgreed[h] && rec.State == Alive && rec.settled(now, JoinAfter) {
+		if !s.isAgreed[h] && rec.State == Alive && s.joins(now, rec) {
 			hosts = append(hosts, h)
 		}
 	}
@@ -135,6 +135,19 @@
 	return hosts
 }
 
+// joins reports whether a live host has been there long enough for the agreed list.
+//
+// The first list has all live hosts once this host has been there long enough. The
+// others are known some milliseconds later than this host itself, and a first list
+// without them would make every later change depend on this host: a majority of a
+// replaced list must have seen the one that replaced it.
+func (s *State) joins(now time.Time, rec *memberRecord) bool {
+	if s.agreed.Epoch == 0 {
+		rec = s.members[s.self.Host]
+	}
+	return rec.settled(now, JoinAfter)
+}
+
 // lost reports whether an agreed host has been gone long enough to be removed.
 // A leader that never heard of a host counts from the start of its leadership.
 func (s *State) lost(now time.Time, host string) bool {
--- a/internal/spread/freshness_test.go
+++ b/internal/spread/freshness_test.go
@@ -228,6 +228,22 @@
 	require.Equal(t, membership.ConfirmedByMajority, last.members.Freshness(c.now))
 }
 
+// Guards against a first member list that holds only the leader, because the leader
+// knows itself some milliseconds longer than the others. If the leader is lost before
+// the next list is known to be seen, no change is accepted until it returns.
+func TestFirstMemberListHasAllLiveHosts(t *testing.T) {
+	c := newCluster(5)
+	c.addHost("host-000", "south", "domain-0", membership.RoleEntry)
+	c.run(300 * time.Millisecond)
+	c.addHost("host-001", "south", "domain-1", membership.RoleEntry)
+	c.addHost("host-002", "south", "domain-2", membership.RoleEntry)
+	c.run(time.Second)
+	c.hosts[0].stepMembers(membership.LeadershipChanged{Leading: true})
+	c.run(6 * time.Second)
+	require.NotEmpty(t, c.proposed)
+	require.Equal(t, []string{"host-000", "host-001", "host-002"}, c.proposed[0].Hosts)
+}
+
 // Guards against a restarted host that helps to confirm an old configuration,
 // because it lost the record of the revisions that it had seen.
 func TestRestartedHostConfirmsNothing(t *testing.T) {
