--- a/internal/spread/freshness_test.go
+++ b/internal/spread/freshness_test.go
@@ -107,6 +107,15 @@
 	return n
 }
 
+// advance runs the cluster and the leader's rules for a time, and checks every step.
+func (m *leaderModel) advance(t require.TestingT, d time.Duration, change bool) {
+	for end := m.c.now.Add(d); m.c.now.Before(end); {
+		m.c.run(100 * time.Millisecond)
+		m.step(change)
+		m.check(t)
+	}
+}
+
 func (m *leaderModel) check(t require.TestingT) {
 	m.recordReached()
 	for i, h := range m.c.hosts {
@@ -138,13 +147,7 @@
 		m := newLeaderModel(c)
 		cuts := map[[2]*host]bool{}
 		c.cut = func(a, b *host) bool { return a.side != b.side || cuts[[2]*host{a, b}] }
-		advance := func(d time.Duration, change bool) {
-			for end := c.now.Add(d); c.now.Before(end); {
-				c.run(100 * time.Millisecond)
-				m.step(change)
-				m.check(t)
-			}
-		}
+		advance := func(d time.Duration, change bool) { m.advance(t, d, change) }
 		advance(6*time.Second, false)
 		anyHost := func(t *rapid.T) *host { return c.hosts[rapid.IntRange(0, len(c.hosts)-1).Draw(t, "host")] }
 		t.Repeat(map[string]func(*rapid.T){
@@ -206,13 +209,7 @@
 	c.addHosts(7)
 	c.agree()
 	m := newLeaderModel(c)
-	advance := func(d time.Duration, change bool) {
-		for end := c.now.Add(d); c.now.Before(end); {
-			c.run(100 * time.Millisecond)
-			m.step(change)
-			m.check(t)
-		}
-	}
+	advance := func(d time.Duration, change bool) { m.advance(t, d, change) }
 	advance(6*time.Second, false)
 	last := c.hosts[6]
 	last.side = 1
@@ -251,13 +248,7 @@
 	c.addHosts(3)
 	c.agree()
 	m := newLeaderModel(c)
-	advance := func(d time.Duration, change bool) {
-		for end := c.now.Add(d); c.now.Before(end); {
-			c.run(100 * time.Millisecond)
-			m.step(change)
-			m.check(t)
-		}
-	}
+	advance := func(d time.Duration, change bool) { m.advance(t, d, change) }
 	advance(10*time.Second, false)
 	c.hosts[2].side = 1
 	advance(2*time.Second, true)
