Keep the first bytes of a reply out of the memory for replies

Cause: all replies are charged to one budget, so faulty searchers that send bytes without end can use it up, and good ones, with a few hundred bytes each, find none left.

Change: the first 4 KB of a body, which hold most shards' replies, are not charged, and taking never exceeds the limit for a moment. The test has a budget of 1 MB instead of 8 MB and opens one connection to each good searcher first, so that its verdict does not depend on how fast connections open.

--- a/internal/forward/forwardrun/faulty_test.go
+++ b/internal/forward/forwardrun/faulty_test.go
@@ -87,14 +87,19 @@
 	return c
 }
 
-// Guards against the memory that many searchers take together when all of them
-// send bytes without end at once, while the other copies of their shards answer:
-// every answer must be whole.
+// Guards against the memory that many searchers take together when all of them send
+// bytes without end at once, and against good searchers whose replies find no memory
+// left: every answer must be whole. Each searcher has one connection, which is open
+// before the faulty ones begin, so that nothing depends on how fast a new one opens.
 func TestManyEndlessRepliesAtOnce(t *testing.T) {
-	const shards = 60
+	const shards, limit = 60, 1 << 20
 	names := make([]string, shards)
 	all := map[string][]forward.SearcherSpec{}
 	kinds := []string{"headers", "body without length", "chunks", "one header"}
+	one := func(s forward.SearcherSpec) forward.SearcherSpec {
+		s.Capacity = 1
+		return s
+	}
 	for i := range names {
 		names[i] = fmt.Sprintf("s%02d", i)
 		kind := endlessReplies[kinds[i%len(kinds)]]
@@ -103,11 +108,19 @@
 			return false
 		})
 		good := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, record(names[i]))) })
-		all[names[i]] = []forward.SearcherSpec{faulty.spec("faulty" + names[i]), good.spec("good" + names[i])}
+		all[names[i]] = []forward.SearcherSpec{one(good.spec("good" + names[i])), one(faulty.spec("faulty" + names[i]))}
 	}
-	e := New(Config{Wire: testWire{}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 10_000, Window: 10 * time.Second}, ReplyMemory: 8 << 20})
-	e.SetSearchers(all, nil)
+	e := New(Config{Wire: testWire{}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 10_000, Window: 10 * time.Second}, ReplyMemory: limit})
 	t.Cleanup(e.Close)
+	onlyGood := map[string][]forward.SearcherSpec{}
+	for name, specs := range all {
+		onlyGood[name] = specs[:1]
+	}
+	e.SetSearchers(onlyGood, nil)
+	a, err := e.Do(context.Background(), gatherCall("warm", names...))
+	require.Nil(t, err)
+	require.Zero(t, a.Missing)
+	e.SetSearchers(all, nil)
 	var most atomic.Int64
 	done := make(chan struct{})
 	var sampler sync.WaitGroup
@@ -140,7 +153,7 @@
 	calls.Wait()
 	close(done)
 	sampler.Wait()
-	require.LessOrEqual(t, most.Load(), int64(8<<20))
+	require.LessOrEqual(t, most.Load(), int64(limit))
 	require.Eventually(t, func() bool { return e.memory.used.Load() == 0 }, testTimeout, time.Millisecond)
 	runtime.GC()
 	var m runtime.MemStats
--- a/internal/forward/forwardrun/reply.go
+++ b/internal/forward/forwardrun/reply.go
@@ -29,8 +29,10 @@
 	// faulty searcher may send a reply twice, and the second one arrives where
 	// the next reply is expected.
 	maxForeignReplies = 2
-	// firstBodyBuffer is the size in bytes of the first buffer for a body.
-	firstBodyBuffer = 2 << 10
+	// firstBodyBuffer is the size in bytes of the first buffer for a body. It holds the
+	// replies of most shards and is not charged to the memory for replies: when faulty
+	// searchers have used that up, the good ones still answer.
+	firstBodyBuffer = 4 << 10
 )
 
 // Reasons for closing a connection.
@@ -53,11 +55,15 @@
 
 // take reserves n bytes and reports whether they were available.
 func (m *replyMemory) take(n int64) bool {
-	if m.used.Add(n) > m.limit {
-		m.used.Add(-n)
-		return false
+	for {
+		used := m.used.Load()
+		if used+n > m.limit {
+			return false
+		}
+		if m.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	return true
 }
 
 func (m *replyMemory) release(n int64) { m.used.Add(-n) }
@@ -153,10 +159,6 @@
 	if length >= 0 {
 		size = min(size, length)
 	}
-	if !c.memory.take(size) {
-		return nil, 0, errMemoryLimited
-	}
-	charged = size
 	defer func() {
 		if err != nil {
 			c.memory.release(charged)
@@ -172,7 +174,7 @@
 			case !c.memory.take(larger - size):
 				return nil, charged, errMemoryLimited
 			}
-			charged, size = larger, larger
+			charged, size = charged+larger-size, larger
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
