Notify a run that found its searchers busy just before one was free

Cause: a run that finds all searchers busy queues to be notified a moment later. If the only attempt ended in between, nobody notified it, and with no other attempt in flight it waited until its deadline: 'missing 1, too many shards did not answer in time' after 20 s in one of six runs of TestManyEndlessRepliesAtOnce with -race. Besides, the reader of a fast reply could close a good connection because the writer had not yet noted that the request was written.

Change: a service counts the attempts that have ended; a run that queues with an older count is notified at once. The reader waits for the end of a write that was begun.

--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -43,6 +43,10 @@
 	// until it has released the connection.
 	answered bool
 
+	// writing is held while a request is written that fits the socket's buffer, so
+	// that the reader of a fast reply sees whether all of it was written.
+	writing sync.Mutex
+
 	mu        sync.Mutex
 	current   *exchange // in flight
 	sent      int       // requests
@@ -156,6 +160,8 @@
 		go c.write(request)
 		return
 	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	c.write(request)
 }
 
@@ -203,10 +209,17 @@
 	}
 }
 
+// awaitWrite waits until a write that was begun has ended.
+func (c *conn) awaitWrite() {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+}
+
 // finish reports the reply of an exchange and returns whether the connection
 // stays open.
 func (c *conn) finish(x *exchange, reply *Reply, keep bool) bool {
 	c.answered = true
+	c.awaitWrite()
 	c.mu.Lock()
 	// Bytes after the reply belong to no request, and a request that is not
 	// written in full would be followed by the rest of its body.
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -259,7 +259,8 @@
 	rng         *rand.Rand
 	subRequests int
 	leaving     []forward.Identity
-	ended       atomic.Bool // the run needs no more events
+	endsSeen    map[string]uint64 // by service found busy: attempts that had ended there
+	ended       atomic.Bool       // the run needs no more events
 
 	mu      sync.Mutex
 	closed  bool  // the answer no longer needs the replies
@@ -455,7 +456,7 @@
 		case forward.Send:
 			r.send(e.Attempt)
 		case forward.AwaitCapacity:
-			r.engine.service(e.Service).await(r, e.SubRequest)
+			r.engine.service(e.Service).await(r, e.SubRequest, r.endsSeen[e.Service])
 		case forward.Finish:
 			return e.Outcome, true
 		}
@@ -507,7 +508,14 @@
 
 // Begin implements forward.Environment.
 func (r *runner) Begin(now time.Time, name string, opts forward.AttemptOptions) (*forward.Searcher, bool) {
-	return r.engine.service(name).begin(now, r.criteria(), opts, r.rng)
+	s, busy, ends := r.engine.service(name).begin(now, r.criteria(), opts, r.rng)
+	if busy {
+		if r.endsSeen == nil {
+			r.endsSeen = make(map[string]uint64)
+		}
+		r.endsSeen[name] = ends
+	}
+	return s, busy
 }
 
 // Expected implements forward.Environment.
--- a/internal/forward/forwardrun/faulty_test.go
+++ b/internal/forward/forwardrun/faulty_test.go
@@ -161,6 +161,44 @@
 	require.Less(t, m.HeapAlloc, uint64(64<<20))
 }
 
+// awaitConnection waits for the connection that the engine opens in advance.
+func awaitConnection(t *testing.T, e *Engine) {
+	t.Helper()
+	svc := e.service("a")
+	require.Eventually(t, func() bool {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		for _, p := range svc.pools {
+			if len(p.idle) > 0 {
+				return true
+			}
+		}
+		return false
+	}, testTimeout, time.Millisecond)
+}
+
+// Guards against a run that waits for a searcher although none is busy any more: the
+// only attempt ended after the run had found it busy and before the run waited.
+func TestEndBetweenBusyAndWaitingIsNotMissed(t *testing.T) {
+	s := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, "body")) })
+	spec := s.spec("t")
+	spec.Capacity = 1
+	e := newEngine(t, map[string][]forward.SearcherSpec{"a": {spec}})
+	svc, rng := e.service("a"), rand.New(rand.NewPCG(1, 2))
+	now := time.Now()
+	searcher, _, _ := svc.begin(now, forward.Criteria{}, forward.AttemptOptions{}, rng)
+	_, busy, ends := svc.begin(now, forward.Criteria{}, forward.AttemptOptions{}, rng)
+	require.True(t, busy)
+	svc.ended(&exchange{Attempt: &forward.Attempt{Service: "a", Searcher: searcher, Began: now}}, time.Millisecond, forward.Good)
+	r := &runner{engine: e, call: call("q", true), events: make(chan event, 1)}
+	svc.await(r, 0, ends)
+	require.Len(t, r.events, 1)
+	<-r.events
+	_, _, ends = svc.begin(now, forward.Criteria{}, forward.AttemptOptions{}, rng)
+	svc.await(r, 0, ends)
+	require.Empty(t, r.events, "nothing has ended since")
+}
+
 // Guards against a reply that is taken for another's: a delayed second copy, whole
 // or cut, with and without a request ID or a length, in the same packet or later,
 // where the next reply is expected. The next request must get its own reply, or
@@ -194,6 +232,7 @@
 				return write(conn, c.copies+reply(id, "own")) && c.copies == ""
 			})
 			e := newEngine(t, map[string][]forward.SearcherSpec{"a": {s.spec("t")}})
+			awaitConnection(t, e) // both requests use it
 			_, err := e.Do(context.Background(), call("first", false))
 			require.Nil(t, err)
 			a, err := e.Do(context.Background(), call("second", false))
@@ -237,6 +276,7 @@
 		return write(c, reply(id, "ran"))
 	})
 	e := newEngine(t, map[string][]forward.SearcherSpec{"a": {s.spec("t")}})
+	awaitConnection(t, e)
 	_, err := e.Do(context.Background(), call("warm", false))
 	require.Nil(t, err)
 	a, err := e.Do(context.Background(), call("order", false))
@@ -302,7 +342,7 @@
 	s := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, "body")) })
 	e := newEngine(t, map[string][]forward.SearcherSpec{"a": {s.spec("t")}})
 	svc := e.service("a")
-	searcher, _ := svc.begin(time.Now(), forward.Criteria{}, forward.AttemptOptions{}, rand.New(rand.NewPCG(1, 2)))
+	searcher, _, _ := svc.begin(time.Now(), forward.Criteria{}, forward.AttemptOptions{}, rand.New(rand.NewPCG(1, 2)))
 	svc.mu.Lock()
 	svc.group.Note(time.Now(), searcher.Identity, forward.Notice{Pause: 5 * time.Minute})
 	svc.poolOf(searcher.Identity).open++
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -18,6 +18,7 @@
 	group   *forward.Group
 	pools   map[forward.Identity]*pool
 	waiters []waiter
+	ends    uint64 // attempts that have ended
 }
 
 // waiter is a run that waits for capacity at a searcher.
@@ -98,18 +99,26 @@
 	return a.Deadline.Before(b.Deadline)
 }
 
-// begin chooses a searcher for an attempt.
-func (s *service) begin(now time.Time, c forward.Criteria, opts forward.AttemptOptions, rng *rand.Rand) (*forward.Searcher, bool) {
+// begin chooses a searcher for an attempt. ends is the number of attempts that have
+// ended at the service, for await.
+func (s *service) begin(now time.Time, c forward.Criteria, opts forward.AttemptOptions, rng *rand.Rand) (searcher *forward.Searcher, busy bool, ends uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.group.Begin(now, c, opts, rng)
+	searcher, busy = s.group.Begin(now, c, opts, rng)
+	return searcher, busy, s.ends
 }
 
-// await queues a run that is notified when a searcher may have capacity.
-func (s *service) await(r *runner, subRequest int) {
+// await queues a run that is notified when a searcher may have capacity. If an attempt
+// has ended since the run found the searchers busy, it is notified at once: the end
+// notified nobody, and there may be no other attempt whose end would.
+func (s *service) await(r *runner, subRequest int, ends uint64) {
 	w := waiter{runner: r, subRequest: subRequest}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ends != ends {
+		w.notify()
+		return
+	}
 	i := len(s.waiters)
 	for i > 0 && w.before(s.waiters[i-1]) {
 		i--
@@ -263,6 +272,7 @@
 func (s *service) ended(x *exchange, median time.Duration, result forward.Result) {
 	now := time.Now()
 	s.mu.Lock()
+	s.ends++
 	s.group.End(now, x.Began, x.Searcher, median, result)
 	s.group.Note(now, x.Searcher.Identity, x.notice)
 	var idle []*conn
