--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -138,3 +138,27 @@
 	}
 	return first
 }
+
+// awaitResume delays the next attempt of a sub-request whose searchers all asked
+// for a pause. If none resumes before the deadline, it only records when one
+// will, for the retry hint.
+func (r *Run) awaitResume(now time.Time, sub *subRequest, opts AttemptOptions) {
+	opts.AllowTried = len(sub.attempts) > 0 && sub.lastResult() == Rejected
+	if r.pausedTooLong(now, sub, opts) {
+		return
+	}
+	if resume := r.env.Resume(now, sub.service, opts); !resume.IsZero() {
+		sub.notBefore = later(sub.notBefore, resume)
+	}
+}
+
+// pausedTooLong reports whether all searchers of a sub-request asked for pauses
+// that end after the deadline, and records the end of the first one.
+func (r *Run) pausedTooLong(now time.Time, sub *subRequest, opts AttemptOptions) bool {
+	resume := r.env.Resume(now, sub.service, opts)
+	if resume.IsZero() || resume.Before(r.deadline) {
+		return false
+	}
+	sub.resume = resume
+	return true
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -463,30 +463,6 @@
 	return true
 }
 
-// awaitResume delays the next attempt of a sub-request whose searchers all asked
-// for a pause. If none resumes before the deadline, it only records when one
-// will, for the retry hint.
-func (r *Run) awaitResume(now time.Time, sub *subRequest, opts AttemptOptions) {
-	opts.AllowTried = len(sub.attempts) > 0 && sub.lastResult() == Rejected
-	if r.pausedTooLong(now, sub, opts) {
-		return
-	}
-	if resume := r.env.Resume(now, sub.service, opts); !resume.IsZero() {
-		sub.notBefore = later(sub.notBefore, resume)
-	}
-}
-
-// pausedTooLong reports whether all searchers of a sub-request asked for pauses
-// that end after the deadline, and records the end of the first one.
-func (r *Run) pausedTooLong(now time.Time, sub *subRequest, opts AttemptOptions) bool {
-	resume := r.env.Resume(now, sub.service, opts)
-	if resume.IsZero() || resume.Before(r.deadline) {
-		return false
-	}
-	sub.resume = resume
-	return true
-}
-
 // maxHedgeTime returns the longest expected time for which a hedge is useful:
 // until the answer is due or, once it is late, the objective. A shard whose
 // searchers are all slower than that is overloaded, and a hedge would double
