--- a/review/_standin/stop.go
+++ b/review/_standin/stop.go
@@ -14,7 +14,7 @@
 		requests = 12
 		work     = 1200 * time.Millisecond
 		timeout  = 5 * time.Second
-		sendAt   = 1250 * time.Millisecond // after SIGTERM
+		sendAt   = 1300 * time.Millisecond // after SIGTERM
 	)
 	f := newFleet(rec, 4, 4)
 	defer f.stopAll()
