Let the answer of a gatherer tell whether it is gathered

In the other direction, a route to a single service that is gathered in the gatherer's plan, the connection closed without an answer: the handler took an answer without a reply for a failure and used its error, which was nil.

Cause: a request that one host hands over to another is carried out by the gatherer's route plan if that is newer, but the host that asked wrote the answer by the kind of route in its own plan. A freeze only makes the time long in which the plans differ.

Change: the answer is written by what it holds, a searcher's reply or merged records. A success that holds neither, or a part whose shards don't add up, is a failure. A newer plan without the route ends the request as "no route" (404) in place of three refusals. Each reply names the gatherer's plan version, in the log of the host that asked too, and a host that meets a newer plan polls that peer at once, so that what it handles itself follows the newer plan as well.

--- /dev/null
+++ b/internal/daemon/export_test.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"net/netip"
+
+	"github.com/hawthornlock/hawthornlock/internal/gathering"
+)
+
+// RunHandingOver runs the host until stop is called, with another host as the only
+// gatherer of the services. The host chooses no gatherers by itself.
+func (d *Daemon) RunHandingOver(gatherer string, peer netip.AddrPort, services ...string) (stop func()) {
+	p := &placement{gatherers: make(map[string][]gathering.Host)}
+	for _, s := range services {
+		p.gatherers[s] = []gathering.Host{{Name: gatherer}}
+	}
+	d.gather.placement.Store(p)
+	d.directory.fixed[gatherer] = peer
+	d.start(func() { d.loop.Run(d.ctx, d) })
+	for name := range d.servers {
+		d.start(func() { d.serve(name) })
+	}
+	return func() {
+		d.cancel(errStopped)
+		d.close()
+	}
+}
+
+// Gathers reports whether the host takes requests from other hosts.
+func (d *Daemon) Gathers() bool {
+	p := d.gather.placement.Load()
+	return p != nil && !p.unknown
+}
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/gathering"
 	"github.com/hawthornlock/hawthornlock/internal/gathering/gatheringrpc"
@@ -237,6 +238,9 @@
 	if err == nil {
 		d.recordHop(time.Since(now) - time.Duration(reply.GetTookUs())*time.Microsecond)
 	}
+	if reply.GetPlan() > m.GetPlan() {
+		d.loop.TryPost(control.FollowEvent{Event: follow.PlanAhead{Host: host, Version: reply.GetPlan()}})
+	}
 	for _, s := range reply.GetLeaving() {
 		d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: s.GetTarget(), Incarnation: s.GetIncarnation(), Leaving: true}})
 	}
@@ -250,7 +254,7 @@
 	case err != nil:
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "call host "+host)
 	}
-	return decodeGathered(reply, host)
+	return decodeGathered(reply, host, call)
 }
 
 // hopTime returns how much of a route's objective passes on the way to a gatherer
@@ -284,9 +288,12 @@
 	d.gather.chooser.Answered(host)
 }
 
-func decodeGathered(m *gatheringrpc.GatherReply, host string) (*forwardrun.Answer, *verdict.Error) {
+func decodeGathered(m *gatheringrpc.GatherReply, host string, call *forwardrun.Call) (*forwardrun.Answer, *verdict.Error) {
 	a := gatheringrpc.DecodeAnswer(m, host)
 	if m.GetFailure() == nil {
+		if err := gatheringrpc.CheckAnswer(a, call); err != nil {
+			return &forwardrun.Answer{Gatherer: host, Plan: a.Plan}, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeInternal, "call host "+host)
+		}
 		return a, nil
 	}
 	err := proposalsrpc.DecodeFailure(m.GetFailure())
@@ -303,8 +310,10 @@
 
 type gatheringService struct{ d *Daemon }
 
-// Gather runs a request for another host. It rejects the request if the sender
-// has a newer route plan, since the sender's callers may have seen its effect.
+// Gather runs a request for another host by this host's route plan, which may be newer
+// than the sender's: the route may be of another kind there, or gone. It rejects the
+// request if the sender's plan is newer, since the sender's callers may have seen its
+// effect.
 func (s *gatheringService) Gather(ctx context.Context, m *gatheringrpc.GatherRequest) (*gatheringrpc.GatherReply, error) {
 	defer s.d.inFlight.Begin()()
 	now := time.Now()
@@ -314,15 +323,19 @@
 		record.Took = time.Since(now)
 		s.d.gather.log.Record(record)
 	}()
+	if snapshot.Plan != nil {
+		record.Plan = snapshot.Plan.Version
+	}
 	route, refusal := s.accept(snapshot, m)
 	if refusal != nil {
 		record.Err = refusal
-		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(refusal)}, nil
+		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(refusal), Plan: record.Plan}, nil
 	}
-	record.Plan, record.Route, record.Objective = snapshot.Plan.Version, route.Name, route.Objective
+	record.Route, record.Objective = route.Name, route.Objective
 	answer, failure := s.d.engine.Do(ctx, gatheringrpc.DecodeCall(now, m, route))
 	record.Answer, record.Err = answer, failure
 	reply := gatheringrpc.EncodeAnswer(answer, time.Since(now))
+	reply.Plan = record.Plan
 	if failure != nil {
 		reply.Failure = s.d.encodeFailure(failure)
 	}
@@ -338,13 +351,14 @@
 	case snapshot.Phase > lifecycle.LameDuck || snapshot.Phase == lifecycle.Starting:
 		return nil, verdict.New(verdict.NotRun, codeHostStopping, "this host is %s", snapshot.Phase)
 	case snapshot.Plan == nil || snapshot.Plan.Version < m.GetPlan():
+		s.d.loop.TryPost(control.FollowEvent{Event: follow.PlanAhead{Host: m.GetFrom(), Version: m.GetPlan()}})
 		return nil, verdict.New(verdict.NotRun, codePlanBehind, "this host lacks route plan %d", m.GetPlan())
 	}
 	route := snapshot.Plan.Route(string(m.GetHost()), string(m.GetPath()))
 	p := s.d.gather.placement.Load()
 	switch {
 	case route == nil:
-		return nil, verdict.New(verdict.NotRun, codePlanBehind, "route plan %d has no route for this path", snapshot.Plan.Version)
+		return nil, verdict.New(verdict.NotRun, routeplan.CodeNoRoute, "route plan %d has no route for this path", snapshot.Plan.Version)
 	case p != nil && p.unknown:
 		return nil, verdict.New(verdict.NotRun, codeNotGatherer, "this host has not found the other hosts yet")
 	case !gatheringrpc.SameShards(m, route):
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 )
 
 // host has a follower and a feed, as every host does.
@@ -216,3 +217,26 @@
 	}
 	require.Contains(t, f.Feeds(), "good")
 }
+
+// Guards against a host that follows an older plan for seconds although a peer has
+// shown it a newer one, and against a poll for each of the requests that show it.
+func TestPeerWithNewerPlanIsPolledAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFollower("h", false)
+	f.SetPlanVersion(7)
+	for _, ev := range []PlanAhead{{Host: "g", Version: 7}, {Host: "g", Version: 6}, {Host: "h", Version: 8}} {
+		require.Empty(t, f.Step(now, ev), ev)
+	}
+	ahead := PlanAhead{Host: "g", Version: 8}
+	effects := f.Step(now, ahead)
+	require.Len(t, effects, 1)
+	poll := effects[0].(SendPoll)
+	require.Equal(t, "g", poll.To)
+	require.EqualValues(t, 7, poll.Poll.Plan)
+	require.Empty(t, f.Step(now.Add(planPollInterval/2), ahead))
+	require.Len(t, f.Step(now.Add(planPollInterval), ahead), 1, "the first poll or its answer may be lost")
+
+	update := Update{From: "g", Seq: poll.Poll.Seq, Plan: &routeplan.Document{Version: 8}}
+	require.Equal(t, []Effect{ApplyPlan{Document: update.Plan}}, f.Step(now, UpdateReceived{Update: update}), "the peer is no feed")
+	require.Empty(t, f.Step(now.Add(time.Second), ahead))
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -38,6 +38,8 @@
 	feeds     []*feedState
 	known     []FeedHost
 	next      int // index in known at which the search for a feed starts
+
+	planPolledAt time.Time // last poll because of PlanAhead
 }
 
 // NewFollower returns the follower of the host self. With hasLog it only
@@ -77,6 +79,8 @@
 		return f.feedsChanged(now, ev.Feeds)
 	case PeerAhead:
 		return f.peerAhead(now, ev)
+	case PlanAhead:
+		return f.planAhead(now, ev)
 	case PlanApplied:
 		f.SetPlanVersion(ev.Version)
 	}
@@ -270,3 +274,19 @@
 	f.feeds[oldest] = fresh
 	return append(out, f.poll(now)...)
 }
+
+// planPollInterval bounds the polls because of PlanAhead, which every request that
+// meets a newer plan reports.
+const planPollInterval = 100 * time.Millisecond
+
+// planAhead polls a peer with a newer route plan at once. The feeds may be some time
+// behind after this host stood still, and until it has the plan, requests that it
+// hands over and requests that it handles itself follow different plans.
+func (f *Follower) planAhead(now time.Time, ev PlanAhead) []Effect {
+	if ev.Version <= f.plan || ev.Host == f.self || now.Sub(f.planPolledAt) < planPollInterval {
+		return nil
+	}
+	f.planPolledAt = now
+	f.seq++
+	return []Effect{SendPoll{To: ev.Host, Poll: Poll{From: f.self, Seq: f.seq, Revision: f.revision, Plan: f.plan}}}
+}
--- a/internal/follow/messages.go
+++ b/internal/follow/messages.go
@@ -86,6 +86,12 @@
 	Revision uint64
 }
 
+// PlanAhead reports that a peer handled a request by a newer route plan.
+type PlanAhead struct {
+	Host    string
+	Version uint64
+}
+
 // FeedHost is a host that can be a feed.
 type FeedHost struct {
 	Host          string
@@ -100,6 +106,7 @@
 func (UpdateReceived) isFollowEvent() {}
 func (FeedsChanged) isFollowEvent()   {}
 func (PeerAhead) isFollowEvent()      {}
+func (PlanAhead) isFollowEvent()      {}
 
 // Effect is an output of a Follower.
 type Effect interface{ isFollowEffect() }
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -78,6 +78,7 @@
 	Attempts []AttemptRecord    // made by this host
 	Leaving  []forward.Identity // searchers whose replies said that they leave
 	Gatherer string             // host that gathered the answer, if not this one
+	Plan     uint64             // version of the gatherer's route plan
 }
 
 // AttemptRecord describes an attempt for the log.
--- a/internal/forward/forwardrun/calllog.go
+++ b/internal/forward/forwardrun/calllog.go
@@ -93,6 +93,9 @@
 	if a := c.Answer; a != nil {
 		if a.Gatherer != "" {
 			line = line.Str("gatherer", a.Gatherer)
+			if a.Plan != c.Plan && a.Plan > 0 {
+				line = line.Uint64("gatherer_config_version", a.Plan)
+			}
 		}
 		line = line.Int("missing", a.Missing).Int("attempts", len(a.Attempts)).Array("not_good", notGood(a.Attempts))
 	}
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 )
@@ -86,7 +88,7 @@
 
 // DecodeAnswer returns the answer in the reply of a gatherer.
 func DecodeAnswer(m *GatherReply, gatherer string) *forwardrun.Answer {
-	a := &forwardrun.Answer{Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: gatherer, Admitted: float64(m.GetAdmittedPermille()) / 1000}
+	a := &forwardrun.Answer{Body: m.GetBody(), Missing: int(m.GetMissing()), Gatherer: gatherer, Plan: m.GetPlan(), Admitted: float64(m.GetAdmittedPermille()) / 1000}
 	for _, s := range m.GetSignatures() {
 		a.Signatures = append(a.Signatures, string(s))
 	}
@@ -96,6 +98,19 @@
 	return a
 }
 
+// CheckAnswer returns an error if a successful answer can't be the answer to a call. The
+// gatherer may have a newer route plan than the host that asked, so an answer to a whole
+// request is either a searcher's reply or merged from any number of shards.
+func CheckAnswer(a *forwardrun.Answer, c *forwardrun.Call) error {
+	switch {
+	case c.Shards != nil && (a.Reply != nil || len(a.Signatures)+a.Missing != len(c.Shards)):
+		return errors.Newf("%d replies and %d missing shards for a part of %d shards", len(a.Signatures), a.Missing, len(c.Shards))
+	case c.Shards == nil && a.Reply == nil && len(a.Signatures) == 0:
+		return errors.New("an answer without a reply")
+	}
+	return nil
+}
+
 func encodeHeader(h http.Header) []*Header {
 	out := make([]*Header, 0, len(h))
 	for name, values := range h {
--- a/internal/gathering/gatheringrpc/codec_test.go
+++ b/internal/gathering/gatheringrpc/codec_test.go
@@ -70,3 +70,26 @@
 	require.True(t, SameShards(whole, &routeplan.Route{}))
 	require.Nil(t, DecodeCall(time.Unix(1, 0), whole, route).Shards)
 }
+
+// Guards against a success with nothing in it, and against a part whose shards do not
+// add up.
+func TestAnswersWithoutContentAreFailures(t *testing.T) {
+	whole, part := &forwardrun.Call{}, &forwardrun.Call{Shards: []int{0, 2, 3}}
+	reply := &forwardrun.Reply{Status: 200}
+	for name, c := range map[string]struct {
+		call   *forwardrun.Call
+		answer forwardrun.Answer
+		valid  bool
+	}{
+		"nothing":                  {whole, forwardrun.Answer{}, false},
+		"only missing shards":      {whole, forwardrun.Answer{Missing: 3}, false},
+		"a searcher's reply":       {whole, forwardrun.Answer{Reply: reply}, true},
+		"some shards":              {whole, forwardrun.Answer{Signatures: []string{"a"}, Missing: 7}, true},
+		"a part":                   {part, forwardrun.Answer{Signatures: []string{"a", "b"}, Missing: 1}, true},
+		"a part that has no shard": {part, forwardrun.Answer{Missing: 3}, true},
+		"a part of other shards":   {part, forwardrun.Answer{Signatures: []string{"a", "b"}}, false},
+		"a reply for a part":       {part, forwardrun.Answer{Reply: reply, Missing: 3}, false},
+	} {
+		require.Equal(t, c.valid, CheckAnswer(&c.answer, c.call) == nil, name)
+	}
+}
--- a/internal/routeplan/plan.go
+++ b/internal/routeplan/plan.go
@@ -11,9 +11,10 @@
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
-// Codes of rejected plans.
+// Error codes of this package.
 const (
 	CodeInvalidPlan verdict.Code = "invalid_plan"
+	CodeNoRoute     verdict.Code = "no_route" // the plan has no route for a request
 )
 
 // Document is a plan and the text in which the operator wrote it, which is
