Answer every request that was read before a planned stop ends

Callers could not tell a lost order from one that never ran.

Cause: when the shutdown timeout had passed, the process went on to its handover and closed the servers, whatever was in progress. Nothing told the requests that the stop would end, so they were begun, waited, read or handed over until then. The time set aside for the handover came off the time for work.

Change: the lifecycle states when the stop begins by when requests end (EndRequests). Leadership is given up when new work is refused, not after the last request, so that 0.7 s of the grace period, at most a sixth, are enough for the rest.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -130,6 +130,9 @@
 func (LifecycleEvent) isControlEvent() {}
 func (TrafficClosed) isControlEvent()  {}
 
+// EndRequests asks for an answer to every caller's request in progress by a time.
+type EndRequests struct{ By time.Time }
+
 // CloseTraffic asks for open orders to be settled and connections to targets
 // to be closed.
 type CloseTraffic struct{}
@@ -141,6 +144,7 @@
 // off.
 type Exit struct{ Interrupted int }
 
+func (EndRequests) isControlEffect()  {}
 func (CloseTraffic) isControlEffect() {}
 func (SyncJournal) isControlEffect()  {}
 func (Exit) isControlEffect()         {}
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -19,6 +19,10 @@
 	for _, e := range effects {
 		c.dirty.snapshot = true
 		switch e := e.(type) {
+		case lifecycle.EndRequests:
+			out = append(out, EndRequests{By: e.By})
+		case lifecycle.TransferLeadership:
+			out = append(out, c.consensus(now, consensus.TransferLeadership{ID: "stop"})...)
 		case lifecycle.BeginHandover:
 			out = append(out, CloseTraffic{})
 			out = append(out, c.membership(now, membership.Leave{})...)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,8 +48,12 @@
 
 // planHandoverTimeout is the bound on hosts that serve a route plan: the
 // platform kills a process seconds after asking it to stop, and there are no
-// orders to settle.
-const planHandoverTimeout = 700 * time.Millisecond
+// orders to settle. The transfer of leadership begins when new work is refused.
+const planHandoverTimeout = 400 * time.Millisecond
+
+// answerTimeout bounds the wait for the answers of requests that the end of a stop has
+// ended. No work is left for them but to be encoded and written.
+const answerTimeout = 150 * time.Millisecond
 
 func (d *Daemon) handoverTimeout() time.Duration {
 	if d.settings.ServePlan {
@@ -83,7 +87,7 @@
 	driver      *queryrun.Driver
 	groups      *entryrun.Groups
 	admission   *admissionrun.Controller
-	inFlight    entryrun.InFlight
+	inFlight    *entryrun.InFlight
 	queries     *entryrun.Queries
 	orderRuns   *ordersrun.Driver
 	orders      *entryrun.Orders
@@ -140,7 +144,7 @@
 // An adapter, if given, replaces the daemon's own protocols by those of a
 // platform.
 func New(s *settings.Settings, listeners Listeners, log *eventlog.Logger, adapter ...Adapter) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, incarnation: uint64(time.Now().UnixNano()), listeners: listeners, directory: newDirectory(), links: peerlink.New(), startedAt: time.Now()}
+	d := &Daemon{settings: s, log: log, incarnation: uint64(time.Now().UnixNano()), listeners: listeners, directory: newDirectory(), links: peerlink.New(), inFlight: entryrun.NewInFlight(), startedAt: time.Now()}
 	d.ctx, d.cancel = context.WithCancelCause(context.Background())
 	if len(adapter) > 0 {
 		d.adapter = adapter[0]
@@ -178,7 +182,7 @@
 		ServePlan: d.settings.ServePlan, FindVoters: d.settings.FindVoters, FoundLog: d.settings.FoundLog,
 		LossTolerance: d.settings.LossTolerance, LeasePeriod: d.settings.LeasePeriod,
 		Lifecycle: lifecycle.Options{
-			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, HandoverTimeout: d.handoverTimeout(),
+			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, AnswerTimeout: answerTimeout, HandoverTimeout: d.handoverTimeout(),
 		},
 	}, time.Now())
 	d.loop = controlrun.New(core, d.inFlight.Count, d.log)
@@ -192,9 +196,9 @@
 	d.driver = queryrun.New(queryrun.Config{
 		Transport: entryrun.NewTransport(client, d.groups), Catalogs: d.loop, Log: d.log, OnDrain: d.observeDrain, Seed: d.settings.Seed,
 	})
-	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, &d.inFlight, d.metrics, d.timeouts())
+	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, d.inFlight, d.metrics, d.timeouts())
 	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, d.incarnation)
-	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, &d.inFlight, d.metrics, d.timeouts(), d.log)
+	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, d.inFlight, d.metrics, d.timeouts(), d.log)
 	d.servers = make(map[string]*http.Server)
 	for name := range d.listeners {
 		d.servers[name] = &http.Server{
@@ -330,9 +334,11 @@
 	return nil
 }
 
-// errStopped is the cancellation cause of the host's context after a graceful
-// stop.
-var errStopped = errors.New("stopped")
+// Cancellation causes of the host's context after a stop.
+var (
+	errStopped     = errors.New("stopped")
+	errInterrupted = errors.New("requests were interrupted")
+)
 
 // Stop begins a graceful stop. Called again, it ends the host at once.
 func (d *Daemon) Stop() {
@@ -364,21 +370,32 @@
 	d.cancel(err)
 }
 
-// flushTimeout bounds the wait for the last responses to be written. All
-// requests have ended by then; only unsent bytes may remain.
-const flushTimeout = 2 * time.Second
+// Bounds of the wait for the last responses to be written. All requests have ended by
+// then; only unsent bytes may remain. Other calls of hosts end with the control
+// goroutine, and those hosts repeat them elsewhere.
+const (
+	callerFlushTimeout = 2 * time.Second
+	peerFlushTimeout   = answerTimeout
+)
 
-// flush waits until a server has written its responses. A response that is not
-// written in time is cut off when the server is closed.
-func flush(s *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
-	defer cancel()
-	_ = s.Shutdown(ctx)
+// flush waits until the servers have written their responses, to callers and to hosts
+// that handed requests over. A response that is not written in time is cut off when the
+// server is closed.
+func (d *Daemon) flush() {
+	var flushed sync.WaitGroup
+	for name, timeout := range map[string]time.Duration{"caller": callerFlushTimeout, "peer": peerFlushTimeout} {
+		flushed.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			_ = d.servers[name].Shutdown(ctx)
+		})
+	}
+	flushed.Wait()
 }
 
 func (d *Daemon) close() {
-	if errors.Is(context.Cause(d.ctx), errStopped) {
-		flush(d.servers["caller"])
+	if errors.Is(context.Cause(d.ctx), errStopped) || errors.Is(context.Cause(d.ctx), errInterrupted) {
+		d.flush()
 	}
 	for _, s := range d.servers {
 		_ = s.Close()
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -40,6 +40,8 @@
 		go d.encodeState(e)
 	case control.ProposeChange:
 		go d.proposeChange(e.Change)
+	case control.EndRequests:
+		d.endRequests(e.By)
 	case control.CloseTraffic:
 		go d.closeTraffic()
 	case control.SyncJournal:
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/netip"
+	"sync"
 
 	"github.com/hawthornlock/hawthornlock/internal/gathering"
 )
 
 // RunHandingOver runs the host until stop is called, with another host as the only
-// gatherer of the services. The host chooses no gatherers by itself.
+// gatherer of the services. The host chooses no gatherers by itself. After Stop, stop
+// waits for the end of the graceful stop.
 func (d *Daemon) RunHandingOver(gatherer string, peer netip.AddrPort, services ...string) (stop func()) {
 	p := &placement{gatherers: make(map[string][]gathering.Host)}
 	for _, s := range services {
@@ -19,10 +21,11 @@
 	for name := range d.servers {
 		d.start(func() { d.serve(name) })
 	}
-	return func() {
-		d.cancel(errStopped)
+	return sync.OnceFunc(func() {
+		d.Stop()
+		<-d.ctx.Done()
 		d.close()
-	}
+	})
 }
 
 // Gathers reports whether the host takes requests from other hosts.
@@ -30,3 +33,6 @@
 	p := d.gather.placement.Load()
 	return p != nil && !p.unknown
 }
+
+// InFlight returns the number of requests in progress.
+func (d *Daemon) InFlight() int { return d.inFlight.Count() }
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -195,6 +195,9 @@
 		if err == nil || answer != nil {
 			return answer, err
 		}
+		if err.Code == codeHostStopping || err.Code == verdict.CodeHostStops {
+			d.recordGatherer(ctx, g.Name, err)
+		}
 		failure = verdict.New(err.Verdict, err.Code, "host %s: %s", g.Name, err.Error()).WithRetryAfter(retryAfterGatherer)
 		if err.Verdict != verdict.NotRun {
 			// The gatherer may have used all attempts that the route allows.
@@ -223,6 +226,9 @@
 // gatherAt sends a request to a gatherer. An error with an answer is final;
 // after an error without one, another gatherer may be tried.
 func (d *Daemon) gatherAt(ctx context.Context, host string, call *forwardrun.Call, m *gatheringrpc.GatherRequest) (*forwardrun.Answer, *verdict.Error) {
+	if d.Ending().Err() != nil {
+		return &forwardrun.Answer{}, hostStops(verdict.NotRun, host)
+	}
 	address, ok := d.directory.lookup(host)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the address of host %q is unknown", host)
@@ -230,8 +236,12 @@
 	now := time.Now()
 	slow := time.AfterFunc(time.Duration(slowGathererFactor*float64(call.Route.Objective)), func() { d.recordGatherer(ctx, host, errSlowGatherer) })
 	defer slow.Stop()
-	m.SetTimes(now, call, d.hopTime(call.Route))
-	attempt, cancel := context.WithDeadline(ctx, call.Deadline)
+	limited := *call
+	limited.Deadline = d.engine.Limit(call.Deadline)
+	m.SetTimes(now, &limited, d.hopTime(call.Route))
+	bound, unbind := d.inFlight.Bind(ctx)
+	defer unbind()
+	attempt, cancel := context.WithDeadline(bound, call.Deadline)
 	defer cancel()
 	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), d.links.Client()).Gather(attempt, m)
 	d.recordGatherer(ctx, host, err)
@@ -247,6 +257,8 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return &forwardrun.Answer{}, callerGone()
+	case err != nil && d.Ending().Err() != nil && !peerlink.NotSent(err):
+		return &forwardrun.Answer{}, hostStops(verdict.MayHaveRun, host)
 	case err != nil && !time.Now().Before(call.Deadline):
 		return &forwardrun.Answer{}, verdict.New(verdict.MayHaveRun, verdict.CodeDeadlineExceeded, "host %s did not answer in time", host)
 	case err != nil && peerlink.NotSent(err):
@@ -257,6 +269,14 @@
 	return decodeGathered(reply, host, call)
 }
 
+func hostStops(v verdict.Verdict, gatherer string) *verdict.Error {
+	return verdict.New(v, verdict.CodeHostStops, "this host stops before host %s has answered", gatherer).WithRetryAfter(retryAfterStop)
+}
+
+// retryAfterStop is the retry hint of a host that stops. The load balancer sends the
+// next connection to another host.
+const retryAfterStop = 20 * time.Millisecond
+
 // hopTime returns how much of a route's objective passes on the way to a gatherer
 // and back.
 func (d *Daemon) hopTime(r *routeplan.Route) time.Duration {
@@ -300,7 +320,7 @@
 	failure := verdict.New(verdict.Of(err), verdict.CodeOf(err), "%s", err.Error()).
 		WithRetryAfter(time.Duration(m.GetFailure().GetRetryAfterMs()) * time.Millisecond)
 	switch failure.Code {
-	case codePlanBehind, codePlanDiffers, codeNotGatherer, codeHostStopping:
+	case codePlanBehind, codePlanDiffers, codeNotGatherer, codeHostStopping, verdict.CodeHostStops:
 		return nil, failure
 	}
 	return a, failure
--- a/internal/daemon/gather_plan_test.go
+++ b/internal/daemon/gather_plan_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,12 +28,15 @@
 
 // newPlanHost returns a host that speaks the platform's protocols and is the only
 // voter of a log of its own.
-func newPlanHost(t *testing.T, name string) *daemon.Daemon {
+func newPlanHost(t *testing.T, name string, change ...func(*settings.Settings)) *daemon.Daemon {
 	t.Helper()
 	s := settings.Defaults()
 	s.Host, s.FailureDomain, s.Region = name, "a", "r"
 	s.Roles, s.DataDir = []settings.Role{settings.Entry, settings.Voter}, t.TempDir()
 	s.ServePlan, s.LeasePeriod, s.Seed, s.BalancerLag = true, time.Hour, 1, 0
+	for _, f := range change {
+		f(s)
+	}
 	free := netip.MustParseAddrPort("127.0.0.1:0")
 	s.CallerListen, s.TargetListen, s.AdminListen, s.PeerListen = free, free, free, free
 	listeners, err := daemon.Listen(s)
@@ -43,15 +47,20 @@
 	return d
 }
 
-// start runs a host until the test ends.
-func start(t *testing.T, d *daemon.Daemon) {
+// start runs a host until the test ends or stop is called, which waits for its end.
+func start(t *testing.T, d *daemon.Daemon) (stop func()) {
 	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(context.Background()) }()
-	t.Cleanup(func() {
-		d.Stop()
-		require.NoError(t, <-ended)
-	})
+	var once sync.Once
+	stop = func() {
+		once.Do(func() {
+			d.Stop()
+			require.NoError(t, <-ended, "no request was interrupted")
+		})
+	}
+	t.Cleanup(stop)
+	return stop
 }
 
 // submitRoute puts a plan with one route, of the given kind, in force at a host.
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -10,6 +11,18 @@
 	"github.com/hawthornlock/hawthornlock/internal/settings"
 )
 
+// endRequests has every request in progress answered by a time.
+func (d *Daemon) endRequests(by time.Time) {
+	d.inFlight.EndBy(by)
+	if d.engine != nil {
+		d.engine.EndBy(by)
+	}
+}
+
+// Ending returns a context that ends when the host must answer the requests in progress
+// with what is known about them, because it is about to exit.
+func (d *Daemon) Ending() context.Context { return d.inFlight.Ending() }
+
 // closeTraffic settles the open orders and closes the connections to targets.
 func (d *Daemon) closeTraffic() {
 	ctx, cancel := context.WithTimeout(d.ctx, handoverTimeout)
@@ -31,7 +44,7 @@
 
 func (d *Daemon) exit(e control.Exit) {
 	if e.Interrupted > 0 {
-		d.cancel(errors.Newf("%d requests were interrupted", e.Interrupted))
+		d.cancel(errors.Wrapf(errInterrupted, "%d in progress", e.Interrupted))
 		return
 	}
 	d.cancel(errStopped)
--- a/internal/entry/entryrun/orders.go
+++ b/internal/entry/entryrun/orders.go
@@ -41,7 +41,10 @@
 // Order runs one order at most once.
 func (s *Orders) Order(ctx context.Context, o entry.OrderRequest) (*entryhttp.OrderResult, error) {
 	defer s.inFlight.Begin()()
-	result, err := s.run(ctx, o)
+	bound, unbind := s.inFlight.Bind(ctx)
+	defer unbind()
+	result, err := s.run(bound, o)
+	err = s.inFlight.explain(ctx, err)
 	v := verdict.Ran
 	if err != nil {
 		v = verdict.Of(err)
--- a/internal/entry/entryrun/queries.go
+++ b/internal/entry/entryrun/queries.go
@@ -47,7 +47,10 @@
 	// has closed the gate waits for every request that passed it.
 	defer s.inFlight.Begin()()
 	now := time.Now()
-	group, answer, err := s.run(ctx, now, q)
+	bound, unbind := s.inFlight.Bind(ctx)
+	defer unbind()
+	group, answer, err := s.run(bound, now, q)
+	err = s.inFlight.explain(ctx, err)
 	s.observer.ObserveQuery(group, time.Since(now), answer, err)
 	return answer, err
 }
--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -59,10 +59,12 @@
 // exchange is the request and the reply of one attempt.
 type exchange struct {
 	*forward.Attempt
-	call  *Call
-	done  func(x *exchange, result forward.Result)
-	reply *Reply
-	conn  *conn
+	call *Call
+	// deadline is the time until which the searcher may work on the request.
+	deadline time.Time
+	done     func(x *exchange, result forward.Result)
+	reply    *Reply
+	conn     *conn
 	// notice is what the searcher stated about itself. The reader goroutine of the
 	// connection sets it before the exchange ends.
 	notice forward.Notice
@@ -153,7 +155,7 @@
 	c.current, c.written = x, false
 	c.sent++
 	c.mu.Unlock()
-	left := time.Until(x.call.Deadline)
+	left := time.Until(x.deadline)
 	_ = c.net.SetDeadline(time.Now().Add(left + readGrace))
 	request := c.wire.AppendRequest(make([]byte, 0, 512+len(x.call.Body)), x.call, x.Searcher.Target, left)
 	if len(request) > maxInlineWrite {
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -53,6 +53,14 @@
 	routesMu sync.Mutex
 	routes   map[string]*routeState
 	stats    Stats
+
+	ending atomic.Pointer[ending]
+}
+
+// ending is when all calls end because the process is about to exit.
+type ending struct {
+	by       time.Time     // zero for no limit
+	replaced chan struct{} // closed when another one replaces it
 }
 
 // Stats are totals since the start of the engine.
@@ -73,6 +81,7 @@
 // New returns an engine without searchers.
 func New(config Config) *Engine {
 	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), hosts: 1}
+	e.ending.Store(&ending{replaced: make(chan struct{})})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	e.memory.limit = config.ReplyMemory
@@ -182,6 +191,27 @@
 	return []string{r.Splits[state.splitter.Next(r.Splits)].Service}
 }
 
+// EndBy makes all calls end by a time, because the process is about to exit. An earlier
+// time replaces a later one.
+func (e *Engine) EndBy(at time.Time) {
+	old := e.ending.Swap(&ending{by: at, replaced: make(chan struct{})})
+	close(old.replaced)
+}
+
+// replyMargin is how long before the end of all calls a searcher or another host is told
+// to stop, so that what it says about a request still arrives.
+const replyMargin = 100 * time.Millisecond
+
+// Limit returns the deadline for work of others on a call with the given deadline. It is
+// earlier if the process exits before.
+func (e *Engine) Limit(deadline time.Time) time.Time {
+	end := e.ending.Load()
+	if early := end.by.Add(-replyMargin); !end.by.IsZero() && early.Before(deadline) {
+		return early
+	}
+	return deadline
+}
+
 // Close closes idle connections and cancels dials. Attempts in flight go on.
 func (e *Engine) Close() {
 	e.cancel()
@@ -298,6 +328,8 @@
 	defer timer.Stop()
 	defer r.releaseReplies()
 	defer r.ended.Store(true)
+	end := r.engine.ending.Load()
+	limit(run, now, end)
 	effects := run.Start(now)
 	for {
 		if o, done := r.execute(effects); done {
@@ -311,12 +343,23 @@
 			return r.abandon(run)
 		case ev := <-r.events:
 			effects = r.handle(run, ev)
+		case <-end.replaced:
+			end = r.engine.ending.Load()
+			effects = limit(run, time.Now(), end)
 		case <-timer.C:
 			effects = run.Tick(time.Now())
 		}
 	}
 }
 
+// limit makes a run end when all calls do.
+func limit(run *forward.Run, now time.Time, end *ending) []forward.Effect {
+	if end.by.IsZero() {
+		return nil
+	}
+	return run.EndBy(now, end.by)
+}
+
 // holdReply counts the memory of a reply until the run ends.
 func (r *runner) holdReply(reply *Reply) {
 	if reply == nil {
@@ -391,7 +434,7 @@
 func (r *runner) send(a *forward.Attempt) {
 	st := &r.engine.stats
 	st.Attempts.Add(1)
-	x := &exchange{Attempt: a, call: r.call}
+	x := &exchange{Attempt: a, call: r.call, deadline: r.engine.Limit(r.call.Deadline)}
 	r.open = append(r.open, x)
 	svc := r.engine.service(a.Service)
 	median := r.timing.median
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -128,7 +128,10 @@
 	minShards  int           // least number of replies in a successful answer
 	minEarly   int           // least number of replies in one that is given before all are there
 	anyGivenUp bool          // a sub-request was given up at some time
-	good       int           // sub-requests with a good reply
+	endsEarly  bool          // this host stops before the caller's deadline
+	tooLate    bool          // a sub-request was given up because this host stops too soon
+	started    bool
+	good       int // sub-requests with a good reply
 	finished   bool
 	effects    []Effect
 }
@@ -187,7 +190,7 @@
 // sent: the remaining shards would work on an answer that can't be given, while
 // other requests need them.
 func (r *Run) Start(now time.Time) []Effect {
-	r.effects = nil
+	r.effects, r.started = nil, true
 	late := r.findLate(now)
 	if o, done := r.outcome(now); done {
 		r.finished = true
@@ -295,6 +298,47 @@
 	return r.settle(now)
 }
 
+// EndBy makes the run end by a time before its deadline, because this host stops. From
+// then on it begins no attempt that is not expected to end in time: another host can
+// still serve the request. It may be called before Start.
+func (r *Run) EndBy(now, at time.Time) []Effect {
+	r.effects = nil
+	if r.finished || !at.Before(r.deadline) {
+		return nil
+	}
+	r.deadline, r.endsEarly = at, true
+	if at.Before(r.cutoff) {
+		r.cutoff = at
+	}
+	if !r.started {
+		return nil
+	}
+	r.stopWaiting(now)
+	return r.settle(now)
+}
+
+// stopWaiting gives up the sub-requests that wait for capacity and can't be answered
+// any more before this host stops.
+func (r *Run) stopWaiting(now time.Time) {
+	for _, sub := range r.subs {
+		if sub.waiting && r.endsTooLate(now, sub) {
+			r.giveUp(sub)
+		}
+	}
+}
+
+// endsTooLate reports whether an attempt that begins now is expected to end only after
+// this host has stopped.
+func (r *Run) endsTooLate(now time.Time, sub *subRequest) bool {
+	if !r.endsEarly {
+		return false
+	}
+	expected, ok := r.env.Expected(now, sub.service)
+	late := ok && expected > r.deadline.Sub(now)
+	r.tooLate = r.tooLate || late
+	return late
+}
+
 // Tick does what is due at a time: retries, hedges, and the end of the run.
 func (r *Run) Tick(now time.Time) []Effect {
 	r.effects = nil
@@ -304,6 +348,9 @@
 	for i := range r.subs {
 		r.advance(now, i)
 	}
+	if r.endsEarly {
+		r.stopWaiting(now)
+	}
 	return r.settle(now)
 }
 
@@ -314,15 +361,20 @@
 		next = r.cutoff
 	}
 	for _, sub := range r.subs {
-		if at, ok := r.due(sub); ok && at.Before(next) {
+		if at, ok := r.due(now, sub); ok && at.Before(next) {
 			next = at
 		}
 	}
 	return next
 }
 
-// due returns when a retry or a hedge of a sub-request is due.
-func (r *Run) due(sub *subRequest) (time.Time, bool) {
+// due returns when a retry or a hedge of a sub-request is due, or the end of its wait
+// for capacity.
+func (r *Run) due(now time.Time, sub *subRequest) (time.Time, bool) {
+	if sub.waiting && !sub.givenUp && r.endsEarly {
+		expected, ok := r.env.Expected(now, sub.service)
+		return later(r.deadline.Add(-expected), now.Add(minTick)), ok
+	}
 	if sub.good != nil || sub.givenUp || sub.waiting {
 		return time.Time{}, false
 	}
@@ -336,6 +388,10 @@
 	return later(open.Began.Add(r.hedgeDelay), sub.nextHedge), true
 }
 
+// minTick is the least time between two looks at a sub-request that waits for capacity
+// while this host stops.
+const minTick = time.Millisecond
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -436,6 +492,9 @@
 	if len(sub.attempts) >= maxAttemptsPerSubRequest || sub.countMayHaveRun() >= r.maxAttempts() {
 		return false
 	}
+	if r.endsTooLate(now, sub) {
+		return false
+	}
 	opts := AttemptOptions{Tried: sub.tried(), Extra: sub.mayHaveReached()}
 	if !needed {
 		opts.MaxTime = r.maxHedgeTime(now)
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -118,7 +118,8 @@
 
 // Checks runs with random results in random order. Guards against an error that
 // says "not run" after an attempt that may have run, against more attempts than
-// the route allows, and against a run that never ends.
+// the route allows, and against a run that never ends or, if the host stops, that ends
+// after it.
 func TestRunProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		shards := rapid.IntRange(1, 8).Draw(t, "shards")
@@ -130,6 +131,20 @@
 		deadline := start.Add(time.Second)
 		run := NewRun(env, route, services, start, deadline)
 		now := start
+		stopAt := start.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "stop")) * time.Millisecond)
+		endBy := stopAt.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "end")) * time.Millisecond)
+		if rapid.Bool().Draw(t, "stops before the start") {
+			stopAt = start
+		}
+		stopped := false
+		stop := func() []Effect {
+			if stopped || now.Before(stopAt) {
+				return nil
+			}
+			stopped = true
+			return run.EndBy(now, endBy)
+		}
+		stop()
 		var open []*Attempt
 		collect := func(effects []Effect) (Outcome, bool) {
 			open = append(open, sends(effects)...)
@@ -138,6 +153,10 @@
 		o, done := collect(run.Start(now))
 		for step := 0; !done; step++ {
 			require.Less(t, step, 500, "the run does not end")
+			if o, done = collect(stop()); done {
+				break
+			}
+			require.False(t, stopped && now.After(endBy), "the run goes on when the host has stopped")
 			if len(open) > 0 && rapid.IntRange(0, 3).Draw(t, "what") > 0 {
 				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
 				a := open[i]
@@ -152,6 +171,9 @@
 			if !next.After(now) {
 				next = now.Add(time.Millisecond)
 			}
+			if !stopped && stopAt.After(now) && stopAt.Before(next) {
+				next = stopAt
+			}
 			now = next
 			o, done = collect(run.Tick(now))
 		}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -40,9 +40,13 @@
 	// BalancerLag is how long the load balancer may send work after the host
 	// stopped being ready.
 	BalancerLag time.Duration
-	// ShutdownTimeout bounds the wait for work in progress. It must not be
-	// shorter than the longest deadline, or requests are interrupted.
+	// ShutdownTimeout bounds the wait for work in progress, from the end of
+	// BalancerLag. If it is shorter than the longest deadline, requests may be
+	// answered without the result of their work.
 	ShutdownTimeout time.Duration
+	// AnswerTimeout bounds the wait for the answers of requests that were still in
+	// progress when ShutdownTimeout had passed.
+	AnswerTimeout time.Duration
 	// HandoverTimeout bounds the handover of leadership, leases and connections.
 	HandoverTimeout time.Duration
 }
@@ -57,8 +61,8 @@
 // because a quorum confirmed it. It may be repeated.
 type CanServe struct{}
 
-// StopRequested asks for a graceful stop. A second one ends the process at
-// once.
+// StopRequested asks for a graceful stop. A second one ends the process as soon as
+// the requests in progress have been answered, without a handover.
 type StopRequested struct{ InFlight int }
 
 // DrainRequested asks the host to stop taking work and to stay up.
@@ -84,6 +88,13 @@
 // Effect is an output of the state.
 type Effect interface{ isLifecycleEffect() }
 
+// EndRequests asks for an answer to every request in progress by a time: with the
+// result of its work if that is there, or else with whether it may have run.
+type EndRequests struct{ By time.Time }
+
+// TransferLeadership asks for leadership to be given up while requests end.
+type TransferLeadership struct{}
+
 // BeginHandover asks for leadership, leases and connections to be given up.
 type BeginHandover struct{}
 
@@ -101,10 +112,12 @@
 	InFlight int
 }
 
-func (BeginHandover) isLifecycleEffect() {}
-func (SyncJournal) isLifecycleEffect()   {}
-func (Exit) isLifecycleEffect()          {}
-func (Log) isLifecycleEffect()           {}
+func (EndRequests) isLifecycleEffect()        {}
+func (TransferLeadership) isLifecycleEffect() {}
+func (BeginHandover) isLifecycleEffect()      {}
+func (SyncJournal) isLifecycleEffect()        {}
+func (Exit) isLifecycleEffect()               {}
+func (Log) isLifecycleEffect()                {}
 
 // Events of this package, numbers 1000 to 1099.
 var (
@@ -112,20 +125,22 @@
 		"The host became ready, was told to drain or stop, or reached the next phase of a drain or stop.",
 		"None. A stop ends with the phase exited.")
 	EventInterrupted = eventlog.Define(1001, zerolog.WarnLevel, "stop interrupted requests in progress",
-		"A second signal arrived, or the shutdown timeout passed before all requests had ended.",
-		"Raise -shutdown-timeout above -max-timeout, and send one signal only.")
+		"The process ends although requests have not been answered in the time after the shutdown timeout, or after a second signal.",
+		"Look at the load of the machine: such requests are answered at once. Raise -shutdown-timeout above -max-timeout, and send one signal only.")
 )
 
 // State is the lifecycle of one host. The control goroutine owns it.
 //
 // Invariant: new work is accepted only in Serving and LameDuck, and a graceful
-// stop reaches Handover only when nothing is in flight or the shutdown timeout
-// has passed.
+// stop reaches Handover only when nothing is in flight or the answer timeout has
+// passed.
 type State struct {
 	opts        Options
 	phase       Phase
 	since       time.Time
 	stopping    bool
+	endBy       time.Time // when the requests in progress must be answered, while stopping
+	hurried     bool      // a second stop was requested
 	canServe    bool
 	interrupted int
 }
@@ -181,10 +196,10 @@
 	switch s.phase {
 	case LameDuck:
 		if elapsed >= s.opts.BalancerLag {
-			return s.enter(now, Refusing, inFlight)
+			return s.refuse(now, inFlight)
 		}
 	case Refusing:
-		return s.endRefusing(now, elapsed, inFlight)
+		return s.endRefusing(now, inFlight)
 	case Handover:
 		if elapsed >= s.opts.HandoverTimeout {
 			return append(s.enter(now, Syncing, inFlight), SyncJournal{})
@@ -193,8 +208,17 @@
 	return nil
 }
 
-func (s *State) endRefusing(now time.Time, elapsed time.Duration, inFlight int) []Effect {
-	if inFlight > 0 && (!s.stopping || elapsed < s.opts.ShutdownTimeout) {
+// refuse begins to refuse new work.
+func (s *State) refuse(now time.Time, inFlight int) []Effect {
+	out := s.enter(now, Refusing, inFlight)
+	if s.stopping && !s.hurried {
+		out = append(out, TransferLeadership{})
+	}
+	return out
+}
+
+func (s *State) endRefusing(now time.Time, inFlight int) []Effect {
+	if inFlight > 0 && (!s.stopping || now.Sub(s.endBy) < s.opts.AnswerTimeout) {
 		return nil
 	}
 	if !s.stopping {
@@ -205,26 +229,48 @@
 		s.interrupted = inFlight
 		out = append(out, Log{Event: EventInterrupted, Phase: s.phase, InFlight: inFlight})
 	}
+	if s.hurried {
+		return append(append(out, s.enter(now, Exited, inFlight)...), Exit{Interrupted: inFlight})
+	}
 	return append(append(out, s.enter(now, Handover, inFlight)...), BeginHandover{})
 }
 
-// stop begins a graceful stop, or ends the process at once if one has begun.
+// stop begins a graceful stop, or hurries one that has begun.
 func (s *State) stop(now time.Time, inFlight int) []Effect {
 	if s.stopping {
-		if s.phase == Exited {
-			return nil
-		}
-		s.phase = Exited
-		return []Effect{Log{Event: EventInterrupted, Phase: Exited, InFlight: inFlight}, Exit{Interrupted: inFlight}}
+		return s.hurry(now, inFlight)
 	}
 	s.stopping = true
+	s.endBy = now.Add(s.opts.BalancerLag + s.opts.ShutdownTimeout)
+	out := []Effect{EndRequests{By: s.endBy}}
 	switch s.phase {
 	case Serving:
-		return s.enter(now, LameDuck, inFlight)
+		return append(out, s.enter(now, LameDuck, inFlight)...)
 	case Starting, Drained:
-		return s.enter(now, Refusing, inFlight)
+		return append(out, s.refuse(now, inFlight)...)
+	case Refusing: // by a drain
+		return append(out, TransferLeadership{})
 	}
-	return nil
+	return out
+}
+
+// hurry ends the requests in progress now, and the process at the next tick, when new
+// requests are refused.
+func (s *State) hurry(now time.Time, inFlight int) []Effect {
+	if s.hurried || s.phase == Exited {
+		return nil
+	}
+	s.hurried = true
+	switch s.phase {
+	case Handover, Syncing: // all requests have ended
+		return append(s.enter(now, Exited, inFlight), Exit{Interrupted: s.interrupted})
+	}
+	s.endBy = now
+	out := []Effect{EndRequests{By: now}}
+	if s.phase != Refusing {
+		out = append(out, s.refuse(now, inFlight)...)
+	}
+	return out
 }
 
 func (s *State) drain(now time.Time) []Effect {
@@ -232,7 +278,7 @@
 	case Serving:
 		return s.enter(now, LameDuck, 0)
 	case Starting:
-		return s.enter(now, Refusing, 0)
+		return s.refuse(now, 0)
 	}
 	return nil
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -69,6 +69,7 @@
 	CodeInvalidRequest   Code = "invalid_request"
 	CodeUnavailable      Code = "unavailable"
 	CodeDeadlineExceeded Code = "deadline_exceeded"
+	CodeHostStops        Code = "host_stops" // the host exits before the request has ended
 	CodeInternal         Code = "internal"
 )
 
