--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/standin"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
 // Guards against a graceful stop that closes a connection before the answer is
@@ -58,3 +61,36 @@
 	require.NoError(t, <-n.ended)
 	n.ended = nil
 }
+
+// Guards against a second signal that closes the connections of queries in progress
+// without an answer.
+func TestSecondSignalAnswersQueriesInProgress(t *testing.T) {
+	n := startCluster(t, 1, 1)[0]
+	startTargets(t, n.Daemon, standin.NewDataset("v1-", 4), 4, func(c *standin.Config) { c.ServiceTime = time.Hour })
+	pushGroup(t, n.Daemon)
+	awaitTargets(t, n.Daemon, 4)
+	type result struct {
+		status int
+		answer answerBody
+		err    error
+	}
+	answers := make(chan result, 4)
+	for range cap(answers) {
+		go func() {
+			status, a, err := tryPost(n.Daemon, `{"team":"names","terms":"latin letter","k":50,"timeout_ms":10000}`)
+			answers <- result{status, a, err}
+		}()
+	}
+	require.Eventually(t, func() bool { return n.inFlight.Count() == cap(answers) }, waitTimeout, time.Millisecond)
+	n.Stop()
+	n.Stop()
+	for range cap(answers) {
+		r := <-answers
+		require.NoError(t, r.err)
+		require.Equal(t, http.StatusGatewayTimeout, r.status)
+		require.Equal(t, string(verdict.CodeHostStops), r.answer.Error.Code)
+		require.Equal(t, "may_have_run", r.answer.Error.Verdict)
+	}
+	require.NoError(t, <-n.ended, "no request was interrupted")
+	n.ended = nil
+}
