Leave a host that meets a newer plan time to get it from its feeds

Cause: a host whose request a gatherer handled by a newer plan polled that gatherer at once. With each change of the configuration, most hosts of a large deployment would have asked its few gatherers for the whole plan, which their feeds were about to send.

Change: the host polls its feeds after 0.2 s, within the time for which a host may still show the older plan, and the peer only after a second, when the feeds do not have it.

Evidence: TestHostBehindAPeersPlanCatchesUp on virtual time; TestGathererWithNewerPlan still requires that the host gets the plan.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -38,8 +38,7 @@
 	feeds     []*feedState
 	known     []FeedHost
 	next      int // index in known at which the search for a feed starts
-
-	planPolledAt time.Time // last poll because of PlanAhead
+	ahead     aheadPeer
 }
 
 // NewFollower returns the follower of the host self. With hasLog it only
@@ -72,7 +71,7 @@
 func (f *Follower) Step(now time.Time, ev Event) []Effect {
 	switch ev := ev.(type) {
 	case Tick:
-		return append(f.replaceFailedFeeds(now), f.poll(now)...)
+		return slices.Concat(f.replaceFailedFeeds(now), f.poll(now), f.catchUp(now))
 	case UpdateReceived:
 		return f.updateReceived(now, ev.Update)
 	case FeedsChanged:
@@ -80,7 +79,7 @@
 	case PeerAhead:
 		return f.peerAhead(now, ev)
 	case PlanAhead:
-		return f.planAhead(now, ev)
+		f.planAhead(now, ev)
 	case PlanApplied:
 		f.SetPlanVersion(ev.Version)
 	}
@@ -275,18 +274,57 @@
 	return append(out, f.poll(now)...)
 }
 
-// planPollInterval bounds the polls because of PlanAhead, which every request that
-// meets a newer plan reports.
-const planPollInterval = 100 * time.Millisecond
+// How long a host that is behind a peer's route plan waits for its feeds. Plans reach
+// the hosts through their feeds within a fraction of a second; if each host asked the
+// peers that it meets, the few hosts that gather would send the plan to all others.
+const (
+	// planPatience is the time after which it polls its feeds, whose updates it may
+	// have missed while it stood still.
+	planPatience = 200 * time.Millisecond
+	// planPeerPatience is the time after which it also polls the peer.
+	planPeerPatience = time.Second
+	// planPollInterval is the time between two such polls.
+	planPollInterval = 200 * time.Millisecond
+)
+
+// aheadPeer is a peer that had a newer route plan than this host.
+type aheadPeer struct {
+	host     string
+	version  uint64
+	since    time.Time // when this host was first found behind
+	polledAt time.Time
+}
+
+func (f *Follower) planAhead(now time.Time, ev PlanAhead) {
+	if ev.Version <= f.plan || ev.Host == f.self {
+		return
+	}
+	if f.ahead.version <= f.plan {
+		f.ahead.since = now
+	}
+	if ev.Version > f.ahead.version {
+		f.ahead.host, f.ahead.version = ev.Host, ev.Version
+	}
+}
 
-// planAhead polls a peer with a newer route plan at once. The feeds may be some time
-// behind after this host stood still, and until it has the plan, requests that it
-// hands over and requests that it handles itself follow different plans.
-func (f *Follower) planAhead(now time.Time, ev PlanAhead) []Effect {
-	if ev.Version <= f.plan || ev.Host == f.self || now.Sub(f.planPolledAt) < planPollInterval {
+// catchUp polls for a route plan that a peer has had for a while. Until this host has
+// it, requests that it hands over and requests that it handles itself follow different
+// plans.
+func (f *Follower) catchUp(now time.Time) []Effect {
+	a := &f.ahead
+	if a.version <= f.plan || now.Sub(a.since) < planPatience || now.Sub(a.polledAt) < planPollInterval {
 		return nil
 	}
-	f.planPolledAt = now
-	f.seq++
-	return []Effect{SendPoll{To: ev.Host, Poll: Poll{From: f.self, Seq: f.seq, Revision: f.revision, Plan: f.plan}}}
+	a.polledAt = now
+	var out []Effect
+	for _, s := range f.feeds {
+		if now.Sub(s.sent) >= planPollInterval {
+			out = append(out, f.pollFeed(now, s))
+		}
+	}
+	if now.Sub(a.since) >= planPeerPatience && !slices.Contains(f.Feeds(), a.host) {
+		f.seq++
+		out = append(out, SendPoll{To: a.host, Poll: Poll{From: f.self, Seq: f.seq, Revision: f.revision, Plan: f.plan}})
+	}
+	return out
 }
