--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -12,6 +12,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/gathering"
 	"github.com/hawthornlock/hawthornlock/internal/gathering/gatheringrpc"
@@ -270,13 +271,9 @@
 }
 
 func hostStops(v verdict.Verdict, gatherer string) *verdict.Error {
-	return verdict.New(v, verdict.CodeHostStops, "this host stops before host %s has answered", gatherer).WithRetryAfter(retryAfterStop)
+	return verdict.New(v, verdict.CodeHostStops, "this host stops before host %s has answered", gatherer).WithRetryAfter(forward.RetryAfterStop)
 }
 
-// retryAfterStop is the retry hint of a host that stops. The load balancer sends the
-// next connection to another host.
-const retryAfterStop = 20 * time.Millisecond
-
 // hopTime returns how much of a route's objective passes on the way to a gatherer
 // and back.
 func (d *Daemon) hopTime(r *routeplan.Route) time.Duration {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -96,9 +96,10 @@
 // this host its targets announce themselves within about a second.
 const retryAfterOutage = time.Second
 
-// retryAfterStop is the retry hint for a request that this host can't serve because it
-// stops. The load balancer sends the next connection to another host.
-const retryAfterStop = 20 * time.Millisecond
+// RetryAfterStop is the retry hint for a request that this host can't serve because it
+// stops. It is short because the load balancer sends the next connection to another
+// host.
+const RetryAfterStop = 20 * time.Millisecond
 
 // retryAfterOverload is the retry hint for a request that searchers rejected or
 // did not answer in time. Their queues hold about a dozen requests.
@@ -140,7 +141,7 @@
 	resume := r.resumeAt()
 	switch {
 	case r.endsEarly && v == verdict.NotRun && (r.tooLate || !now.Before(r.deadline)):
-		return verdict.New(v, verdict.CodeHostStops, "this host stops before %s would answer", subject).WithRetryAfter(retryAfterStop)
+		return verdict.New(v, verdict.CodeHostStops, "this host stops before %s would answer", subject).WithRetryAfter(RetryAfterStop)
 	case r.endsEarly && !now.Before(r.deadline):
 		return verdict.New(v, verdict.CodeHostStops, "this host stops before %s has answered", subject)
 	case v == verdict.NotRun && resume.After(now):
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -71,7 +71,7 @@
 		require.True(t, done)
 		require.Equal(t, verdict.NotRun, o.Err.Verdict)
 		require.Equal(t, verdict.CodeHostStops, o.Err.Code)
-		require.Equal(t, retryAfterStop, o.Err.RetryAfter)
+		require.Equal(t, RetryAfterStop, o.Err.RetryAfter)
 	}
 
 	late := NewRun(env, singleRoute(false), services, start, start.Add(time.Second))
