Log which services waste connections and extra attempts

The logs could not tell the hypotheses on the large site apart: neither who opens the connections that searchers reset, nor by how many hosts each host divides the budget of extra attempts. Events 8007 and 8008 count both every ten seconds, with the service that has most of them; the number of lines is bounded by time, not by load. TestUsageNamesTheServices checks the counts against a searcher that resets.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -315,6 +315,7 @@
 	d.start(d.applySnapshots)
 	if d.engine != nil {
 		d.start(func() { d.engine.Maintain(d.ctx) })
+		d.start(d.logUsage)
 	}
 	for name := range d.servers {
 		d.start(func() { d.serve(name) })
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -68,6 +69,20 @@
 	}
 }
 
+// logUsage logs what the host has used of searchers, until it ends.
+func (d *Daemon) logUsage() {
+	ticker := time.NewTicker(forwardrun.UsageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.engine.TakeUsage().Log(d.log)
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
 func newMetrics(d *Daemon) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -27,14 +27,40 @@
 	requests [budgetBuckets]int
 	extras   [budgetBuckets]int
 	newest   int64 // number of the newest bucket
+	count    ExtraCount
 }
 
+// ExtraCount counts the requests for a service and the extra attempts at it.
+type ExtraCount struct {
+	Requests int
+	Made     int
+	Denied   int // because the budget was spent
+}
+
+// Add returns the sum of two counts.
+func (c ExtraCount) Add(o ExtraCount) ExtraCount {
+	return ExtraCount{c.Requests + o.Requests, c.Made + o.Made, c.Denied + o.Denied}
+}
+
+// Wanted returns the number of extra attempts that were made or denied.
+func (c ExtraCount) Wanted() int { return c.Made + c.Denied }
+
 // NewBudget returns a budget that is not shared with other hosts.
 func NewBudget(limits BudgetLimits) Budget { return Budget{limits: limits, hosts: 1} }
 
 // SetHosts sets the number of hosts that share Extra.
 func (b *Budget) SetHosts(n int) { b.hosts = max(n, 1) }
 
+// Hosts returns the number of hosts that share Extra.
+func (b *Budget) Hosts() int { return b.hosts }
+
+// TakeCount returns what was counted since the last call.
+func (b *Budget) TakeCount() ExtraCount {
+	c := b.count
+	b.count = ExtraCount{}
+	return c
+}
+
 func (b *Budget) advance(now time.Time) int {
 	width := max(b.limits.Window/(budgetBuckets-1), time.Millisecond)
 	n := now.UnixNano() / int64(width)
@@ -52,6 +78,7 @@
 // RecordRequest records a request for the service.
 func (b *Budget) RecordRequest(now time.Time) {
 	b.requests[b.advance(now)]++
+	b.count.Requests++
 }
 
 // Left returns how many extra attempts may be made now.
@@ -80,8 +107,10 @@
 // left.
 func (b *Budget) Spend(now time.Time) bool {
 	if b.Left(now) < 1 {
+		b.count.Denied++
 		return false
 	}
+	b.count.Made++
 	b.extras[b.advance(now)]++
 	return true
 }
--- a/internal/forward/forwardrun/calllog.go
+++ b/internal/forward/forwardrun/calllog.go
@@ -27,6 +27,12 @@
 	eventGatherFailed = eventlog.Define(8006, zerolog.WarnLevel, "gather for another host failed",
 		"This host rejected a request that another host received, or could not gather the replies of all its shards.",
 		"The host that received the request logs the same request ID with event 8001. The attempts name the searchers to look at.")
+	eventConnectionsWasted = eventlog.Define(8007, zerolog.InfoLevel, "connections to searchers carried no reply",
+		"Searchers refused or reset new connections, mostly because they are down or over their connection limit, or this host abandoned the only request on a connection.",
+		"If many hosts open connections to many services, compare the number of hosts with the connections that the plan grants. The line counts ten seconds.")
+	eventExtraAttempts = eventlog.Define(8008, zerolog.InfoLevel, "extra attempts",
+		"Searchers got some requests more than once: hedges and retries, within the budget that hosts share.",
+		"None. If many are denied, look for slow or failing searchers of the service. The line counts ten seconds.")
 )
 
 // Limits of the call log.
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -18,7 +18,8 @@
 	group   *forward.Group
 	pools   map[forward.Identity]*pool
 	waiters []waiter
-	ends    uint64 // attempts that have ended
+	ends    uint64          // attempts that have ended
+	used    ConnectionCount // since the last record
 }
 
 // waiter is a run that waits for capacity at a searcher.
@@ -208,6 +209,8 @@
 	if err != nil {
 		s.engine.stats.DialFailures.Add(1)
 		s.mu.Lock()
+		s.used.Opened++
+		s.used.Failed++
 		p := s.poolOf(id)
 		p.open--
 		p.probing = false
@@ -220,6 +223,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.used.Opened++
 	s.poolOf(id).probing = false
 	s.group.RecordDial(id, true)
 	mayReceive := s.group.MayReceive(time.Now(), id)
@@ -252,6 +256,9 @@
 	}
 	if !reusable {
 		p.open--
+		if !c.answered {
+			s.used.Unanswered++
+		}
 		now := time.Now()
 		p.backoff.Ended(now, now.Sub(c.opened), c.answered, rand.Float64())
 	}
--- /dev/null
+++ b/internal/forward/forwardrun/usage_test.go
@@ -0,0 +1,38 @@
+package forwardrun
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+)
+
+// Guards against logs that don't tell which service resets connections and which one
+// gets requests more than once.
+func TestUsageNamesTheServices(t *testing.T) {
+	resets := startSearcher(t, func(int, string, net.Conn) bool { return false })
+	answers := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, "body")) })
+	e := newEngine(t, map[string][]forward.SearcherSpec{"a": {resets.spec("t"), answers.spec("u")}, "b": {answers.spec("v")}})
+	for range 4 {
+		_, err := e.Do(context.Background(), call("first", true))
+		require.Nil(t, err)
+	}
+	require.Eventually(t, func() bool { return resets.count() > 0 }, testTimeout, time.Millisecond)
+	u := e.TakeUsage()
+	require.Equal(t, "a", u.MostWasted.Service)
+	require.Equal(t, resets.count(), u.MostWasted.Connections.Unanswered)
+	require.Equal(t, "a", u.MostExtra.Service)
+	require.Equal(t, forward.ExtraCount{Requests: 4, Made: resets.count()}, u.MostExtra.Extra)
+	var out strings.Builder
+	u.Log(eventlog.New(&out, zerolog.InfoLevel, "h"))
+	require.Contains(t, out.String(), `"unanswered":`)
+	require.Contains(t, out.String(), `"most_sharers":1`)
+	require.Equal(t, Usage{}, e.TakeUsage())
+}
