Reach services with few connections through a few hosts, gathered or not

Cause: only gathered services had gatherers. A service that left the gathered set, as the old shards do after a reshard, was taken for one that every host reaches by itself; 300 hosts kept a connection open to each of its searchers, which grant 177, and opened the rest again for as long as the service was planned. The class: a limit that is enforced for one kind of use only, though it belongs to the searcher. The same cause elsewhere: a host that has just started knows no other host and did the same to all services; it now opens connections for requests only.

Change: the choice of hosts is made for every service of the plan. A service that grants a connection to every host, less a tenth for restarts, is still reached directly.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -133,7 +133,7 @@
 const connectionFraction = 0.5
 
 // searcherSpecs returns the searchers that this host may send requests to, by
-// service. A service from which other hosts gather for this one has no entry.
+// service. A service whose requests other hosts carry out for this one has no entry.
 func (d *Daemon) searcherSpecs(s *control.Snapshot, p *placement, hosts int) map[string][]forward.SearcherSpec {
 	out := make(map[string][]forward.SearcherSpec)
 	if s.Plan == nil {
@@ -155,6 +155,7 @@
 		out[service] = append(out[service], forward.SearcherSpec{
 			Identity: forward.Identity{Target: r.Target, Incarnation: r.Incarnation, Address: r.Address, FailureDomain: r.FailureDomain},
 			Slots:    r.Searchers[0].Slots, Cold: r.Phase == targets.Cold, Capacity: connectionLimit(s.Plan, service, gatherers, hosts),
+			OnDemand: p.unknown,
 		})
 	}
 	return out
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -31,26 +31,31 @@
 	codeNotGatherer verdict.Code = "not_a_gatherer"
 )
 
-// placement records which hosts gather from each service. It is immutable.
+// placement records which hosts carry out the requests to each service. It is immutable.
 type placement struct {
-	gatherers map[string][]gathering.Host   // by service; absent if every host gathers for itself
-	chosen    map[int][]gathering.Host      // by usedConnections of a service
+	gatherers map[string][]gathering.Host   // by service; absent if every host does so itself
+	chosen    map[choice][]gathering.Host   // by what the choice for a service depends on
 	splits    map[uint64][][]gathering.Part // ways to divide gathers, by the set of shards
 	// unknown is true until this host has found the other hosts. Until then it
 	// opens no connections for gathers, since it can't know its share.
 	unknown bool
 }
 
+// choice is what the choice of the gatherers of a service depends on.
+type choice struct {
+	granted  int // connections to each searcher
+	gathered bool
+}
+
 // discoveryTimeout is the age from which a process assumes that it knows all
 // hosts.
 const discoveryTimeout = 3 * time.Second
 
-// newPlacement chooses the gatherers of all gathered services of a plan. A host
-// that sees fewer than half of the hosts keeps its previous choice: with a new
-// one, the few hosts that it sees would gather as well and exceed the
-// connections that searchers grant.
+// newPlacement chooses the gatherers of all services of a plan. A host that sees fewer
+// than half of the hosts keeps its previous choice: with a new one, the few hosts that it
+// sees would gather as well and exceed the connections that searchers grant.
 func newPlacement(s *control.Snapshot, age time.Duration, previous *placement) *placement {
-	p := &placement{gatherers: make(map[string][]gathering.Host), chosen: make(map[int][]gathering.Host)}
+	p := &placement{gatherers: make(map[string][]gathering.Host), chosen: make(map[choice][]gathering.Host)}
 	if s.Plan == nil {
 		return p
 	}
@@ -59,27 +64,31 @@
 	starting := age < discoveryTimeout
 	p.unknown = starting && s.AgreedMembers.Epoch == 0
 	keep := previous != nil && !previous.unknown && 2*len(fleet.Hosts) < fleet.Size
-	for _, name := range s.Plan.Gathered() {
-		svc, ok := s.Plan.Service(name)
-		if !ok {
-			continue
-		}
-		connections := usedConnections(svc)
-		if _, done := p.chosen[connections]; !done {
-			p.unknown = p.unknown || starting && !fleet.Decided(connections)
-			p.chosen[connections] = fleet.Choose(connections)
-			if keep && previous.chosen[connections] != nil {
-				p.chosen[connections] = previous.chosen[connections]
+	for svc := range s.Plan.Services() {
+		_, gathered := slices.BinarySearch(s.Plan.Gathered(), svc.Name)
+		key := choice{granted: svc.MaxConnections, gathered: gathered}
+		if _, done := p.chosen[key]; !done {
+			p.unknown = p.unknown || gathered && starting && !fleet.Decided(usedConnections(svc))
+			p.chosen[key] = choose(fleet, svc, gathered)
+			if keep && previous.chosen[key] != nil {
+				p.chosen[key] = previous.chosen[key]
 			}
 		}
-		if g := p.chosen[connections]; g != nil {
-			p.gatherers[name] = g
+		if g := p.chosen[key]; g != nil {
+			p.gatherers[svc.Name] = g
 		}
 	}
 	p.splits = splitGathers(s.Plan, p.gatherers, holders)
 	return p
 }
 
+func choose(fleet gathering.Fleet, svc *routeplan.Service, gathered bool) []gathering.Host {
+	if gathered {
+		return fleet.Choose(usedConnections(svc))
+	}
+	return fleet.ChooseForOne(svc.MaxConnections, usedConnections(svc))
+}
+
 // nearShare is the least share of the gathered services that must have a
 // searcher in a failure domain for the domain to count as near.
 const nearShare = 0.8
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -337,7 +337,7 @@
 	}
 	for _, searcher := range s.group.Searchers() {
 		p := s.poolOf(searcher.Identity)
-		if p.open > 0 || p.probing || !s.group.MayReceive(now, searcher.Identity) || !p.backoff.Due(now) {
+		if searcher.OnDemand() || p.open > 0 || p.probing || !s.group.MayReceive(now, searcher.Identity) || !p.backoff.Due(now) {
 			continue
 		}
 		p.open++
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -32,6 +32,9 @@
 	Slots    int
 	Cold     bool
 	Capacity int // most requests that this host may have in flight there
+	// OnDemand means that connections are opened for requests only, and none is kept
+	// open in advance.
+	OnDemand bool
 }
 
 // Replace sets the searchers. Those that remain keep their statistics.
@@ -47,7 +50,7 @@
 			s = &Searcher{Identity: spec.Identity}
 			g.restore(s)
 		}
-		s.Slots, s.Cold, s.capacity = max(spec.Slots, 1), spec.Cold, max(spec.Capacity, 1)
+		s.Slots, s.Cold, s.capacity, s.onDemand = max(spec.Slots, 1), spec.Cold, max(spec.Capacity, 1), spec.OnDemand
 		g.searchers = append(g.searchers, s)
 	}
 	for _, s := range old {
@@ -163,6 +166,9 @@
 	return least, ok
 }
 
+// OnDemand reports whether connections to the searcher are opened for requests only.
+func (s *Searcher) OnDemand() bool { return s.onDemand }
+
 func (s *Searcher) usable() bool { return !s.down && !s.gone && !s.leaving }
 
 // RecordDial records whether a connection to a searcher could be opened.
--- a/internal/forward/searcher.go
+++ b/internal/forward/searcher.go
@@ -23,6 +23,7 @@
 	Cold  bool // started recently and still slow
 
 	capacity        int // most requests that this host may have in flight there
+	onDemand        bool
 	inFlight        int
 	slowness        float64 // geometric EWMA of attempt times relative to the route's median
 	slownessTime    time.Time
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -39,6 +39,9 @@
 	// left out. A single one would carry all gathers, and its loss would leave no
 	// gatherer.
 	minNear = 2
+	// reservePercent is the part of the connections that a searcher grants which is
+	// kept for hosts that start again while it still counts their earlier ones.
+	reservePercent = 10
 	// maxOwnShards is the maximum number of shards for which every host gathers for
 	// itself. With more, a weak host's processor takes longer than the latency
 	// objective allows.
@@ -101,6 +104,26 @@
 	if size := max(f.Size, len(f.Hosts)); size <= max(connections, 1) && f.Shards <= maxOwnShards {
 		return f.pooled(connections, size)
 	}
+	return f.strongest(connections)
+}
+
+// ChooseForOne returns the hosts that carry out the requests to a service from which no
+// route gathers. It returns nil if its searchers grant a connection to every host, which
+// then sends its requests itself. granted is the number of connections that each
+// searcher grants to all hosts together, and connections how many of them are used.
+//
+// It accounts for shards of an index that is no longer gathered, to which some routes
+// may still lead.
+func (f Fleet) ChooseForOne(granted, connections int) []Host {
+	if max(f.Size, len(f.Hosts)) <= granted-granted*reservePercent/100 {
+		return nil
+	}
+	return f.strongest(connections)
+}
+
+// strongest returns as many strong hosts as have enough connections each, only near ones
+// if there are a few of them.
+func (f Fleet) strongest(connections int) []Host {
 	strong := f.strong()
 	near := 0
 	for near < len(strong) && f.distance(strong[near]) == 0 {
--- a/internal/routeplan/table.go
+++ b/internal/routeplan/table.go
@@ -1,6 +1,8 @@
 package routeplan
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -63,6 +65,9 @@
 	return s, ok
 }
 
+// Services returns all services of the plan, in no particular order.
+func (t *Table) Services() iter.Seq[*Service] { return maps.Values(t.services) }
+
 // Gathered returns the names of all services from which some route gathers,
 // sorted. The caller must not modify the result.
 func (t *Table) Gathered() []string { return t.gathered }
