Divide the budget of extra attempts by what every host could know

What the users saw: BUDGET at the large site, repeats at a service beyond what its plan allows to all hosts together.

Cause: each host divided the fixed part of the budget by the number of sharers in its own view, and the views differ. The class: a global bound that is kept by local parts, which add up only while all hosts agree.

Change: the number of sharers is a bound over all views: the strong hosts, and every agreed host that is not seen yet, since it may be a strong one. Before the agreed list is known, a host has no fixed part. In its first window, a process uses only what its predecessor had to leave. The part that follows the number of requests needs none of this.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -43,9 +43,7 @@
 			d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: target, Incarnation: incarnation, Leaving: true}})
 		},
 		ReplyMemory: int64(d.settings.MemoryLimit) / replyMemoryDivisor,
-		Budget: forward.BudgetLimits{
-			Ratio: float64(d.settings.RetryPermille) / 1000, Extra: float64(d.settings.RetryExtra), Window: d.settings.RetryWindow,
-		},
+		Budget:      d.retryLimits(),
 	})
 }
 
@@ -181,15 +179,7 @@
 
 // applySearchers updates the forwarding engine from a snapshot.
 func (d *Daemon) applySearchers(a *applied, s *control.Snapshot) {
-	hosts := len(s.AgreedMembers.Hosts)
-	live := 0
-	for _, h := range s.Hosts {
-		if h.Live {
-			live++
-		}
-	}
-	hosts = max(hosts, live)
-	d.setBudgetSharers(a, s, hosts)
+	hosts := fleetSize(s)
 	p := a.placement
 	if p == nil || p.unknown || a.plan != s.Plan || a.targets != s.Targets || !sameSlice(a.placedHosts, s.Hosts) {
 		a.placedHosts = s.Hosts
@@ -197,12 +187,13 @@
 	}
 	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
 		if !a.placement.same(p) {
-			d.log.Log(eventGatherersChanged).Strs("gatherers", p.names()).Bool("unknown", p.unknown).Int("hosts", hosts).Int("live", live).Send()
+			d.log.Log(eventGatherersChanged).Strs("gatherers", p.names()).Bool("unknown", p.unknown).Int("hosts", hosts).Int("live", liveHosts(s)).Send()
 		}
 		a.plan, a.hosts, a.placement = s.Plan, hosts, p
 		d.gather.placement.Store(p)
-		d.engine.SetSearchers(d.searcherSpecs(s, p, hosts), d.gatherSharers(a, p))
+		d.engine.SetSearchers(d.searcherSpecs(s, p, hosts))
 	}
+	d.engine.SetSharers(a.sharers.update(time.Now(), d.settings.RetryWindow, s, p))
 }
 
 // sameSlice reports whether two slices have the same length and first element
@@ -210,56 +201,3 @@
 func sameSlice[T any](a, b []T) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
-
-// gatherSharers returns the number of hosts that share the budget of each
-// gathered service. A decrease takes effect after sharerRetention, as in
-// setBudgetSharers.
-func (d *Daemon) gatherSharers(a *applied, p *placement) map[string]int {
-	out := make(map[string]int, len(p.gatherers))
-	now := time.Now()
-	for name, g := range p.gatherers {
-		old, known := a.gatherSharers[name]
-		if !known || len(g) >= old.hosts || now.Sub(old.confirmedAt) > sharerRetention {
-			old = sharerCount{hosts: len(g), confirmedAt: now}
-		}
-		out[name] = old.hosts
-		if a.gatherSharers == nil {
-			a.gatherSharers = make(map[string]sharerCount)
-		}
-		a.gatherSharers[name] = old
-	}
-	return out
-}
-
-// sharerCount is a number of hosts and when it was last confirmed.
-type sharerCount struct {
-	hosts       int
-	confirmedAt time.Time
-}
-
-// setBudgetSharers sets the number of hosts that share the budget of extra
-// attempts. A decrease takes effect after sharerRetention, because a host that
-// is briefly unreachable keeps spending.
-func (d *Daemon) setBudgetSharers(a *applied, s *control.Snapshot, hosts int) {
-	if s.AgreedMembers.Epoch == 0 {
-		// A process that has just started knows neither the number of hosts nor
-		// what its predecessor spent.
-		hosts = max(hosts, assumedSharers)
-	}
-	now := time.Now()
-	if hosts < a.sharers && now.Sub(a.sharersAt) <= sharerRetention {
-		return
-	}
-	if hosts != a.sharers {
-		d.engine.SetHosts(hosts)
-	}
-	a.sharers, a.sharersAt = hosts, now
-}
-
-// assumedSharers is the least number of hosts that are taken to share the
-// budget before the agreed member list is known.
-const assumedSharers = 32
-
-// sharerRetention is how long a host that left still counts among the hosts
-// that share a budget: the default window of the retry budget plus a margin.
-const sharerRetention = 15 * time.Second
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/control"
@@ -22,10 +21,7 @@
 	plan        *routeplan.Table
 	placement   *placement
 	placedHosts []control.Host // from which placement was computed
-	sharers     int            // hosts that share the budget of extra attempts
-	sharersAt   time.Time
-
-	gatherSharers map[string]sharerCount
+	sharers     sharers
 }
 
 // applySnapshots updates the traffic state that outlives single requests from
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -35,6 +35,7 @@
 type placement struct {
 	gatherers map[string][]gathering.Host   // by service; absent if every host does so itself
 	chosen    map[choice][]gathering.Host   // by what the choice for a service depends on
+	sharers   map[choice]int                // hosts that may send requests to such a service
 	splits    map[uint64][][]gathering.Part // ways to divide gathers, by the set of shards
 	// unknown is true until this host has found the other hosts. Until then it
 	// opens no connections for gathers, since it can't know its share.
@@ -55,7 +56,7 @@
 // than half of the hosts keeps its previous choice: with a new one, the few hosts that it
 // sees would gather as well and exceed the connections that searchers grant.
 func newPlacement(s *control.Snapshot, age time.Duration, previous *placement) *placement {
-	p := &placement{gatherers: make(map[string][]gathering.Host), chosen: make(map[choice][]gathering.Host)}
+	p := &placement{gatherers: make(map[string][]gathering.Host), chosen: make(map[choice][]gathering.Host), sharers: make(map[choice]int)}
 	if s.Plan == nil {
 		return p
 	}
@@ -65,11 +66,11 @@
 	p.unknown = starting && s.AgreedMembers.Epoch == 0
 	keep := previous != nil && !previous.unknown && 2*len(fleet.Hosts) < fleet.Size
 	for svc := range s.Plan.Services() {
-		_, gathered := slices.BinarySearch(s.Plan.Gathered(), svc.Name)
-		key := choice{granted: svc.MaxConnections, gathered: gathered}
+		key := choiceOf(s.Plan, svc)
 		if _, done := p.chosen[key]; !done {
-			p.unknown = p.unknown || gathered && starting && !fleet.Decided(usedConnections(svc))
-			p.chosen[key] = choose(fleet, svc, gathered)
+			p.sharers[key] = fleet.Sharers(usedConnections(svc))
+			p.unknown = p.unknown || key.gathered && starting && !fleet.Decided(usedConnections(svc))
+			p.chosen[key] = choose(fleet, svc, key.gathered)
 			if keep && previous.chosen[key] != nil {
 				p.chosen[key] = previous.chosen[key]
 			}
@@ -82,6 +83,11 @@
 	return p
 }
 
+func choiceOf(plan *routeplan.Table, svc *routeplan.Service) choice {
+	_, gathered := slices.BinarySearch(plan.Gathered(), svc.Name)
+	return choice{granted: svc.MaxConnections, gathered: gathered}
+}
+
 func choose(fleet gathering.Fleet, svc *routeplan.Service, gathered bool) []gathering.Host {
 	if gathered {
 		return fleet.Choose(usedConnections(svc))
--- a/internal/daemon/placement_test.go
+++ b/internal/daemon/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +19,8 @@
 // fleetSnapshot returns what a host knows in a fleet of 6 strong and 294 weak hosts.
 // The plan gathers from the shards of the new index. It still has the services of the
 // old one, and a route that names one of them, as after a reshard.
-func fleetSnapshot(t *testing.T, known int) *control.Snapshot {
+// There are no searchers in the lost failure domains.
+func fleetSnapshot(t *testing.T, known int, lost ...string) *control.Snapshot {
 	t.Helper()
 	const hosts, shards = 300, 90
 	s := &control.Snapshot{AgreedMembers: config.Members{Epoch: 1}}
@@ -38,6 +40,9 @@
 	addService := func(name string, connections int) {
 		plan.Services = append(plan.Services, routeplan.Service{Name: name, MaxConnections: connections})
 		for k := range 3 {
+			if slices.Contains(lost, fmt.Sprintf("fd%d", k)) {
+				continue
+			}
 			_, err := registry.Announce(time.Unix(1000, 0), targets.Announcement{
 				Target: fmt.Sprintf("%s-%d", name, k), Incarnation: 1, Seq: 1, FailureDomain: fmt.Sprintf("fd%d", k), ConnectionLimit: 1,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(k), byte(len(plan.Services) >> 8), byte(len(plan.Services))}), 80),
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -11,6 +11,10 @@
 	Ratio  float64
 	Extra  float64
 	Window time.Duration
+	// WholeFrom is when a host may use its whole part of Extra. Before, the host may be
+	// the successor of one that has just spent its part, and uses only what that one
+	// had to leave unused.
+	WholeFrom time.Time
 }
 
 const (
@@ -48,8 +52,9 @@
 // NewBudget returns a budget that is not shared with other hosts.
 func NewBudget(limits BudgetLimits) Budget { return Budget{limits: limits, hosts: 1} }
 
-// SetHosts sets the number of hosts that share Extra.
-func (b *Budget) SetHosts(n int) { b.hosts = max(n, 1) }
+// SetHosts sets the number of hosts that share Extra. If it is 0, the number is not
+// known, and this host uses no part of Extra.
+func (b *Budget) SetHosts(n int) { b.hosts = max(n, 0) }
 
 // Hosts returns the number of hosts that share Extra.
 func (b *Budget) Hosts() int { return b.hosts }
@@ -89,7 +94,20 @@
 		requests += b.requests[i]
 		extras += b.extras[i]
 	}
-	return budgetUse*(b.limits.Ratio*float64(requests)+b.limits.Extra/float64(b.hosts)) - float64(extras)
+	return budgetUse*b.limits.Ratio*float64(requests) + b.fixed(now) - float64(extras)
+}
+
+// fixed returns how many extra attempts this host may make in a window whatever the
+// number of requests.
+func (b *Budget) fixed(now time.Time) float64 {
+	if b.hosts == 0 {
+		return 0
+	}
+	use := budgetUse
+	if now.Before(b.limits.WholeFrom) {
+		use = 1 - budgetUse
+	}
+	return use * b.limits.Extra / float64(b.hosts)
 }
 
 // LeftPerRequest returns how many extra attempts are left for each request of
--- a/internal/forward/forwardrun/bench_test.go
+++ b/internal/forward/forwardrun/bench_test.go
@@ -25,7 +25,7 @@
 		services = append(services, name)
 	}
 	e := New(Config{Wire: testWire{}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}})
-	e.SetSearchers(specs, nil)
+	e.SetSearchers(specs)
 	b.Cleanup(e.Close)
 	route := &routeplan.Route{Name: "g", Idempotent: true, MaxAttempts: 2, Timeout: testTimeout, Objective: testTimeout, Gather: &routeplan.Gather{Services: services, TopK: 3, MinRatio: 1}}
 	b.ReportAllocs()
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -45,10 +46,9 @@
 	dialer net.Dialer
 	memory replyMemory
 
-	mu             sync.RWMutex
-	services       map[string]*service
-	hosts          int
-	serviceSharers map[string]int // hosts that share the budget of a service, if not all do
+	mu       sync.RWMutex
+	services map[string]*service
+	sharers  Sharers
 
 	routesMu sync.Mutex
 	routes   map[string]*routeState
@@ -80,7 +80,7 @@
 
 // New returns an engine without searchers.
 func New(config Config) *Engine {
-	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), hosts: 1}
+	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), sharers: Sharers{Hosts: 1}}
 	e.ending.Store(&ending{replaced: make(chan struct{})})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -94,34 +94,44 @@
 // Stats returns the totals.
 func (e *Engine) Stats() *Stats { return &e.stats }
 
-// SetHosts sets the number of hosts that share the budgets of extra attempts.
-func (e *Engine) SetHosts(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.hosts = max(n, 1)
-	for _, s := range e.services {
-		s.setHosts(e.sharers(s.name))
-	}
+// Sharers are the numbers of hosts that share the budgets of extra attempts. 0 means
+// that the number is not known, and that this host has no fixed part of the budget.
+type Sharers struct {
+	Hosts    int
+	Services map[string]int // of services that only some hosts reach
 }
 
-// sharers returns the number of hosts that share the budget of a service.
-func (e *Engine) sharers(name string) int {
-	if n := e.serviceSharers[name]; n > 0 {
+// of returns the number of hosts that share the budget of a service.
+func (s Sharers) of(name string) int {
+	if n, ok := s.Services[name]; ok {
 		return n
 	}
-	return e.hosts
+	return s.Hosts
+}
+
+// SetSharers sets the numbers of hosts that share the budgets. It is 1 before the
+// first call.
+func (e *Engine) SetSharers(sharers Sharers) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sharers.Hosts == sharers.Hosts && maps.Equal(e.sharers.Services, sharers.Services) {
+		return
+	}
+	e.sharers = sharers
+	for _, s := range e.services {
+		s.setHosts(sharers.of(s.name))
+	}
 }
 
-// SetSearchers replaces the searchers of all services. sharers holds the number
-// of hosts that share the budget of a service, if not all do.
-func (e *Engine) SetSearchers(specs map[string][]forward.SearcherSpec, sharers map[string]int) {
+// SetSearchers replaces the searchers of all services.
+func (e *Engine) SetSearchers(specs map[string][]forward.SearcherSpec) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.serviceSharers = sharers
 	for name, list := range specs {
 		s := e.services[name]
 		if s == nil {
 			s = newService(e, name)
+			s.setHosts(e.sharers.of(name))
 			e.services[name] = s
 		}
 		s.replace(list)
@@ -130,7 +140,6 @@
 		if _, ok := specs[name]; !ok {
 			s.replace(nil)
 		}
-		s.setHosts(e.sharers(name))
 	}
 }
 
@@ -145,7 +154,7 @@
 	defer e.mu.Unlock()
 	if s = e.services[name]; s == nil {
 		s = newService(e, name)
-		s.setHosts(e.sharers(name))
+		s.setHosts(e.sharers.of(name))
 		e.services[name] = s
 	}
 	return s
--- a/internal/forward/forwardrun/engine_test.go
+++ b/internal/forward/forwardrun/engine_test.go
@@ -125,7 +125,7 @@
 func newEngine(t *testing.T, specs map[string][]forward.SearcherSpec) *Engine {
 	t.Helper()
 	e := New(Config{Wire: testWire{}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}})
-	e.SetSearchers(specs, nil)
+	e.SetSearchers(specs)
 	t.Cleanup(e.Close)
 	return e
 }
--- a/internal/forward/forwardrun/faulty_test.go
+++ b/internal/forward/forwardrun/faulty_test.go
@@ -116,11 +116,11 @@
 	for name, specs := range all {
 		onlyGood[name] = specs[:1]
 	}
-	e.SetSearchers(onlyGood, nil)
+	e.SetSearchers(onlyGood)
 	a, err := e.Do(context.Background(), gatherCall("warm", names...))
 	require.Nil(t, err)
 	require.Zero(t, a.Missing)
-	e.SetSearchers(all, nil)
+	e.SetSearchers(all)
 	var most atomic.Int64
 	done := make(chan struct{})
 	var sampler sync.WaitGroup
@@ -317,19 +317,19 @@
 			})
 			t.Cleanup(e.Close)
 			only := map[string][]forward.SearcherSpec{"a": {leaving.spec("leaving")}}
-			e.SetSearchers(only, nil)
+			e.SetSearchers(only)
 			answer, _ := e.Do(context.Background(), call("first", false))
 			require.Equal(t, "leaving", <-reported)
 			require.Len(t, answer.Leaving, 1)
 			both := map[string][]forward.SearcherSpec{"a": {leaving.spec("leaving"), stays.spec("stays")}}
-			e.SetSearchers(nil, nil) // and a delayed announcement lists it again
-			e.SetSearchers(both, nil)
+			e.SetSearchers(nil) // and a delayed announcement lists it again
+			e.SetSearchers(both)
 			for i := range 20 {
 				_, err := e.Do(context.Background(), call(fmt.Sprint(i), true))
 				require.Nil(t, err)
 			}
 			require.Zero(t, after.Load())
-			e.SetSearchers(only, nil)
+			e.SetSearchers(only)
 			_, err := e.Do(context.Background(), call("last", false))
 			require.Equal(t, verdict.NotRun, err.Verdict)
 		})
