Do not repeat a gather at another gatherer once searchers have got it

A gatherer that stops answers with "host stops" and "not run" also when searchers have rejected the request. The host that had handed it over took the next gatherer, where it arrived at up to 60 shards for a second time as a new request, which charged no budget and widened that gatherer's own. It now fails with a retry hint. TestRequestThatWasSentIsNotRepeatedAtAnotherGatherer failed before for a reply with an attempt. Other repeats at another gatherer follow replies without any attempt, or a connection that was never opened.

--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -331,6 +331,9 @@
 	err := proposalsrpc.DecodeFailure(m.GetFailure())
 	failure := verdict.New(verdict.Of(err), verdict.CodeOf(err), "%s", err.Error()).
 		WithRetryAfter(time.Duration(m.GetFailure().GetRetryAfterMs()) * time.Millisecond)
+	if m.GetAttempts() > 0 {
+		return a, failure // a repeat at another gatherer would exceed the attempts and the budget
+	}
 	switch failure.Code {
 	case codePlanBehind, codePlanDiffers, codeNotGatherer, codeHostStopping, verdict.CodeHostStops:
 		return nil, failure
