Count replies as memory in use until they are sent, with their heads and copies

Reports of other operators: a searcher sent bytes without end, and the machine that had called it ran out of memory. Endless replies were bounded; complete ones were not while they were on their way to the caller, nor were three kinds of copies: the smaller buffer while a body grows, the encoded and the decoded reply of a gatherer, and the fields of a head, which take up to 32 times their bytes.

All of these now come out of the memory for replies, an eighth of the process's, until the response has been written. Heads within the buffer of a connection are free, so that the good searchers of a service are heard when it is used up.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -36,3 +36,10 @@
 
 // InFlight returns the number of requests in progress.
 func (d *Daemon) InFlight() int { return d.inFlight.Count() }
+
+// ReplyMemoryLeft reports whether so many bytes of the memory for replies are free.
+func (d *Daemon) ReplyMemoryLeft(bytes int64) bool {
+	c := d.engine.NewCharge()
+	defer c.Release()
+	return c.Take(bytes)
+}
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -259,7 +259,8 @@
 	defer unbind()
 	attempt, cancel := context.WithDeadline(bound, call.Deadline)
 	defer cancel()
-	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), d.links.Client()).Gather(attempt, m)
+	client := &chargedClient{client: d.links.Client(), charge: d.engine.NewCharge()}
+	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), client).Gather(attempt, m)
 	d.recordGatherer(ctx, host, err)
 	if err == nil {
 		d.recordHop(time.Since(now) - time.Duration(reply.GetTookUs())*time.Microsecond)
@@ -270,6 +271,9 @@
 	for _, s := range reply.GetLeaving() {
 		d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: s.GetTarget(), Incarnation: s.GetIncarnation(), Leaving: true}})
 	}
+	if err != nil {
+		client.charge.Release()
+	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return &forwardrun.Answer{}, callerGone()
@@ -282,7 +286,13 @@
 	case err != nil:
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "call host "+host)
 	}
-	return decodeGathered(reply, host, call)
+	answer, failure := decodeGathered(reply, host, call)
+	if answer != nil && answer.Reply != nil {
+		answer.Charge = client.charge
+	} else {
+		client.charge.Release()
+	}
+	return answer, failure
 }
 
 func hostStops(v verdict.Verdict, gatherer string) *verdict.Error {
@@ -368,6 +378,10 @@
 	}
 	record.Route, record.Objective = route.Name, route.Objective
 	answer, failure := s.d.engine.Do(ctx, gatheringrpc.DecodeCall(now, m, route))
+	holdForResponse(ctx, answer)
+	if answer.Reply != nil && !answer.Charge.Take(int64(len(answer.Reply.Body))) { // for the encoded copy
+		answer.Reply, failure = nil, errReplyMemory(verdict.MayHaveRun)
+	}
 	record.Answer, record.Err = answer, failure
 	reply := gatheringrpc.EncodeAnswer(answer, time.Since(now))
 	reply.Plan = record.Plan
--- a/internal/daemon/gather_plan_test.go
+++ b/internal/daemon/gather_plan_test.go
@@ -95,14 +95,23 @@
 // startSearcher serves one record in the name of a service, with the given status, and
 // announces itself.
 func startSearcher(t *testing.T, d *daemon.Daemon, service string, status int) {
+	t.Helper()
+	startSearcherWith(t, d, service, func(w http.ResponseWriter) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, recordOf(service))
+	})
+}
+
+// startSearcherWith serves what respond writes in the name of a service, and announces
+// itself.
+func startSearcherWith(t *testing.T, d *daemon.Daemon, service string, respond func(http.ResponseWriter)) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Response-Signature", "sig-"+service)
-		w.WriteHeader(status)
-		_, _ = io.WriteString(w, recordOf(service))
+		respond(w)
 	})}
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() { _ = server.Close() })
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -44,10 +44,11 @@
 		ordersrpc.NewOrdersServer(&ordersService{d}),
 		configrpc.NewConfigServer(&configService{d}),
 		planrpc.NewPlansServer(&planService{d}),
-		gatheringrpc.NewGatheringServer(&gatheringService{d}),
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
+	gatherers := gatheringrpc.NewGatheringServer(&gatheringService{d})
+	r.PathPrefix(gatherers.PathPrefix()).Handler(releaseAfterResponse(gatherers))
 	return withoutDate(http.MaxBytesHandler(r, maxPeerBody))
 }
 
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -79,6 +79,17 @@
 	Leaving  []forward.Identity // searchers whose replies said that they leave
 	Gatherer string             // host that gathered the answer, if not this one
 	Plan     uint64             // version of the gatherer's route plan
+
+	// Charge is the memory that the searcher's reply holds, until Release.
+	Charge *Charge
+}
+
+// Release returns the memory of the searcher's reply. It must be called once the reply
+// has been sent or copied. The answer may be nil.
+func (a *Answer) Release() {
+	if a != nil {
+		a.Charge.Release()
+	}
 }
 
 // AttemptRecord describes an attempt for the log.
--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -113,7 +113,7 @@
 }
 
 func newConn(nc net.Conn, wire Wire, memory *replyMemory, onRelease func(*conn, bool)) *conn {
-	in := &headLimiter{r: nc}
+	in := &headLimiter{r: nc, memory: memory}
 	return &conn{net: nc, in: in, br: bufio.NewReaderSize(in, readBufferSize), wire: wire, memory: memory, opened: time.Now(), onRelease: onRelease}
 }
 
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -383,6 +383,14 @@
 	r.charged += reply.charged
 }
 
+// handOver returns the charge of a reply that is still in use after the run.
+func (r *runner) handOver(reply *Reply) *Charge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.charged -= reply.charged
+	return &Charge{memory: &r.engine.memory, bytes: reply.charged}
+}
+
 func (r *runner) releaseReplies() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -470,6 +478,7 @@
 	if r.call.Route.Gather == nil {
 		if len(o.Replies) > 0 {
 			a.Reply = r.replies[o.Replies[0]]
+			a.Charge = r.handOver(a.Reply)
 		}
 		return a, o.Err
 	}
--- a/internal/forward/forwardrun/reply.go
+++ b/internal/forward/forwardrun/reply.go
@@ -33,6 +33,12 @@
 	// replies of most shards and is not charged to the memory for replies: when faulty
 	// searchers have used that up, the good ones still answer.
 	firstBodyBuffer = 4 << 10
+	// headStep is the part of a head in bytes for which memory is charged at a time. The
+	// first one is free: it fits the buffer of the connection, and most heads are smaller.
+	headStep = readBufferSize
+	// headExpansion is the memory that a head takes in relation to its bytes. A field of
+	// four bytes becomes an entry of a map, its name and a list of values.
+	headExpansion = 32
 )
 
 // Reasons for closing a connection.
@@ -68,17 +74,57 @@
 
 func (m *replyMemory) release(n int64) { m.used.Add(-n) }
 
+// Charge is memory for replies that is in use until Release. It is not safe for
+// concurrent use.
+type Charge struct {
+	memory *replyMemory
+	bytes  int64
+}
+
+// NewCharge returns an empty charge on the memory for replies.
+func (e *Engine) NewCharge() *Charge { return &Charge{memory: &e.memory} }
+
+// Take reserves more bytes and reports whether they were available.
+func (c *Charge) Take(n int64) bool {
+	if !c.memory.take(n) {
+		return false
+	}
+	c.bytes += n
+	return true
+}
+
+// Release returns all bytes. The charge may be nil or released already.
+func (c *Charge) Release() {
+	if c == nil {
+		return
+	}
+	c.memory.release(c.bytes)
+	c.bytes = 0
+}
+
 // headLimiter bounds the bytes that are read from a connection for the head of a
-// response. Only the reader goroutine of the connection uses it.
+// response, and charges the memory that a large head takes. Only the reader goroutine of
+// the connection uses it.
 type headLimiter struct {
 	r       io.Reader
+	memory  *replyMemory
 	limited bool
-	left    int // bytes, while limited
+	left    int   // bytes, while limited
+	free    int   // of these, bytes that need no further charge
+	charged int64 // bytes of the memory for replies
 }
 
-func (l *headLimiter) begin() { l.limited, l.left = true, maxReplyHead }
+func (l *headLimiter) begin() { l.limited, l.left, l.free = true, maxReplyHead, headStep }
 func (l *headLimiter) end()   { l.limited = false }
 
+// takeCharge returns what the heads since the last call were charged. The caller
+// releases it.
+func (l *headLimiter) takeCharge() int64 {
+	n := l.charged
+	l.charged = 0
+	return n
+}
+
 // Read implements io.Reader.
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if !l.limited {
@@ -87,8 +133,16 @@
 	if l.left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.r.Read(b[:min(len(b), l.left)])
+	if l.free <= 0 {
+		if !l.memory.take(headStep * headExpansion) {
+			return 0, errMemoryLimited
+		}
+		l.charged += headStep * headExpansion
+		l.free = headStep
+	}
+	n, err := l.r.Read(b[:min(len(b), l.left, l.free)])
 	l.left -= n
+	l.free -= n
 	return n, err
 }
 
@@ -108,7 +162,9 @@
 			x.notice.Pause = meta.Notice.Pause
 		}
 		body, charged, err := c.readBody(x, resp)
+		charged += c.in.takeCharge()
 		if err != nil {
+			c.memory.release(charged)
 			return nil, false, err
 		}
 		keep = keep && !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
@@ -135,6 +191,7 @@
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: x.call.Method})
 		c.in.end()
 		if err != nil {
+			c.memory.release(c.in.takeCharge())
 			return nil, err
 		}
 		if resp.StatusCode >= 200 {
@@ -145,7 +202,7 @@
 }
 
 // readBody reads the body of a response. It returns the bytes that are charged to
-// the memory for replies.
+// the memory for replies, also after an error; the caller releases them.
 func (c *conn) readBody(x *exchange, resp *http.Response) (body []byte, charged int64, err error) {
 	limit := int64(maxReplySize)
 	if x.call.Route.Gather != nil {
@@ -159,23 +216,22 @@
 	if length >= 0 {
 		size = min(size, length)
 	}
-	defer func() {
-		if err != nil {
-			c.memory.release(charged)
-		}
-	}()
 	body = make([]byte, 0, size)
 	for int64(len(body)) != length {
 		if len(body) == cap(body) {
 			larger := min(2*size, limit+1)
+			if length >= 0 {
+				larger = min(larger, length)
+			}
 			switch {
 			case larger <= size:
 				return nil, charged, errBodyTooLarge
-			case !c.memory.take(larger - size):
+			case !c.memory.take(larger):
 				return nil, charged, errMemoryLimited
 			}
-			charged, size = charged+larger-size, larger
-			body = append(make([]byte, 0, size), body...)
+			body = append(make([]byte, 0, larger), body...)
+			c.memory.release(charged) // of the smaller buffer
+			charged, size = larger, larger
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
