Draw the hosts of a service that is not gathered from the agreed list

Twelve hosts drawn by rendezvous from the agreed list now carry out the requests to such a service, the same ones at every host, and a service that no route names gets no connections. TestNoServiceIsReachedFromMoreHostsThanItGrants also checks the latter.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -138,9 +138,11 @@
 		return out
 	}
 	gathered := s.Plan.Gathered()
+	fleet := gathering.Fleet{Size: hosts}
 	for r := range s.Targets.Targets() {
 		service := r.Labels[ServiceLabel]
-		if _, planned := s.Plan.Service(service); !planned || r.Status != targets.StatusAlive {
+		planned, ok := s.Plan.Service(service)
+		if !ok || r.Status != targets.StatusAlive {
 			continue
 		}
 		if _, gathers := slices.BinarySearch(gathered, service); gathers && p.unknown {
@@ -153,7 +155,7 @@
 		out[service] = append(out[service], forward.SearcherSpec{
 			Identity: forward.Identity{Target: r.Target, Incarnation: r.Incarnation, Address: r.Address, FailureDomain: r.FailureDomain},
 			Slots:    r.Searchers[0].Slots, Cold: r.Phase == targets.Cold, Capacity: connectionLimit(s.Plan, service, gatherers, hosts),
-			OnDemand: p.unknown,
+			OnDemand: p.unknown || gatherers == nil && !fleet.GrantedToAll(planned.MaxConnections),
 		})
 	}
 	return out
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -46,6 +46,7 @@
 type choice struct {
 	granted  int // connections to each searcher
 	gathered bool
+	service  string // if it is not gathered
 }
 
 // discoveryTimeout is the age from which a process assumes that it knows all
@@ -68,9 +69,8 @@
 	for svc := range s.Plan.Services() {
 		key := choiceOf(s.Plan, svc)
 		if _, done := p.chosen[key]; !done {
-			p.sharers[key] = fleet.Sharers(usedConnections(svc))
 			p.unknown = p.unknown || key.gathered && starting && !fleet.Decided(usedConnections(svc))
-			p.chosen[key] = choose(fleet, svc, key.gathered)
+			p.chosen[key], p.sharers[key] = choose(fleet, svc, key.gathered, s.Plan.Routed(svc.Name))
 			if keep && previous.chosen[key] != nil {
 				p.chosen[key] = previous.chosen[key]
 			}
@@ -84,15 +84,25 @@
 }
 
 func choiceOf(plan *routeplan.Table, svc *routeplan.Service) choice {
-	_, gathered := slices.BinarySearch(plan.Gathered(), svc.Name)
-	return choice{granted: svc.MaxConnections, gathered: gathered}
+	if _, gathered := slices.BinarySearch(plan.Gathered(), svc.Name); gathered {
+		return choice{granted: svc.MaxConnections, gathered: true}
+	}
+	return choice{granted: svc.MaxConnections, service: svc.Name}
 }
 
-func choose(fleet gathering.Fleet, svc *routeplan.Service, gathered bool) []gathering.Host {
+// choose returns the gatherers of a service, and how many hosts share its budget. A
+// service that no route names has no gatherers if its searchers don't grant a connection
+// to every host.
+func choose(fleet gathering.Fleet, svc *routeplan.Service, gathered, routed bool) (chosen []gathering.Host, sharers int) {
 	if gathered {
-		return fleet.Choose(usedConnections(svc))
+		return fleet.Choose(usedConnections(svc)), fleet.Sharers(usedConnections(svc))
+	}
+	if routed {
+		chosen = fleet.ChooseForOne(svc.Name, svc.MaxConnections)
+	} else if !fleet.GrantedToAll(svc.MaxConnections) {
+		chosen = []gathering.Host{}
 	}
-	return fleet.ChooseForOne(svc.MaxConnections, usedConnections(svc))
+	return chosen, fleet.SharersForOne(svc.MaxConnections)
 }
 
 // nearShare is the least share of the gathered services that must have a
@@ -108,7 +118,8 @@
 			f.Hosts = append(f.Hosts, gathering.Host{Name: h.Host, FailureDomain: h.FailureDomain, Capacity: h.Capacity})
 		}
 	}
-	f.Size = max(len(f.Hosts), len(s.AgreedMembers.Hosts))
+	f.Agreed = s.AgreedMembers.Hosts
+	f.Size = max(len(f.Hosts), len(f.Agreed))
 	for domain, services := range holders {
 		f.Near[domain] = float64(len(services)) >= nearShare*float64(len(s.Plan.Gathered()))
 	}
--- a/internal/daemon/placement_test.go
+++ b/internal/daemon/placement_test.go
@@ -85,6 +85,7 @@
 	}
 	require.Equal(t, 300, held["desk"]/min(held["desk"]/300, maxConnectionsPerHost), "every host reaches a service that grants enough")
 	require.Positive(t, held["old0"], "a route still names it")
+	require.Zero(t, held["old1"], "no route names it")
 }
 
 // Guards against a host that has just started and opens connections to all searchers
--- a/internal/daemon/sharing.go
+++ b/internal/daemon/sharing.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/control"
@@ -55,6 +56,10 @@
 		count.update(now, hosts, retention)
 		c.choices[key] = count
 	}
+	maps.DeleteFunc(c.choices, func(key choice, count sharerCount) bool {
+		_, current := p.sharers[key]
+		return !current && now.Sub(count.confirmedAt) > retention
+	})
 	out := forwardrun.Sharers{Hosts: c.all.hosts, Services: make(map[string]int, len(p.gatherers))}
 	for name := range p.gatherers {
 		svc, _ := s.Plan.Service(name)
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -42,6 +42,9 @@
 	// reservePercent is the part of the connections that a searcher grants which is
 	// kept for hosts that start again while it still counts their earlier ones.
 	reservePercent = 10
+	// hostsForOne is the number of hosts that carry out the requests to one service.
+	// With a tenth of the hosts down, no service is left without several of them.
+	hostsForOne = 12
 	// maxOwnShards is the maximum number of shards for which every host gathers for
 	// itself. With more, a weak host's processor takes longer than the latency
 	// objective allows.
@@ -55,6 +58,8 @@
 	Near  map[string]bool // failure domains with searchers of most shards
 
 	Shards int // of the largest gather
+
+	Agreed []string // names of the agreed members, seen or not
 }
 
 // Decided reports whether enough hosts are known to choose gatherers: there are
@@ -107,20 +112,52 @@
 	return f.strongest(connections)
 }
 
+// GrantedToAll reports whether a searcher that grants so many connections has one for
+// every host, and some to spare for those that start again.
+func (f Fleet) GrantedToAll(granted int) bool {
+	return max(f.Size, len(f.Hosts)) <= granted-granted*reservePercent/100
+}
+
 // ChooseForOne returns the hosts that carry out the requests to a service from which no
 // route gathers. It returns nil if its searchers grant a connection to every host, which
-// then sends its requests itself. granted is the number of connections that each
-// searcher grants to all hosts together, and connections how many of them are used.
+// then sends its requests itself, or if none of the hosts is known. granted is the number
+// of connections that each searcher grants to all hosts together.
 //
 // It accounts for shards of an index that is no longer gathered, to which some routes
-// may still lead.
-func (f Fleet) ChooseForOne(granted, connections int) []Host {
-	if max(f.Size, len(f.Hosts)) <= granted-granted*reservePercent/100 {
+// may still lead. Such requests are small, so any host can carry them out, and the
+// gatherers, which have the most work, are spared.
+func (f Fleet) ChooseForOne(service string, granted int) []Host {
+	if f.GrantedToAll(granted) {
 		return nil
 	}
-	return f.strongest(connections)
+	names := draw(f.Agreed, service, min(hostsForOne, granted))
+	var out []Host
+	for _, h := range f.Hosts {
+		if slices.Contains(names, h.Name) {
+			out = append(out, h)
+		}
+	}
+	return out
 }
 
+// draw returns the n names with the greatest rendezvous weights for a key. Hosts with the
+// same agreed list draw the same names, whichever of the others they see.
+func draw(names []string, key string, n int) []string {
+	out, weights := make([]string, 0, n+1), make([]uint64, 0, n+1)
+	for _, name := range names {
+		w := weight(name, key)
+		i, _ := slices.BinarySearchFunc(weights, w, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if i == n {
+			continue
+		}
+		out, weights = slices.Insert(out, i, name), slices.Insert(weights, i, w)
+		out, weights = out[:min(n, len(out))], weights[:min(n, len(weights))]
+	}
+	return out
+}
+
+func weight(name, key string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
+
 // strongest returns as many strong hosts as have enough connections each, only near ones
 // if there are a few of them.
 func (f Fleet) strongest(connections int) []Host {
@@ -135,8 +172,19 @@
 	return strong[:min(max(connections/minConnections, 1), len(strong))]
 }
 
-// Sharers returns a number of hosts that is not less than the number of those that send
-// requests to the searchers of a service, whichever hosts each of them knows. Hosts with
+// SharersForOne returns a number of hosts that is not less than the number of those that
+// ChooseForOne returns at all hosts together. While the agreed list changes, hosts draw
+// from two lists.
+func (f Fleet) SharersForOne(granted int) int {
+	size := max(f.Size, len(f.Hosts))
+	if f.GrantedToAll(granted) {
+		return size
+	}
+	return min(2*hostsForOne, size)
+}
+
+// Sharers returns a number of hosts that is not less than the number of those that gather
+// from a service, whichever hosts each of them knows. Hosts with
 // different views choose different gatherers, and all of them may be in use at once.
 func (f Fleet) Sharers(connections int) int {
 	size := max(f.Size, len(f.Hosts))
@@ -183,7 +231,7 @@
 func Heaviest(hosts []Host, key string) (chosen Host, ok bool) {
 	var most uint64
 	for _, h := range hosts {
-		if w := xxhash.Sum64String(h.Name + "\x00" + key); !ok || w > most {
+		if w := weight(h.Name, key); !ok || w > most {
 			chosen, most, ok = h, w, true
 		}
 	}
--- a/internal/routeplan/table.go
+++ b/internal/routeplan/table.go
@@ -16,6 +16,7 @@
 	services map[string]*Service
 	gathered []string // names of the services from which some route gathers, sorted
 	gathers  map[uint64]*Gather
+	routed   map[string]bool // names of the services that some route names
 }
 
 // routeKey is the host name and path prefix of a route.
@@ -23,13 +24,16 @@
 
 // NewTable returns the table of a valid plan.
 func NewTable(p *Plan) *Table {
-	t := &Table{Version: p.Version, Limits: p.Limits, routes: make(map[routeKey]*Route, len(p.Routes)), services: make(map[string]*Service, len(p.Services)), gathers: make(map[uint64]*Gather)}
+	t := &Table{Version: p.Version, Limits: p.Limits, routes: make(map[routeKey]*Route, len(p.Routes)), services: make(map[string]*Service, len(p.Services)), gathers: make(map[uint64]*Gather), routed: make(map[string]bool)}
 	for i := range p.Services {
 		t.services[p.Services[i].Name] = &p.Services[i]
 	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		t.routes[routeKey{canonicalHost(r.Host), r.PathPrefix}] = r
+		for _, name := range r.Services() {
+			t.routed[name] = true
+		}
 		if r.Gather != nil {
 			t.gathers[r.Gather.SetID()] = r.Gather
 		}
@@ -68,6 +72,9 @@
 // Services returns all services of the plan, in no particular order.
 func (t *Table) Services() iter.Seq[*Service] { return maps.Values(t.services) }
 
+// Routed reports whether some route names the service.
+func (t *Table) Routed(service string) bool { return t.routed[service] }
+
 // Gathered returns the names of all services from which some route gathers,
 // sorted. The caller must not modify the result.
 func (t *Table) Gathered() []string { return t.gathered }
