Carry out requests of a mixed route on hosts with all of its connections

A route may divide its requests between a gathered service and one that is not. The host that carries one out chooses the service, and would have refused every request for one that it has no connections to.

--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -33,8 +33,10 @@
 
 // placement records which hosts carry out the requests to each service. It is immutable.
 type placement struct {
-	gatherers map[string][]gathering.Host   // by service; absent if every host does so itself
+	gatherers map[string][]gathering.Host   // with connections, by service; absent if every host has them
+	carriers  map[string][]gathering.Host   // that get the requests to a service that is not gathered
 	chosen    map[choice][]gathering.Host   // by what the choice for a service depends on
+	carrying  map[choice][]gathering.Host   // carriers, by the same
 	sharers   map[choice]int                // hosts that may send requests to such a service
 	splits    map[uint64][][]gathering.Part // ways to divide gathers, by the set of shards
 	// unknown is true until this host has found the other hosts. Until then it
@@ -46,7 +48,7 @@
 type choice struct {
 	granted  int // connections to each searcher
 	gathered bool
-	service  string // if it is not gathered
+	routed   bool // some route names it
 }
 
 // discoveryTimeout is the age from which a process assumes that it knows all
@@ -57,7 +59,10 @@
 // than half of the hosts keeps its previous choice: with a new one, the few hosts that it
 // sees would gather as well and exceed the connections that searchers grant.
 func newPlacement(s *control.Snapshot, age time.Duration, previous *placement) *placement {
-	p := &placement{gatherers: make(map[string][]gathering.Host), chosen: make(map[choice][]gathering.Host), sharers: make(map[choice]int)}
+	p := &placement{
+		gatherers: make(map[string][]gathering.Host), carriers: make(map[string][]gathering.Host),
+		chosen: make(map[choice][]gathering.Host), carrying: make(map[choice][]gathering.Host), sharers: make(map[choice]int),
+	}
 	if s.Plan == nil {
 		return p
 	}
@@ -70,39 +75,41 @@
 		key := choiceOf(s.Plan, svc)
 		if _, done := p.chosen[key]; !done {
 			p.unknown = p.unknown || key.gathered && starting && !fleet.Decided(usedConnections(svc))
-			p.chosen[key], p.sharers[key] = choose(fleet, svc, key.gathered, s.Plan.Routed(svc.Name))
+			p.choose(fleet, svc, key)
 			if keep && previous.chosen[key] != nil {
-				p.chosen[key] = previous.chosen[key]
+				p.chosen[key], p.carrying[key] = previous.chosen[key], previous.carrying[key]
 			}
 		}
 		if g := p.chosen[key]; g != nil {
 			p.gatherers[svc.Name] = g
 		}
+		if c := p.carrying[key]; c != nil {
+			p.carriers[svc.Name] = c
+		}
 	}
 	p.splits = splitGathers(s.Plan, p.gatherers, holders)
 	return p
 }
 
 func choiceOf(plan *routeplan.Table, svc *routeplan.Service) choice {
-	if _, gathered := slices.BinarySearch(plan.Gathered(), svc.Name); gathered {
-		return choice{granted: svc.MaxConnections, gathered: true}
-	}
-	return choice{granted: svc.MaxConnections, service: svc.Name}
+	_, gathered := slices.BinarySearch(plan.Gathered(), svc.Name)
+	return choice{granted: svc.MaxConnections, gathered: gathered, routed: plan.Routed(svc.Name)}
 }
 
-// choose returns the gatherers of a service, and how many hosts share its budget. A
-// service that no route names has no gatherers if its searchers don't grant a connection
-// to every host.
-func choose(fleet gathering.Fleet, svc *routeplan.Service, gathered, routed bool) (chosen []gathering.Host, sharers int) {
-	if gathered {
-		return fleet.Choose(usedConnections(svc)), fleet.Sharers(usedConnections(svc))
-	}
-	if routed {
-		chosen = fleet.ChooseForOne(svc.Name, svc.MaxConnections)
-	} else if !fleet.GrantedToAll(svc.MaxConnections) {
-		chosen = []gathering.Host{}
+// choose chooses the hosts for the services with the same choice. A service that no
+// route names is reached by no host if its searchers don't grant a connection to each.
+func (p *placement) choose(fleet gathering.Fleet, svc *routeplan.Service, key choice) {
+	used := usedConnections(svc)
+	switch {
+	case key.gathered:
+		p.chosen[key], p.sharers[key] = fleet.Choose(used), fleet.Sharers(used)
+		return
+	case key.routed:
+		p.carrying[key], p.chosen[key] = fleet.ChooseForOne(svc.MaxConnections, used)
+	case !fleet.GrantedToAll(svc.MaxConnections):
+		p.chosen[key] = []gathering.Host{}
 	}
-	return chosen, fleet.SharersForOne(svc.MaxConnections)
+	p.sharers[key] = fleet.SharersForOne(svc.MaxConnections, used)
 }
 
 // nearShare is the least share of the gathered services that must have a
@@ -149,7 +156,8 @@
 
 // same reports whether two placements choose the same hosts.
 func (p *placement) same(q *placement) bool {
-	return p != nil && p.unknown == q.unknown && maps.EqualFunc(p.gatherers, q.gatherers, slices.Equal[[]gathering.Host])
+	return p != nil && p.unknown == q.unknown && maps.EqualFunc(p.gatherers, q.gatherers, slices.Equal[[]gathering.Host]) &&
+		maps.EqualFunc(p.carriers, q.carriers, slices.Equal[[]gathering.Host])
 }
 
 // names returns the hosts that gather from any service.
@@ -163,18 +171,27 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// gatherersOf returns the gatherers of a route, or nil if every host gathers for
-// itself.
+// gatherersOf returns the hosts that carry out the requests of a route, or nil if every
+// host does so itself. They have connections to all services of the route.
 func (p *placement) gatherersOf(r *routeplan.Route) []gathering.Host {
 	if p == nil {
 		return nil
 	}
-	for _, name := range r.Services() {
-		if g := p.gatherers[name]; g != nil {
-			return g
+	services := r.Services()
+	if len(services) == 1 && p.carriers[services[0]] != nil {
+		return p.carriers[services[0]]
+	}
+	var common []gathering.Host
+	for _, name := range services {
+		switch g := p.gatherers[name]; {
+		case g == nil || sameSlice(common, g):
+		case common == nil:
+			common = g
+		default:
+			common = gathering.Intersection(common, g)
 		}
 	}
-	return nil
+	return common
 }
 
 // gatherState is the state that a host needs to send requests to gatherers.
--- a/internal/daemon/placement_test.go
+++ b/internal/daemon/placement_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/gathering"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/settings"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
@@ -60,6 +61,7 @@
 	plan.Routes = []routeplan.Route{
 		{Name: "all", Host: "x", PathPrefix: "/all/", Gather: gather},
 		{Name: "old", Host: "x", PathPrefix: "/old/", Splits: []routeplan.Split{{Service: "old0", Weight: 1}}},
+		{Name: "mixed", Host: "x", PathPrefix: "/mixed/", Splits: []routeplan.Split{{Service: "old0", Weight: 1}, {Service: "new0", Weight: 1}, {Service: "desk", Weight: 1}}},
 		{Name: "desk", Host: "x", PathPrefix: "/desk/", Splits: []routeplan.Split{{Service: "desk", Weight: 1}}},
 	}
 	s.Plan, s.Targets = routeplan.NewTable(plan), registry.View()
@@ -100,3 +102,25 @@
 		}
 	}
 }
+
+// Guards against requests that are handed to a host without connections to one of the
+// services among which their route divides them, and against gatherers that also carry
+// out the requests to single services.
+func TestRouteIsCarriedOutByHostsWithAllItsConnections(t *testing.T) {
+	s := fleetSnapshot(t, 300)
+	p := newPlacement(s, time.Hour, nil)
+	for path, services := range map[string][]string{"/all/x": {"new0", "new1"}, "/old/x": {"old0"}, "/mixed/x": {"old0", "new0", "desk"}} {
+		hosts := p.gatherersOf(s.Plan.Route("x", path))
+		require.NotEmpty(t, hosts, path)
+		for _, h := range hosts {
+			specs := (&Daemon{settings: &settings.Settings{Host: h.Name}}).searcherSpecs(s, p, len(s.Hosts))
+			for _, service := range services {
+				require.Len(t, specs[service], 3, path)
+			}
+		}
+	}
+	require.Nil(t, p.gatherersOf(s.Plan.Route("x", "/desk/x")))
+	for _, h := range p.gatherersOf(s.Plan.Route("x", "/old/x")) {
+		require.False(t, gathering.Contains(p.gatherers["new0"], h.Name))
+	}
+}
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -119,43 +119,59 @@
 }
 
 // ChooseForOne returns the hosts that carry out the requests to a service from which no
-// route gathers. It returns nil if its searchers grant a connection to every host, which
-// then sends its requests itself, or if none of the hosts is known. granted is the number
-// of connections that each searcher grants to all hosts together.
+// route gathers, and those that have connections to it: the gatherers too, since a route
+// may divide its requests between such a service and one that is gathered. It returns nil
+// if its searchers grant a connection to every host, which then sends its requests itself,
+// or if none of the carriers is known. granted is the number of connections that each
+// searcher grants to all hosts together, and connections how many of them are used.
 //
 // It accounts for shards of an index that is no longer gathered, to which some routes
 // may still lead. Such requests are small, so any host can carry them out, and the
 // gatherers, which have the most work, are spared.
-func (f Fleet) ChooseForOne(service string, granted int) []Host {
+func (f Fleet) ChooseForOne(granted, connections int) (carriers, connected []Host) {
 	if f.GrantedToAll(granted) {
-		return nil
+		return nil, nil
 	}
-	names := draw(f.Agreed, service, min(hostsForOne, granted))
-	var out []Host
+	names := draw(f.Agreed, min(hostsForOne, granted))
 	for _, h := range f.Hosts {
 		if slices.Contains(names, h.Name) {
-			out = append(out, h)
+			carriers = append(carriers, h)
 		}
 	}
-	return out
+	if carriers == nil {
+		return nil, nil
+	}
+	return carriers, union(carriers, f.strongest(connections))
 }
 
-// draw returns the n names with the greatest rendezvous weights for a key. Hosts with the
-// same agreed list draw the same names, whichever of the others they see.
-func draw(names []string, key string, n int) []string {
-	out, weights := make([]string, 0, n+1), make([]uint64, 0, n+1)
-	for _, name := range names {
-		w := weight(name, key)
-		i, _ := slices.BinarySearchFunc(weights, w, func(a, b uint64) int { return cmp.Compare(b, a) })
-		if i == n {
-			continue
+// union returns the hosts of two lists, each once.
+func union(a, b []Host) []Host {
+	out := slices.Clone(a)
+	for _, h := range b {
+		if !Contains(a, h.Name) {
+			out = append(out, h)
 		}
-		out, weights = slices.Insert(out, i, name), slices.Insert(weights, i, w)
-		out, weights = out[:min(n, len(out))], weights[:min(n, len(weights))]
 	}
 	return out
 }
 
+// Intersection returns the hosts that are in both lists.
+func Intersection(a, b []Host) []Host {
+	return slices.DeleteFunc(slices.Clone(a), func(h Host) bool { return !Contains(b, h.Name) })
+}
+
+// draw returns n names that depend on the list alone. Hosts with the same agreed list
+// draw the same names, whichever of the others they see.
+func draw(names []string, n int) []string {
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(b, drawKey), weight(a, drawKey)), cmp.Compare(a, b))
+	})
+	return out[:min(n, len(out))]
+}
+
+const drawKey = "single services"
+
 func weight(name, key string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
 
 // strongest returns as many strong hosts as have enough connections each, only near ones
@@ -173,14 +189,14 @@
 }
 
 // SharersForOne returns a number of hosts that is not less than the number of those that
-// ChooseForOne returns at all hosts together. While the agreed list changes, hosts draw
-// from two lists.
-func (f Fleet) SharersForOne(granted int) int {
+// send requests to a service from which no route gathers. While the agreed list changes,
+// hosts draw from two lists.
+func (f Fleet) SharersForOne(granted, connections int) int {
 	size := max(f.Size, len(f.Hosts))
 	if f.GrantedToAll(granted) {
 		return size
 	}
-	return min(2*hostsForOne, size)
+	return min(2*hostsForOne+f.Sharers(connections), size)
 }
 
 // Sharers returns a number of hosts that is not less than the number of those that gather
