Apply changes of targets and hosts together in large fleets

The class: work in proportion to the whole fleet for each single change.

A new plan is applied at once. TestManyChangesAreAppliedTogether fails without the wait (1,000 updates a second).

--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/control"
@@ -12,6 +13,7 @@
 
 // applied is the state that applySnapshots last applied to the traffic side.
 type applied struct {
+	at      time.Time // zero before the first one
 	table   *routing.Table
 	targets *targets.View
 	view    connections.View
@@ -30,7 +32,14 @@
 	a := &applied{shares: make(map[netip.AddrPort]int)}
 	for {
 		snapshot, replaced := d.loop.Watch()
+		if wait := a.wait(time.Now(), snapshot); wait > 0 {
+			if !d.sleepUntilReplaced(wait, replaced) {
+				return
+			}
+			continue
+		}
 		d.apply(a, snapshot)
+		a.at = time.Now()
 		select {
 		case <-replaced:
 		case <-d.ctx.Done():
@@ -39,6 +48,34 @@
 	}
 }
 
+// sleepUntilReplaced waits for a time or a newer snapshot, and reports whether the host
+// goes on.
+func (d *Daemon) sleepUntilReplaced(wait time.Duration, replaced <-chan struct{}) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-replaced:
+	case <-d.ctx.Done():
+		return false
+	}
+	return true
+}
+
+// applyPeriod is the least time between two updates of the traffic state from snapshots,
+// for each target and host in them. An update looks at all of them, which takes about a
+// microsecond each, and in a large fleet something changes every few milliseconds.
+const applyPeriod = 100 * time.Microsecond
+
+// wait returns how long a snapshot waits for further changes before it is applied. A new
+// route plan does not wait.
+func (a *applied) wait(now time.Time, s *control.Snapshot) time.Duration {
+	if a.at.IsZero() || a.plan != s.Plan || s.Plan == nil {
+		return 0
+	}
+	return a.at.Add(applyPeriod * time.Duration(s.Targets.Len()+len(s.Hosts))).Sub(now)
+}
+
 func (d *Daemon) apply(a *applied, s *control.Snapshot) {
 	if a.table != s.Table {
 		a.table = s.Table
--- /dev/null
+++ b/internal/daemon/apply_test.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+)
+
+// Guards against hosts of a large fleet that update the state of their traffic with each
+// change of a target: while 270 shards were replaced, this took most of their processor
+// time.
+func TestManyChangesAreAppliedTogether(t *testing.T) {
+	updates := func(s *control.Snapshot) (n int) {
+		a := &applied{plan: s.Plan}
+		start := time.Unix(1000, 0)
+		for now := start; now.Before(start.Add(time.Second)); now = now.Add(time.Millisecond) {
+			if a.wait(now, s) <= 0 { // a change every millisecond
+				a.at = now
+				n++
+			}
+		}
+		return n
+	}
+	large := fleetSnapshot(t, 300)
+	require.LessOrEqual(t, updates(large), 20)
+	require.GreaterOrEqual(t, updates(large), 5)
+	small := *large
+	small.Hosts, small.Targets = large.Hosts[:11], fleetSnapshot(t, 1, "fd0", "fd1", "fd2").Targets
+	require.Greater(t, updates(&small), 100)
+	newer := *large
+	newer.Plan = routeplan.NewTable(&routeplan.Plan{Version: 10})
+	a := &applied{plan: large.Plan, at: time.Unix(1000, 0)}
+	require.Positive(t, a.wait(a.at, large))
+	require.Zero(t, a.wait(a.at, &newer), "a new plan is applied at once")
+}
