Bound the wait of a change in fleets of any size

At 110,000 searchers the time between two updates of the traffic state would have been 12 s. It is now 0.5 s at most, within the few seconds after which a searcher that leaves must get no requests.

--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -67,13 +67,18 @@
 // microsecond each, and in a large fleet something changes every few milliseconds.
 const applyPeriod = 100 * time.Microsecond
 
+// maxApplyWait bounds the time between two updates. Searchers that leave must get no
+// further requests after a few seconds.
+const maxApplyWait = 500 * time.Millisecond
+
 // wait returns how long a snapshot waits for further changes before it is applied. A new
 // route plan does not wait.
 func (a *applied) wait(now time.Time, s *control.Snapshot) time.Duration {
 	if a.at.IsZero() || a.plan != s.Plan || s.Plan == nil {
 		return 0
 	}
-	return a.at.Add(applyPeriod * time.Duration(s.Targets.Len()+len(s.Hosts))).Sub(now)
+	period := applyPeriod * time.Duration(s.Targets.Len()+len(s.Hosts))
+	return a.at.Add(min(period, maxApplyWait)).Sub(now)
 }
 
 func (d *Daemon) apply(a *applied, s *control.Snapshot) {
--- a/internal/daemon/apply_test.go
+++ b/internal/daemon/apply_test.go
@@ -31,6 +31,9 @@
 	small := *large
 	small.Hosts, small.Targets = large.Hosts[:11], fleetSnapshot(t, 1, "fd0", "fd1", "fd2").Targets
 	require.Greater(t, updates(&small), 100)
+	huge := *large
+	huge.Hosts = make([]control.Host, 100_000)
+	require.GreaterOrEqual(t, updates(&huge), 2, "searchers that leave are known in time")
 	newer := *large
 	newer.Plan = routeplan.NewTable(&routeplan.Plan{Version: 10})
 	a := &applied{plan: large.Plan, at: time.Unix(1000, 0)}
