Count the sharers of budgets only when they can have changed

They are now counted after a change of the hosts, the targets, the plan or the agreed list, and once a second for decreases. A placement whose choice stayed the same also passes on its counts, which had been dropped.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -187,15 +187,19 @@
 		a.placedHosts = s.Hosts
 		p = newPlacement(s, time.Since(d.startedAt), a.placement)
 	}
+	recomputed := p != a.placement
 	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
 		if !a.placement.same(p) {
 			d.log.Log(eventGatherersChanged).Strs("gatherers", p.names()).Bool("unknown", p.unknown).Int("hosts", hosts).Int("live", liveHosts(s)).Send()
 		}
-		a.plan, a.hosts, a.placement = s.Plan, hosts, p
+		a.plan, a.hosts = s.Plan, hosts
 		d.gather.placement.Store(p)
 		d.engine.SetSearchers(d.searcherSpecs(s, p, hosts))
 	}
-	d.engine.SetSharers(a.sharers.update(time.Now(), d.settings.RetryWindow, s, p))
+	a.placement = p // its counts of sharers may differ although the choice is the same
+	if now := time.Now(); recomputed || a.sharers.due(now, s) {
+		d.engine.SetSharers(a.sharers.update(now, d.settings.RetryWindow, s, p))
+	}
 }
 
 // sameSlice reports whether two slices have the same length and first element
--- a/internal/daemon/sharing.go
+++ b/internal/daemon/sharing.go
@@ -35,15 +35,26 @@
 
 // sharers is what a host knows of those with which it shares budgets.
 type sharers struct {
+	epoch   uint64                 // of the agreed member list
+	at      time.Time              // of the last update
 	all     sharerCount            // of services that every host reaches by itself
 	choices map[choice]sharerCount // of the others
 }
 
+// sharersPeriod is the time between two updates that only look for a decrease.
+const sharersPeriod = time.Second
+
+// due reports whether the counts may change although the placement did not.
+func (c *sharers) due(now time.Time, s *control.Snapshot) bool {
+	return c.epoch != s.AgreedMembers.Epoch || now.Sub(c.at) >= sharersPeriod
+}
+
 // update takes over what a snapshot shows. The result has no counts before the agreed
 // member list is known: each host that starts knows only a few others, and their parts
 // together would exceed the budget.
 func (c *sharers) update(now time.Time, window time.Duration, s *control.Snapshot, p *placement) forwardrun.Sharers {
-	if s.AgreedMembers.Epoch == 0 {
+	c.epoch, c.at = s.AgreedMembers.Epoch, now
+	if c.epoch == 0 {
 		return forwardrun.Sharers{}
 	}
 	retention := window + window/2 // the time until every host knows of a change is within half a window
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -200,8 +200,8 @@
 }
 
 // Sharers returns a number of hosts that is not less than the number of those that gather
-// from a service, whichever hosts each of them knows. Hosts with
-// different views choose different gatherers, and all of them may be in use at once.
+// from a service, whichever hosts each of them knows. Hosts with different views choose
+// different gatherers, and all of them may be in use at once.
 func (f Fleet) Sharers(connections int) int {
 	size := max(f.Size, len(f.Hosts))
 	if size <= max(connections, 1) {
