--- a/internal/daemon/apply_test.go
+++ b/internal/daemon/apply_test.go
@@ -11,8 +11,7 @@
 )
 
 // Guards against hosts of a large fleet that update the state of their traffic with each
-// change of a target: while 270 shards were replaced, this took most of their processor
-// time.
+// change of a target, for which they look at all targets and hosts.
 func TestManyChangesAreAppliedTogether(t *testing.T) {
 	updates := func(s *control.Snapshot) (n int) {
 		a := &applied{plan: s.Plan}
