Show that a suspended leader answers reads with an older configuration

The lease is measured by a clock that stands still while the machine is suspended (DEPLOY.md, Clocks).

Hosts of both simulations now have a clock that can stand still.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -127,3 +127,36 @@
 	}
 	return states
 }
+
+// Guards against reads that miss a committed entry because a host's clock does not count the time for which it was suspended.
+func TestReadsAreCurrentAfterSuspensions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t.Fatalf, rapid.Uint64().Draw(t, "seed"), 3)
+		s.clocksStop = true
+		s.recover()
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(*rapid.T) {
+				s.run(time.Duration(rapid.SampledFrom([]int{10, 100, 1000, 5000}).Draw(t, "ms")) * time.Millisecond)
+			},
+			"suspend": func(*rapid.T) { s.hosts[rapid.IntRange(0, 2).Draw(t, "host")].asleep = true },
+			"wake": func(*rapid.T) {
+				for _, h := range s.hosts {
+					h.asleep = false
+					s.read(h, true)
+				}
+			},
+			"propose": func(*rapid.T) {
+				for _, h := range s.hosts {
+					if !h.asleep {
+						s.propose(h)
+					}
+				}
+			},
+		})
+		for _, h := range s.hosts {
+			h.asleep = false
+		}
+		s.recover()
+		s.checkProgress()
+	})
+}
--- a/internal/consensus/invariants_test.go
+++ b/internal/consensus/invariants_test.go
@@ -21,7 +21,7 @@
 // still serve lease reads.
 func (s *sim) checkLeases(elected *simHost) {
 	for _, h := range s.hosts {
-		if h == elected || h.node == nil || h.node.role != Leader {
+		if s.clocksStop || h == elected || h.node == nil || h.node.role != Leader {
 			continue
 		}
 		other := *h.node
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -62,6 +62,8 @@
 	node    *Node // nil while down
 	rate    float64
 	offset  time.Duration
+	asleep  bool          // the machine is suspended: it does nothing and its clock stands still
+	slept   time.Duration // for which the clock stood still
 	applied uint64
 	checked entryID // last entry of the log at the last check
 }
@@ -90,6 +92,7 @@
 	network           []simMessage
 	blocked           map[[2]string]bool
 	loss              float64
+	clocksStop        bool // clocks do not count suspensions, so leases may outlast elections
 	maxDelay, maxSync time.Duration
 	disks             map[Identity]*simDisk // all disks, including lost ones
 
@@ -187,7 +190,7 @@
 }
 
 func (h *simHost) clock(now time.Duration) time.Time {
-	return time.Unix(0, 0).Add(h.offset + time.Duration(float64(now)*h.rate))
+	return time.Unix(0, 0).Add(h.offset + time.Duration(float64(now-h.slept)*h.rate))
 }
 
 func (s *sim) step(h *simHost, ev Event) {
@@ -281,6 +284,10 @@
 		s.now += simStep
 		s.deliver()
 		for _, h := range s.hosts {
+			if h.asleep {
+				h.slept += simStep
+				continue
+			}
 			s.sync(h)
 			s.step(h, Tick{})
 		}
@@ -288,7 +295,7 @@
 }
 
 func (s *sim) deliver() {
-	due := func(m simMessage) bool { return m.dueAt <= s.now }
+	due := func(m simMessage) bool { return m.dueAt <= s.now && !s.host(m.to).asleep }
 	var ready []simMessage
 	for _, m := range s.network {
 		if due(m) {
--- a/internal/faultmatrix/host_test.go
+++ b/internal/faultmatrix/host_test.go
@@ -37,6 +37,8 @@
 	up          bool
 	paused      bool
 	inbox       []func()
+	suspendedAt time.Time     // zero while the host's clock runs
+	lostTime    time.Duration // for which the host's clock stood still
 	incarnation uint64
 	core        *control.Core
 	node        *consensus.Node
@@ -84,8 +86,8 @@
 	if sim.findVoters {
 		sim.useVoterDiscovery(h, &options)
 	}
-	h.core = control.NewCore(options, sim.now)
-	h.execute(h.core.Start(sim.now))
+	h.core = control.NewCore(options, h.clock())
+	h.execute(h.core.Start(h.clock()))
 	h.publish()
 	h.tick(h.incarnation)
 }
@@ -119,13 +121,13 @@
 	if !h.up {
 		return
 	}
-	h.execute(h.core.Step(h.sim.now, ev))
+	h.execute(h.core.Step(h.clock(), ev))
 	if h.up {
 		h.publish()
 	}
 }
 
-func (h *host) publish() { h.snapshot = h.core.Snapshot(h.sim.now) }
+func (h *host) publish() { h.snapshot = h.core.Snapshot(h.clock()) }
 
 // call steps the core with an event whose outcome goes to done.
 func (h *host) call(build func(token uint64) control.Event, done callback) {
@@ -152,6 +154,24 @@
 	}
 }
 
+// suspend pauses the host and stops its clock. wake ends that and first runs f, which
+// arrived meanwhile ahead of all other messages.
+func (h *host) suspend() {
+	h.pause()
+	h.suspendedAt = h.sim.now
+}
+
+func (h *host) wake(f func()) {
+	h.lostTime += h.sim.now.Sub(h.suspendedAt)
+	h.suspendedAt = time.Time{}
+	h.paused = false
+	f()
+	h.resume()
+}
+
+// clock returns the host's own time.
+func (h *host) clock() time.Time { return h.sim.now.Add(-h.lostTime) }
+
 func (h *host) stop() {
 	h.step(control.LifecycleEvent{Event: lifecycle.StopRequested{InFlight: h.inFlight}})
 }
--- a/internal/faultmatrix/invariants_test.go
+++ b/internal/faultmatrix/invariants_test.go
@@ -19,7 +19,7 @@
 // entry.Gate.Check, which would build an error that is not needed here.
 func (h *host) serving() bool {
 	g := h.snapshot.Gate
-	return h.running() && g.Accepting && g.Evidence.Freshness(h.sim.now) != membership.Stale
+	return h.running() && g.Accepting && g.Evidence.Freshness(h.clock()) != membership.Stale
 }
 
 // check fails the test if an invariant that must hold at any time is violated.
