Confirm every read of the replicated state by a heartbeat round

Cause: a read was answered from the leader's own copy while it held its lease, and the lease is measured by a clock that stands still while the machine is suspended. A leader that slept past the others' election timeout woke with its lease unspent and answered the reads in its sockets from a state that another leader had replaced. The class is a promise without a bound in time that rests on a clock.

Change: a read always waits for a heartbeat round that a majority acknowledges after the read has arrived. Reads share rounds under load, as before. Lease reads are gone (ReadIndex.AllowLease, ReadReady.Lease); the lease still makes a cut-off leader step down.

Tests of lease reads now ask for the same of reads by rounds: TestReadsByQuorum requires that a held lease alone answers none of ten reads; TestPausedLeaderStepsDownBeforeItActs also requires the refusal.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -36,9 +36,8 @@
 			}
 		},
 		"read": func(*rapid.T) {
-			lease := rapid.Bool().Draw(t, "lease")
 			for _, h := range s.hosts {
-				s.read(h, lease)
+				s.read(h)
 			}
 		},
 		"crash": func(*rapid.T) { s.crash(pick()) },
@@ -142,7 +141,7 @@
 			"wake": func(*rapid.T) {
 				for _, h := range s.hosts {
 					h.asleep = false
-					s.read(h, true)
+					s.read(h)
 				}
 			},
 			"propose": func(*rapid.T) {
--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -28,8 +28,13 @@
 // acknowledged by a majority therefore rules out another leader until one
 // election timeout after the round was sent. The leader's lease ends
 // MaxClockDrift earlier, and the leader steps down when it ends. A leader that
-// has sent TimeoutNow serves no lease reads for the rest of its term, because
-// the message may take effect at any later time.
+// has sent TimeoutNow holds no lease for the rest of its term, because the message
+// may take effect at any later time.
+//
+// A lease is as good as the clock that measures it. It makes a cut-off leader step
+// down and dates the confirmations that hosts serve by for a while. What must hold
+// without a bound in time rests on no clock: a read is confirmed by a heartbeat
+// round that a majority acknowledges after the read has arrived.
 //
 // # Identities and bootstrap
 //
--- a/internal/consensus/effects.go
+++ b/internal/consensus/effects.go
@@ -37,11 +37,7 @@
 }
 
 // ReadIndex asks for the index that a linearizable read must wait for.
-// AllowLease permits a lease read, which needs no heartbeat round.
-type ReadIndex struct {
-	ID         string
-	AllowLease bool
-}
+type ReadIndex struct{ ID string }
 
 // Compact replaces the log up to Index, which must have been applied, with a
 // snapshot of the state at that index. It is ignored while those entries are
@@ -144,7 +140,6 @@
 type ReadReady struct {
 	ID    string
 	Index uint64
-	Lease bool // confirmed by the lease
 }
 
 // ReadRefused reports that a read was not confirmed.
--- a/internal/consensus/invariants_test.go
+++ b/internal/consensus/invariants_test.go
@@ -18,7 +18,7 @@
 }
 
 // checkLeases guards against a leader that is elected while another one may
-// still serve lease reads.
+// still confirm its configuration by the lease.
 func (s *sim) checkLeases(elected *simHost) {
 	for _, h := range s.hosts {
 		if s.clocksStop || h == elected || h.node == nil || h.node.role != Leader {
@@ -134,8 +134,8 @@
 // was requested.
 func (s *sim) checkRead(h *simHost, r ReadReady) {
 	if r.Index < s.minReadIndex[r.ID] || h.applied < r.Index {
-		s.fatalf("read at %s returns index %d (applied %d), but %d was committed before it, lease %t",
-			h.self.Identity, r.Index, h.applied, s.minReadIndex[r.ID], r.Lease)
+		s.fatalf("read at %s returns index %d (applied %d), but %d was committed before it",
+			h.self.Identity, r.Index, h.applied, s.minReadIndex[r.ID])
 	}
-	s.reads[r.Lease]++
+	s.reads++
 }
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -77,7 +77,7 @@
 }
 
 // leaseHeld reports whether this node holds the leader's lease, so that no other
-// node can be leader now.
+// node can be leader now, provided that the clock of Step counts suspensions.
 func (n *Node) leaseHeld() bool {
 	if n.role != Leader || n.leading.leaseReleased {
 		return false
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -104,13 +104,13 @@
 		s.blocked[[2]string{old.self.Name, h.self.Name}] = true
 		s.blocked[[2]string{h.self.Name, old.self.Name}] = true
 	}
-	s.read(old, false)
+	s.read(old)
 	s.run(simElectionTimeout)
 	require.NotEqual(t, Leader, old.node.role)
 	s.run(5 * time.Second)
 	require.NotNil(t, s.leader())
 	require.NotEqual(t, old, s.leader())
-	require.Empty(t, s.reads)
+	require.Zero(t, s.reads)
 }
 
 // Guards against a leader that still serves reads in its first step after a
@@ -120,16 +120,19 @@
 	s.run(time.Second)
 	l := s.leader()
 	s.now += 2 * simElectionTimeout
-	effects := l.node.Step(l.clock(s.now), ReadIndex{ID: "r", AllowLease: true})
-	for _, e := range effects {
+	refused := false
+	for _, e := range l.node.Step(l.clock(s.now), ReadIndex{ID: "r"}) {
 		_, answered := e.(ReadReady)
 		require.False(t, answered)
+		_, ok := e.(ReadRefused)
+		refused = refused || ok
 	}
+	require.True(t, refused)
 	require.Equal(t, Follower, l.node.role)
 }
 
-// Guards against lease reads after TimeoutNow was sent, when the next leader may
-// be elected at any time.
+// Guards against a lease after TimeoutNow was sent, when the next leader may be
+// elected at any time.
 func TestTransferEndsLease(t *testing.T) {
 	s := newHealthySim(t, 3)
 	s.run(time.Second)
@@ -141,17 +144,22 @@
 	require.Equal(t, l.node.leader.Identity, s.leader().self.Identity)
 }
 
-// Guards against lease reads or heartbeat-confirmed reads that are never served.
-func TestReadsByLeaseAndByQuorum(t *testing.T) {
+// Guards against reads that are never served, and against a read that the lease alone
+// confirms.
+func TestReadsByQuorum(t *testing.T) {
 	for _, voters := range []int{1, 3} {
 		s := newHealthySim(t, voters)
 		s.run(time.Second)
 		for range 5 {
-			s.read(s.leader(), true)
-			s.read(s.leader(), false)
+			s.read(s.leader())
+			s.read(s.leader())
+		}
+		if voters > 1 {
+			require.True(t, s.leader().node.leaseHeld())
+			require.Zero(t, s.reads)
 		}
 		s.run(time.Second)
-		require.Equal(t, map[bool]int{true: 5, false: 5}, s.reads)
+		require.Equal(t, 10, s.reads)
 	}
 }
 
--- a/internal/consensus/reads.go
+++ b/internal/consensus/reads.go
@@ -7,13 +7,13 @@
 )
 
 // pendingRead is a read that waits until index, which is not before the no-op of
-// the leader's term, is applied. Unless the lease confirmed it, it also waits
-// until a heartbeat round that started after it is confirmed.
+// the leader's term, is applied, and until a heartbeat round that started after it
+// is confirmed. No clock takes part: the lease of a leader whose clock stood still
+// outlasts the election of the next one.
 type pendingRead struct {
 	id    string
 	index uint64
 	round uint64
-	lease bool
 }
 
 func (n *Node) readIndex(r ReadIndex) {
@@ -26,14 +26,7 @@
 		n.refuseRead(r.ID, verdict.New(verdict.NotRun, CodeTooManyReads, "%d reads are waiting", len(l.reads)))
 		return
 	}
-	read := pendingRead{id: r.ID, index: max(n.hard.Commit, l.termStart)}
-	if r.AllowLease && n.leaseHeld() {
-		read.lease = true
-		l.reads = append(l.reads, read)
-		return
-	}
-	read.round = l.round + 1
-	l.reads = append(l.reads, read)
+	l.reads = append(l.reads, pendingRead{id: r.ID, index: max(n.hard.Commit, l.termStart), round: l.round + 1})
 	if !l.readRound {
 		n.startReadRound()
 	}
@@ -62,7 +55,7 @@
 	next := false
 	for _, r := range l.reads {
 		if r.round <= confirmed && r.index <= n.applied {
-			n.emit(ReadReady{ID: r.id, Index: r.index, Lease: r.lease})
+			n.emit(ReadReady{ID: r.id, Index: r.index})
 			continue
 		}
 		next = next || r.round > l.round
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -115,10 +115,11 @@
 // predecessor committed.
 func TestReadWaitsForCommitInCurrentTerm(t *testing.T) {
 	n, now := newLeader(t)
-	n.Step(now, ReadIndex{ID: "quorum"})
-	deliver(n, now, "b", 3, HeartbeatReply{Round: n.leading.round})
-	require.True(t, n.leaseHeld())
-	n.Step(now, ReadIndex{ID: "lease", AllowLease: true})
+	for _, id := range []string{"first", "with a held lease"} {
+		n.Step(now, ReadIndex{ID: id})
+		deliver(n, now, "b", 3, HeartbeatReply{Round: n.leading.round})
+		require.True(t, n.leaseHeld())
+	}
 	require.Len(t, n.leading.reads, 2)
 	deliver(n, now, "b", 3, AppendReply{PrevIndex: 2, Match: 3})
 	require.Empty(t, n.leading.reads)
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -103,7 +103,7 @@
 	committed    map[uint64]entryID
 	lastCommit   uint64
 	minReadIndex map[string]uint64
-	reads        map[bool]int // number of served reads, by ReadReady.Lease
+	reads        int // served
 	values       map[string]bool
 }
 
@@ -117,7 +117,7 @@
 	s := &sim{
 		fatalf: fatalf, maxDelay: 10 * time.Millisecond, maxSync: 30 * time.Millisecond, rnd: rand.New(rand.NewPCG(seed, 7)), blocked: map[[2]string]bool{},
 		disks: map[Identity]*simDisk{}, leaders: map[uint64]Identity{}, campaigns: map[campaign]VoterSet{}, seen: map[entryID]string{},
-		committed: map[uint64]entryID{}, minReadIndex: map[string]uint64{}, reads: map[bool]int{}, values: map[string]bool{},
+		committed: map[uint64]entryID{}, minReadIndex: map[string]uint64{}, values: map[string]bool{},
 	}
 	for i := range voters {
 		name := string(rune('a' + i))
@@ -332,11 +332,11 @@
 	s.step(h, Propose{ID: id, Data: []byte(id)})
 }
 
-func (s *sim) read(h *simHost, lease bool) {
+func (s *sim) read(h *simHost) {
 	s.nextID++
 	id := fmt.Sprint(s.nextID)
 	s.minReadIndex[id] = s.lastCommit
-	s.step(h, ReadIndex{ID: id, AllowLease: lease})
+	s.step(h, ReadIndex{ID: id})
 }
 
 func (s *sim) compact(h *simHost) {
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -24,6 +24,6 @@
 		"The clock that counts suspensions is ahead of the monotonic clock. Other hosts may have elected a leader and changed the configuration meanwhile.",
 		"None if the suspension was planned. Otherwise check the virtual machine's host.")
 	EventReadAnswered = eventlog.Define(1205, zerolog.InfoLevel, "read of the replicated state answered",
-		"The leader answered an operator's read. The fields say how its leadership was confirmed and up to which log entry the state was applied.",
+		"The leader answered an operator's read. The fields say in which term and up to which log entry.",
 		"None. If two hosts answered with different versions, compare their terms.")
 )
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -161,7 +161,7 @@
 	}
 	id := strconv.FormatUint(ev.Token, 10)
 	c.reads[id] = ev
-	return c.consensus(now, consensus.ReadIndex{ID: id, AllowLease: true})
+	return c.consensus(now, consensus.ReadIndex{ID: id})
 }
 
 func (c *Core) readReady(e consensus.ReadReady) []Effect {
@@ -176,7 +176,6 @@
 	}
 	return append(out, Log{Event: EventReadAnswered, Fields: []Field{
 		{"query", fmt.Sprintf("%T", ev.Query)},
-		{"lease", e.Lease},
 		{"term", c.node.Status().Term},
 		{"index", e.Index},
 		{"plan", c.plans.Version()},
