Step the control state by the clock that counts suspensions

Callers saw: nothing reported; found by looking for the cause of the old reads in every slice.

Cause: the control loop measured all leases, confirmations and silences by the runtime's monotonic clock. After a suspension of any length a host took what it knew for as fresh as before: the gate passed queries on evidence that had expired, a leader kept its lease and the confirmations that it dates by it, leases of targets ran on although their renewals had been missed, and shares of connections that others had taken over were used on. Each of these has code for a pause, which this clock could not show.

Deadlines that cross between the control loop and the runtime's timers are converted.

Nothing here can suspend a real machine, so no test runs the daemon through one.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -6,7 +6,9 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -115,3 +117,25 @@
 		return true
 	})
 }
+
+// runtimeTime matches uses of the runtime's clock where the clock of the control loop is
+// due, which counts the time for which the machine was suspended.
+var runtimeTime = regexp.MustCompile(`(Check|Freshness|HearsMajority|NewCore|\.Step)\(time\.Now\(\)|time\.(Since|Until)\(\w+\.ConfirmedAt`)
+
+// Guards against control state that is judged by a clock that stands still during a suspension.
+func TestControlStateIsJudgedByItsOwnClock(t *testing.T) {
+	for _, dir := range []string{"../daemon", "../entry", "../control", "../../platform"} {
+		require.NoError(t, filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			require.Empty(t, runtimeTime.FindString(string(text)), path)
+			if strings.Contains(filepath.ToSlash(path), "/controlrun/") {
+				require.NotContains(t, string(text), "time.Now()", path)
+				require.NotContains(t, string(text), "time.Since(", path)
+			}
+			return err
+		}))
+	}
+}
--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -6,6 +6,8 @@
 import "time"
 
 var (
+	sinceBoot = readBootTime // replaced in tests
+
 	startedAt = time.Now()
 	origin, _ = sinceBoot()
 )
--- a/internal/bootclock/read_linux.go
+++ b/internal/bootclock/read_linux.go
@@ -6,8 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// sinceBoot returns the time since the machine was booted, suspensions included.
-func sinceBoot() (time.Duration, bool) {
+// readBootTime returns the time since the machine was booted, suspensions included.
+func readBootTime() (time.Duration, bool) {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return 0, false
--- a/internal/bootclock/read_other.go
+++ b/internal/bootclock/read_other.go
@@ -4,5 +4,5 @@
 
 import "time"
 
-// sinceBoot reports that no clock counts suspensions.
-func sinceBoot() (time.Duration, bool) { return 0, false }
+// readBootTime reports that no clock counts suspensions.
+func readBootTime() (time.Duration, bool) { return 0, false }
--- a/internal/control/controlrun/loop.go
+++ b/internal/control/controlrun/loop.go
@@ -46,14 +46,14 @@
 
 	mu      sync.Mutex
 	waiting map[uint64]chan outcome
-	started time.Time
+	clock   func() time.Time
 
 	suspended time.Duration // total that was logged
 }
 
-// now returns a time that advances with the monotonic clock. The wall clock may
-// jump by minutes, and the slices use this time for leases.
-func (l *Loop) now() time.Time { return l.started.Add(time.Since(l.started)) }
+// Now returns the time by which the control state is stepped. Every time in a snapshot
+// is of this clock.
+func (l *Loop) Now() time.Time { return l.clock() }
 
 // published is a snapshot with the channel that is closed when the next one
 // replaces it.
@@ -68,17 +68,19 @@
 }
 
 // New returns a loop that has not started. Its effects go to the executor that
-// is passed to Run.
-func New(core *control.Core, inFlight func() int, log *eventlog.Logger) *Loop {
+// is passed to Run. The clock must never go back and should count the time for
+// which the machine is suspended, as bootclock.Now does: the slices measure by it
+// how long a lease or a confirmation holds.
+func New(core *control.Core, inFlight func() int, log *eventlog.Logger, clock func() time.Time) *Loop {
 	l := &Loop{
-		started:  time.Now(),
+		clock:    clock,
 		core:     core,
 		log:      log,
 		inFlight: inFlight,
 		events:   make(chan control.Event, eventQueueLength),
 		waiting:  make(map[uint64]chan outcome),
 	}
-	l.current.Store(&published{snapshot: core.Snapshot(l.started), replaced: make(chan struct{})})
+	l.current.Store(&published{snapshot: core.Snapshot(l.Now()), replaced: make(chan struct{})})
 	return l
 }
 
@@ -87,7 +89,7 @@
 	l.executor = executor
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
-	last := l.now()
+	last := l.Now()
 	l.execute(l.core.Start(last))
 	for {
 		select {
@@ -97,7 +99,7 @@
 			l.step(ev)
 			l.drain()
 		case <-ticker.C:
-			now := l.now()
+			now := l.Now()
 			if gap := now.Sub(last); gap > lateTickGap {
 				l.log.Log(control.EventControlSlow).Dur("gap", gap).Send()
 			}
@@ -132,7 +134,7 @@
 }
 
 func (l *Loop) step(ev control.Event) {
-	l.execute(l.core.Step(l.now(), ev))
+	l.execute(l.core.Step(l.Now(), ev))
 }
 
 func (l *Loop) execute(effects []control.Effect) {
@@ -156,7 +158,7 @@
 }
 
 func (l *Loop) publish() {
-	s := l.core.Snapshot(l.now())
+	s := l.core.Snapshot(l.Now())
 	old := l.current.Load()
 	if s == old.snapshot {
 		return
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -60,7 +60,7 @@
 	Token    uint64
 	Kind     proposals.Kind
 	Data     []byte
-	Deadline time.Time
+	Deadline time.Time // by the clock of the control loop
 }
 
 // ChangeVoters asks the leader for one change of the voter set.
@@ -68,7 +68,7 @@
 	Token    uint64
 	Op       consensus.VoterOp
 	Identity consensus.Identity
-	Deadline time.Time
+	Deadline time.Time // by the clock of the control loop
 }
 
 func (ChangeVoters) isControlEvent() {}
@@ -130,7 +130,8 @@
 func (LifecycleEvent) isControlEvent() {}
 func (TrafficClosed) isControlEvent()  {}
 
-// EndRequests asks for an answer to every caller's request in progress by a time.
+// EndRequests asks for an answer to every caller's request in progress by a time of
+// the control loop's clock.
 type EndRequests struct{ By time.Time }
 
 // CloseTraffic asks for open orders to be settled and connections to targets
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -19,7 +19,7 @@
 )
 
 // Snapshot is the part of the control state that traffic goroutines read. It is
-// immutable.
+// immutable. Its times are of the clock of the control loop.
 type Snapshot struct {
 	Gate         entry.Gate
 	Ready        bool // the load balancer should send work
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -40,7 +39,7 @@
 // readyz tells the load balancer whether this host takes new work.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
 	s := d.loop.Snapshot()
-	if err := s.Gate.Check(time.Now()); err != nil {
+	if err := s.Gate.Check(d.loop.Now()); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/balance"
+	"github.com/hawthornlock/hawthornlock/internal/bootclock"
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
@@ -115,7 +116,7 @@
 	st := confighttp.State{
 		Host: b.d.settings.Host, Region: b.d.settings.Region, FailureDomain: b.d.settings.FailureDomain,
 		Ready: s.Ready, Revision: s.Revision, Term: s.Term, Leader: s.Leader.Name, Phase: s.Phase.String(),
-		Fresh: s.Gate.Evidence.Freshness(time.Now()) != membership.Stale, ConfirmedAt: s.ConfirmedAt,
+		Fresh: s.Gate.Evidence.Freshness(b.d.loop.Now()) != membership.Stale, ConfirmedAt: timeOfDay(s.ConfirmedAt),
 		MemberEpoch: s.AgreedMembers.Epoch, Members: s.AgreedMembers.Hosts, Targets: s.Targets.Len(),
 	}
 	for _, r := range b.d.settings.Roles {
@@ -124,6 +125,14 @@
 	return st
 }
 
+// timeOfDay returns the time of day at a time of the control state, or zero for zero.
+func timeOfDay(t time.Time) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return bootclock.ToRuntime(t)
+}
+
 // Hosts returns the known hosts.
 func (b backend) Hosts() []confighttp.Host {
 	s := b.d.loop.Snapshot()
@@ -132,7 +141,7 @@
 		out = append(out, confighttp.Host{
 			Host: h.Host, Region: h.Region, FailureDomain: h.FailureDomain, Roles: h.Roles, Incarnation: h.Incarnation,
 			Member: slices.Contains(s.AgreedMembers.Hosts, h.Host), Live: h.Live, Draining: h.Draining,
-			Leader: h.Host == s.Leader.Name, Revision: h.Revision, LastHeard: h.LastHeard,
+			Leader: h.Host == s.Leader.Name, Revision: h.Revision, LastHeard: timeOfDay(h.LastHeard),
 		})
 	}
 	return out
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/admission"
 	"github.com/hawthornlock/hawthornlock/internal/admission/admissionrun"
+	"github.com/hawthornlock/hawthornlock/internal/bootclock"
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
 	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/connections/poolrun"
@@ -184,8 +185,8 @@
 		Lifecycle: lifecycle.Options{
 			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, AnswerTimeout: answerTimeout, HandoverTimeout: d.handoverTimeout(),
 		},
-	}, time.Now())
-	d.loop = controlrun.New(core, d.inFlight.Count, d.log)
+	}, bootclock.Now())
+	d.loop = controlrun.New(core, d.inFlight.Count, d.log, bootclock.Now)
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
 	d.engine = d.newEngine()
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/bootclock"
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/control"
@@ -41,7 +42,7 @@
 	case control.ProposeChange:
 		go d.proposeChange(e.Change)
 	case control.EndRequests:
-		d.endRequests(e.By)
+		d.endRequests(bootclock.ToRuntime(e.By))
 	case control.CloseTraffic:
 		go d.closeTraffic()
 	case control.SyncJournal:
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -211,7 +211,7 @@
 	send(leaderGauge, boolValue(s.Leader.Name == c.d.settings.Host))
 	send(targetsGauge, float64(s.Targets.Len()))
 	if !s.ConfirmedAt.IsZero() {
-		send(confirmedGauge, time.Since(s.ConfirmedAt).Seconds())
+		send(confirmedGauge, c.d.loop.Now().Sub(s.ConfirmedAt).Seconds())
 	}
 	send(suspendedTotal, bootclock.Suspended().Seconds())
 	links := c.d.links.Stats()
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 
+	"github.com/hawthornlock/hawthornlock/internal/bootclock"
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/config/configcodec"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
@@ -225,7 +226,7 @@
 
 func (d *Daemon) submitHere(ctx context.Context, kind proposals.Kind, data []byte) ([]byte, error) {
 	result, err := d.loop.Call(ctx, func(token uint64) control.Event {
-		return control.Submit{Token: token, Kind: kind, Data: data, Deadline: deadlineOf(ctx)}
+		return control.Submit{Token: token, Kind: kind, Data: data, Deadline: bootclock.FromRuntime(deadlineOf(ctx))}
 	})
 	if err != nil {
 		return nil, err
--- a/internal/daemon/voters.go
+++ b/internal/daemon/voters.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/bootclock"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
@@ -24,7 +25,7 @@
 
 func (d *Daemon) changeVotersHere(ctx context.Context, op consensus.VoterOp, id consensus.Identity) error {
 	_, err := d.loop.Call(ctx, func(token uint64) control.Event {
-		return control.ChangeVoters{Token: token, Op: op, Identity: id, Deadline: deadlineOf(ctx)}
+		return control.ChangeVoters{Token: token, Op: op, Identity: id, Deadline: bootclock.FromRuntime(deadlineOf(ctx))}
 	})
 	return err
 }
--- a/internal/entry/entryrun/orders.go
+++ b/internal/entry/entryrun/orders.go
@@ -65,7 +65,7 @@
 func (s *Orders) run(ctx context.Context, o entry.OrderRequest) (*entryhttp.OrderResult, error) {
 	now := time.Now()
 	snapshot := s.snapshots.Snapshot()
-	if err := snapshot.Gate.Check(now); err != nil {
+	if err := snapshot.Gate.Check(s.snapshots.Now()); err != nil {
 		return nil, err
 	}
 	group, _, err := snapshot.Table.Route(routing.Request{Team: o.Team, Labels: o.Labels, Group: o.Group})
--- a/internal/entry/entryrun/queries.go
+++ b/internal/entry/entryrun/queries.go
@@ -17,6 +17,9 @@
 // Snapshots returns the latest control snapshot.
 type Snapshots interface {
 	Snapshot() *control.Snapshot
+	// Now returns the time by the clock of the snapshots, which differs from that of
+	// the runtime once the machine has been suspended.
+	Now() time.Time
 }
 
 // Observer receives the outcome of each request. Its methods must not block.
@@ -57,7 +60,7 @@
 
 func (s *Queries) run(ctx context.Context, now time.Time, q entry.QueryRequest) (string, *query.Answer, error) {
 	snapshot := s.snapshots.Snapshot()
-	if err := snapshot.Gate.Check(now); err != nil {
+	if err := snapshot.Gate.Check(s.snapshots.Now()); err != nil {
 		return "", nil, err
 	}
 	group, _, err := snapshot.Table.Route(routing.Request{Team: q.Team, Labels: q.Labels, Group: q.Group})
