Do not take a voter for lost before a new leader could hear from it

Cause: a new leader has no message from any member yet, and the time of the last one was zero. Its silence was therefore longer than any bound, so that a voter that answered a moment too late for the first check, or the old leader after a restart, lost its vote at once to the learner. The bound of three seconds exceeds a restart so that this doesn't happen.

Change: silence counts from the last message in the term or, before that, from the start of the term; for the old leader from its last message. A voter that is gone for good is replaced three seconds after its last message, as before.

Test: TestNewLeaderGivesVotersTimeToReturn, which failed before: 2.5 s after the leader crashed its vote had passed on.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -5,6 +5,7 @@
 // election is the election state of a node.
 type election struct {
 	lastContact      time.Time // last message from a current leader, or the start
+	lastLeader       Identity  // sender of that message, empty if there was none
 	electionDeadline time.Time
 	votes            map[Identity]bool // granted votes or pre-votes
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -34,6 +34,9 @@
 	}
 	n.setRole(Leader, ReasonElected)
 	n.updateProgress()
+	if p := n.leading.progress[n.lastLeader]; p != nil {
+		p.since = n.lastContact
+	}
 	n.leading.termStart = n.appendEntry(Entry{Kind: EntryNoOp})
 	n.broadcastHeartbeat()
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -223,7 +223,7 @@
 	if n.role == Leader {
 		panic(errors.AssertionFailedf("two leaders in term %d: %s and %s", m.Term, n.self(), m.From.Identity))
 	}
-	n.lastContact = n.now
+	n.lastContact, n.lastLeader = n.now, m.From.Identity
 	n.resetElectionTimer()
 	switch b := m.Body.(type) {
 	case Heartbeat:
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -28,6 +28,7 @@
 	sentAt   time.Time // last append or chunk that needs a reply
 
 	active    time.Time // last message received
+	since     time.Time // from when on silence counts while no message was received
 	round     uint64    // last heartbeat round acknowledged
 	leaseFrom time.Time // when that round was sent
 
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -29,8 +29,12 @@
 type FollowerStatus struct {
 	Member     Member
 	Match      uint64
-	LastActive time.Time
-	Snapshot   bool // a snapshot is being sent
+	LastActive time.Time // last message from it in this term, zero if there was none
+	// SilentSince is the last time at which the member may have been alive as far as
+	// this leader knows: LastActive or, before the first message, the start of the term
+	// or the last message of an earlier leader.
+	SilentSince time.Time
+	Snapshot    bool // a snapshot is being sent
 }
 
 // Status returns the state of the node as of the last step.
@@ -60,9 +64,11 @@
 	s.LeaseHeld = n.leaseHeld()
 	s.TermApplied = n.applied >= n.leading.termStart
 	for _, p := range n.followers() {
-		s.Followers = append(s.Followers, FollowerStatus{
-			Member: p.member, Match: p.match, LastActive: p.active, Snapshot: p.state == snapshotting,
-		})
+		f := FollowerStatus{Member: p.member, Match: p.match, LastActive: p.active, SilentSince: p.active, Snapshot: p.state == snapshotting}
+		if p.active.IsZero() {
+			f.SilentSince = p.since
+		}
+		s.Followers = append(s.Followers, f)
 	}
 	return s
 }
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -108,7 +108,7 @@
 		}
 		p := n.leading.progress[m.Identity]
 		if p == nil {
-			p = &progress{next: n.log.lastIndex() + 1}
+			p = &progress{next: n.log.lastIndex() + 1, since: n.now}
 			n.leading.progress[m.Identity] = p
 		}
 		p.member = m
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -63,7 +63,7 @@
 		if !ok || v.Identity == s.Self.Identity {
 			continue
 		}
-		silence := now.Sub(f.LastActive)
+		silence := now.Sub(f.SilentSince)
 		switch {
 		case v.Name == l.Name && silence > lostVoterSilence:
 			return v, true
--- a/internal/faultmatrix/repair_test.go
+++ b/internal/faultmatrix/repair_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // Guards against a repair that does not restore the third voter of the log: the
@@ -35,3 +37,19 @@
 	heal(sim, nil)
 	sim.settle()
 }
+
+// Guards against a new leader that takes a voter from which it has not heard yet for one that has been silent for long.
+func TestNewLeaderGivesVotersTimeToReturn(t *testing.T) {
+	sim := startWithoutVoters(t, "new leader and voters")
+	sim.run(5 * time.Second)
+	sim.submitPlan(3)
+	old := sim.leader()
+	crashedAt := sim.now
+	crash(sim, old)
+	sim.await(3*time.Second, "another leader is elected", func() bool { return sim.leader() != nil })
+	sim.run(crashedAt.Add(2500 * time.Millisecond).Sub(sim.now))
+	require.Contains(t, voterNames(sim.leader()), old.name)
+	sim.run(2 * time.Second)
+	require.NotContains(t, voterNames(sim.leader()), old.name, "a voter that is gone is replaced, also the old leader")
+	require.Len(t, voterNames(sim.leader()), 3)
+}
