--- a/internal/faultmatrix/repair_test.go
+++ b/internal/faultmatrix/repair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,38 @@
 	sim.settle()
 }
 
+// learner returns the host with a disk that holds no vote.
+func (sim *simulation) learner() *host {
+	names := voterNames(sim.leader())
+	return sim.hosts[slices.IndexFunc(sim.hosts, func(h *host) bool { return h.voter && !slices.Contains(names, h.name) })]
+}
+
+// Guards against a vote that passes from a frozen host to a learner that is frozen too, after which one lost disk ends the log.
+func TestSilentVoterIsNotReplacedByASilentLearner(t *testing.T) {
+	sim := startWithoutVoters(t, "silent learner")
+	sim.run(5 * time.Second)
+	sim.submitPlan(3)
+	sim.run(time.Second)
+	leader, learner := sim.leader(), sim.learner()
+	frozen := sim.other(leader)
+	third := sim.hosts[slices.IndexFunc(sim.hosts, func(h *host) bool { return h.voter && h != leader && h != frozen && h != learner })]
+	frozen.pause()
+	learner.pause()
+	sim.run(4500 * time.Millisecond)
+	require.Len(t, voterNames(leader), 3)
+	loseDisk(sim, third)
+	sim.run(time.Second)
+	third.start()
+	sim.run(time.Second)
+	frozen.resume()
+	learner.resume()
+	sim.submitPlan(4)
+	sim.awaitPlan(4, 3*time.Second)
+	sim.await(10*time.Second, "there are three voters again", func() bool {
+		return sim.leader() != nil && len(voterNames(sim.leader())) == 3
+	})
+}
+
 // Guards against a new leader that takes a voter from which it has not heard yet for one that has been silent for long.
 func TestNewLeaderGivesVotersTimeToReturn(t *testing.T) {
 	sim := startWithoutVoters(t, "new leader and voters")
