Join the other cluster from one that was founded in vain

Cause: a founder that was frozen between its agreement and its first message, for longer than the others wait, woke up with a cluster of its own on its disk. No majority of its voters could ever be in it, since they had founded another one, but the host ignored all messages of that one for good, without a log line. It could also found its cluster by answers from before the freeze.

Change: an answer that an initial voter is empty counts for one election timeout. Any meeting with another cluster is logged (4007); two logs that both have a leader stay apart until an operator decides.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -14,8 +14,16 @@
 // joinState is the state of a node that looks for a cluster to join.
 type joinState struct {
 	nextAt      time.Time
-	emptyVoters map[string]Member // initial voters that replied that they are empty, by name
-	contacts    []Member          // hosts to ask besides the initial voters
+	emptyVoters map[string]emptyVoter // initial voters that replied that they are empty, by name
+	contacts    []Member              // hosts to ask besides the initial voters
+}
+
+// emptyVoter is an initial voter that replied that it belongs to no cluster. The reply
+// counts for one election timeout: a founder that was paused must ask again, since
+// the others may have founded a cluster without it.
+type emptyVoter struct {
+	member Member
+	at     time.Time
 }
 
 // membersFound records the hosts that can be asked to join. On an empty node, a
@@ -99,12 +107,13 @@
 	}
 	set := VoterSet{}
 	for _, name := range initialNames(n.opts.Initial) {
-		m, ok := n.joining.emptyVoters[name]
-		if name == n.opts.Self.Name {
-			m, ok = n.opts.Self, true
-		}
-		if !ok {
-			return false
+		m := n.opts.Self
+		if name != m.Name {
+			v, ok := n.joining.emptyVoters[name]
+			if !ok || n.now.Sub(v.at) > n.opts.ElectionTimeout {
+				return false
+			}
+			m = v.member
 		}
 		set.Voters = append(set.Voters, m)
 	}
@@ -119,6 +128,7 @@
 	n.hard = HardState{Cluster: cluster, Term: term}
 	n.incoming = nil
 	n.joining = joinState{}
+	n.elsewhere, n.otherCluster = nil, ""
 	n.install(s)
 }
 
@@ -150,7 +160,11 @@
 }
 
 func (n *Node) onJoinReply(m Message, r JoinReply) {
-	if !n.empty() || m.To != n.self() {
+	if m.To != n.self() {
+		return
+	}
+	if !n.empty() {
+		n.noteOtherCluster(m)
 		return
 	}
 	if r.Empty && !slices.Contains(initialNames(n.opts.Initial), r.Member.Name) {
@@ -165,9 +179,9 @@
 		return
 	}
 	if n.joining.emptyVoters == nil {
-		n.joining.emptyVoters = map[string]Member{}
+		n.joining.emptyVoters = map[string]emptyVoter{}
 	}
-	n.joining.emptyVoters[r.Member.Name] = r.Member
+	n.joining.emptyVoters[r.Member.Name] = emptyVoter{member: r.Member, at: n.now}
 }
 
 // receiveAsEmpty handles messages to a node without a cluster. It rejects a
@@ -242,3 +256,41 @@
 		n.sendSeed(m.From, r.Offset)
 	}
 }
+
+// receiveFromOtherCluster handles messages of another cluster. This node joins it if its
+// own cluster was founded but never came to have a majority.
+func (n *Node) receiveFromOtherCluster(m Message) {
+	n.noteOtherCluster(m)
+	if n.foundedInVain() && m.Term >= n.hard.Term {
+		n.receiveAsEmpty(m)
+	}
+}
+
+// noteOtherCluster records that the sender belongs to another cluster.
+func (n *Node) noteOtherCluster(m Message) {
+	id := m.From.Identity
+	if m.Cluster == "" || m.Cluster == n.hard.Cluster || n.elsewhere[id] {
+		return
+	}
+	if !n.voters().IsVoter(id) && m.Cluster == n.otherCluster {
+		return // one report for each cluster is enough
+	}
+	n.otherCluster = m.Cluster
+	if n.voters().IsVoter(id) {
+		if n.elsewhere == nil {
+			n.elsewhere = map[Identity]bool{}
+		}
+		n.elsewhere[id] = true
+	}
+	n.emit(OtherClusterFound{Member: m.From, Cluster: m.Cluster})
+}
+
+// foundedInVain reports whether this node holds nothing but the initial snapshot of a
+// cluster of which no majority was ever formed: too many of its initial voters belong to
+// another cluster, and a node belongs to one cluster only. Nothing can have been
+// acknowledged in it.
+func (n *Node) foundedInVain() bool {
+	set := n.lastVoters()
+	return n.log.lastIndex() == bootstrapIndex && set.index == bootstrapIndex &&
+		len(set.voters.Voters)-len(n.elsewhere) < set.voters.Quorum()
+}
--- a/internal/consensus/effects.go
+++ b/internal/consensus/effects.go
@@ -33,7 +33,7 @@
 // node that must not take part in founding a cluster.
 type MembersFound struct {
 	Contacts []Member // hosts that may belong to a cluster, by name and address
-	Initial  []Member // initial voters: none, 1, 3 or 5
+	Initial  []Member // initial voters, any number
 }
 
 // ReadIndex asks for the index that a linearizable read must wait for.
@@ -168,6 +168,13 @@
 // initial voters, which prevents the cluster from being founded.
 type InitialVotersDiffer struct{ Member Member }
 
+// OtherClusterFound reports a host that belongs to another cluster. If it is not a host
+// of another system, the log was founded twice.
+type OtherClusterFound struct {
+	Member  Member
+	Cluster Identity
+}
+
 // StorageFull reports that the journal started or stopped refusing writes.
 type StorageFull struct{ Full bool }
 
@@ -183,6 +190,7 @@
 func (RoleChanged) isEffect()         {}
 func (VotersChanged) isEffect()       {}
 func (InitialVotersDiffer) isEffect() {}
+func (OtherClusterFound) isEffect()   {}
 func (StorageFull) isEffect()         {}
 
 // Role is the Raft role of a node.
--- a/internal/consensus/events.go
+++ b/internal/consensus/events.go
@@ -29,6 +29,9 @@
 	EventInitialVotersDiffer = eventlog.Define(4006, zerolog.WarnLevel, "hosts have different lists of initial voters",
 		"The settings of two empty hosts name different initial voters, so no cluster is founded.",
 		"Give all voters the same list of initial voters and start them again.")
+	EventOtherCluster = eventlog.Define(4007, zerolog.ErrorLevel, "a host belongs to another cluster",
+		"The host holds the log of another system, or the log was founded twice. A host whose log never had a majority joins the other one by itself.",
+		"If both logs have a leader, compare their configurations, empty the data directories of the hosts with one of them, and submit what is missing again.")
 )
 
 // LogEffect logs the event of an effect, if it has one.
@@ -49,6 +52,8 @@
 			Int("bytes", len(e.Snapshot.Data)).Send()
 	case InitialVotersDiffer:
 		log.Log(EventInitialVotersDiffer).Str("other", e.Member.Name).Send()
+	case OtherClusterFound:
+		log.Log(EventOtherCluster).Str("other", e.Member.Name).Str("cluster", string(e.Cluster)).Send()
 	case StorageFull:
 		event := EventStorageRecovered
 		if e.Full {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -24,6 +24,9 @@
 	leading  leaderState
 	incoming *incomingSnapshot
 	joining  joinState
+	// elsewhere holds the voters of this node's set that belong to another cluster.
+	elsewhere    map[Identity]bool
+	otherCluster Identity // reported last
 
 	started bool
 	effects []Effect
@@ -179,6 +182,7 @@
 		return
 	}
 	if m.Cluster != n.hard.Cluster {
+		n.receiveFromOtherCluster(m)
 		return
 	}
 	switch b := m.Body.(type) {
