Found the log only in touch with a majority of the seeds

Cause: five seconds after its start, a host with a disk named the hosts that it saw as the voters of a new log, down to itself alone. A host that was cut off at the first start founded a log of its own that way, a second one for good. Its view could also be as old as a freeze was long.

Change: a host founds only while it exchanges messages with a majority of the first seeds, which all hosts have in common, while it knows of no leader's confirmation, and after it has run without a pause for as long as it must wait for others. With fewer holders of a disk than wanted, all of them become voters instead of an odd number: one that is left out could still join the log of a founder that was silent.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -39,6 +39,10 @@
 	// FoundLog lets this host take part in founding the replicated log. It is
 	// set only at the first start of the whole system.
 	FoundLog bool
+	// FirstSeeds are the peer addresses, perhaps with this host's own, that all hosts
+	// were given at the first start. The log is founded only while a majority of them
+	// is live, so that no host that is cut off founds one of its own.
+	FirstSeeds []netip.AddrPort
 	// LossTolerance is the number of hosts with a log that may be lost at once.
 	LossTolerance int
 	LeasePeriod   time.Duration // of targets; zero takes the registry's default
--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -22,6 +22,7 @@
 
 // founding is the state of the search for a cluster.
 type founding struct {
+	since      time.Time // from when on this host has run without a pause, zero before the first search
 	searchedAt time.Time
 	initial    []consensus.Member
 }
@@ -31,45 +32,58 @@
 //
 // Every host derives the initial voters from its own member list. The lists
 // may differ briefly; a founder starts a cluster only once all initial voters
-// have named the same ones, see package consensus.
+// have named the same ones, see package consensus. Two hosts that can't reach each
+// other don't both found a log, since both would need a majority of the first seeds,
+// and a seed that was in touch with the first one knows of a leader.
 func (c *Core) lookForCluster(now time.Time) []Effect {
 	if !c.opts.FindVoters || now.Sub(c.founding.searchedAt) < searchInterval || c.leader.Name != "" {
 		return nil
 	}
+	// After a pause the member list is as old as the pause is long.
+	if now.Sub(c.founding.searchedAt) > membership.PauseBound {
+		c.founding.since = now
+	}
 	c.founding.searchedAt = now
-	holders := logHolders(c.members.Live())
-	age := now.Sub(c.startedAt)
-	if c.opts.FoundLog && age >= foundAfter {
-		c.founding.initial = initialVoters(holders, c.wantedVoters(), age >= foundWithFewerAfter)
+	live := c.members.Live()
+	c.founding.initial = nil
+	age := now.Sub(c.founding.since)
+	if c.opts.FoundLog && age >= foundAfter && c.members.Seen().IsZero() && c.majorityOfSeeds(now, live) {
+		c.founding.initial = initialVoters(logHolders(live, membership.RoleVoter), c.wantedVoters(), age >= foundWithFewerAfter)
 	}
-	return c.consensus(now, consensus.MembersFound{Contacts: holders, Initial: c.founding.initial})
+	return c.consensus(now, consensus.MembersFound{Contacts: logHolders(live, membership.RoleVoter), Initial: c.founding.initial})
 }
 
-// logHolders returns the live hosts with a log, sorted by name.
-func logHolders(live []membership.Member) []consensus.Member {
+// majorityOfSeeds reports whether this host is in touch with a majority of the first
+// seeds.
+func (c *Core) majorityOfSeeds(now time.Time, live []membership.Member) bool {
+	found := 0
+	for _, m := range live {
+		if slices.Contains(c.opts.FirstSeeds, m.PeerAddress) && c.members.InTouch(now, m.Host) {
+			found++
+		}
+	}
+	return len(c.opts.FirstSeeds) == 0 || found > len(c.opts.FirstSeeds)/2
+}
+
+// logHolders returns the live hosts with all of the roles, sorted by name.
+func logHolders(live []membership.Member, roles membership.Roles) []consensus.Member {
 	var out []consensus.Member
 	for _, m := range live {
-		if m.Roles.Has(membership.RoleVoter) {
+		if m.Roles.Has(roles) {
 			out = append(out, consensus.Member{Name: m.Host, Address: m.PeerAddress.String()})
 		}
 	}
 	return out
 }
 
-// initialVoters returns the first holders by name, an odd number of at most
-// wanted. If there are fewer holders, it returns nil unless allowFewer is set.
+// initialVoters returns the first holders by name, at most wanted. If there are fewer
+// holders, it returns nil unless allowFewer is set, and otherwise all of them: a holder
+// that is left out might join another log whose founder was silent meanwhile.
 func initialVoters(holders []consensus.Member, wanted int, allowFewer bool) []consensus.Member {
-	n := min(wanted, len(holders))
-	if n < wanted && !allowFewer {
-		return nil
-	}
-	if n%2 == 0 {
-		n--
-	}
-	if n < 1 {
+	if len(holders) < wanted && !allowFewer {
 		return nil
 	}
-	return slices.Clone(holders[:n])
+	return slices.Clone(holders[:min(wanted, len(holders))])
 }
 
 // maxVoters bounds the voters, since every change waits for a majority of them.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -180,7 +180,7 @@
 		Self: d.settings.Host, Member: d.member(), Seeds: d.seeds(), Staleness: d.settings.ConfigStaleness, Voters: d.voterFeeds(),
 		Shares: connections.Config{DrainTimeout: d.settings.MaxTimeout},
 		Node:   node, Codec: controlcodec.Codec{Plans: d.adapter.Plans},
-		ServePlan: d.settings.ServePlan, FindVoters: d.settings.FindVoters, FoundLog: d.settings.FoundLog,
+		ServePlan: d.settings.ServePlan, FindVoters: d.settings.FindVoters, FoundLog: d.settings.FoundLog, FirstSeeds: d.settings.Peers,
 		LossTolerance: d.settings.LossTolerance, LeasePeriod: d.settings.LeasePeriod,
 		Lifecycle: lifecycle.Options{
 			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, AnswerTimeout: answerTimeout, HandoverTimeout: d.handoverTimeout(),
--- a/internal/faultmatrix/disk_test.go
+++ b/internal/faultmatrix/disk_test.go
@@ -18,6 +18,8 @@
 	full     bool
 	refused  uint64 // seq of the first rejected write; later ones are rejected until it is retried
 	wipes    int
+	// firstStart is set if the directory dates from the first start of the system.
+	firstStart bool
 }
 
 func newDisk(host string) *disk {
--- a/internal/faultmatrix/found_test.go
+++ b/internal/faultmatrix/found_test.go
@@ -31,7 +31,11 @@
 func (sim *simulation) useVoterDiscovery(h *host, o *control.Options) {
 	o.Voters = nil
 	o.FindVoters, o.ServePlan, o.LossTolerance = true, true, 1
-	o.FoundLog = h.starts == 0
+	h.disk.firstStart = h.disk.firstStart || h.starts == 0
+	o.FoundLog = h.disk.firstStart
+	for _, i := range []int{1, 4, 5} {
+		o.FirstSeeds = append(o.FirstSeeds, sim.hosts[i].address)
+	}
 	o.Codec = controlcodec.Codec{Plans: decodePlan}
 	h.starts++
 }
@@ -202,3 +206,105 @@
 		return leader != nil && leader.snapshot.Plan != nil && leader.snapshot.Plan.Version == 4
 	})
 }
+
+// firstStart starts six hosts without voters in the settings. Trouble happens to them
+// between the start and the time at which it must have ended.
+func firstStart(t testing.TB, name string, trouble func(sim *simulation), end time.Duration) *simulation {
+	sim := newSimulation(t, name, 6)
+	sim.findVoters = true
+	for i, h := range sim.hosts {
+		h.voter = i < diskHosts
+		h.start()
+	}
+	started := sim.now
+	trouble(sim)
+	sim.run(started.Add(end).Sub(sim.now))
+	heal(sim, nil)
+	for _, h := range sim.hosts {
+		if !h.up {
+			h.start()
+		}
+		if h.paused {
+			h.resume()
+		}
+	}
+	return sim
+}
+
+// requireOneLog fails unless all hosts with a disk come to have the same log and acknowledge a plan.
+func (sim *simulation) requireOneLog() {
+	sim.t.Helper()
+	sim.await(20*time.Second, "a leader is elected", func() bool { return sim.leader() != nil })
+	sim.submitPlan(7)
+	sim.awaitPlan(7, 4*time.Second)
+	sim.await(20*time.Second, "all hosts with a disk have one log", func() bool {
+		leader := sim.leader()
+		return leader != nil && !slices.ContainsFunc(sim.voters(), func(h *host) bool { return h.node.Status().Cluster != leader.node.Status().Cluster })
+	})
+	leaders := 0
+	for _, h := range sim.voters() {
+		if h.isLeader() {
+			leaders++
+		}
+	}
+	require.Equal(sim.t, 1, leaders)
+}
+
+// Guards against a host that founds a log of its own while it is cut off at the first start.
+func TestHostCutOffAtTheFirstStartFoundsNoLog(t *testing.T) {
+	for i := range diskHosts {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			firstStart(t, "cut off first", func(sim *simulation) { sim.isolate(sim.hosts[i]) }, 8*time.Second).requireOneLog()
+		})
+	}
+}
+
+// Guards against a host that founds a log by a list that it made before it was frozen.
+func TestHostThatWakesAfterTheFirstStartFoundsNoLog(t *testing.T) {
+	for _, frozen := range [][]int{{0}, {1}, {3}, {0, 3}} {
+		for _, at := range []time.Duration{100 * time.Millisecond, 1400 * time.Millisecond, 1600 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprint(frozen, at), func(t *testing.T) {
+				firstStart(t, "frozen first", func(sim *simulation) {
+					sim.run(at)
+					for _, i := range frozen {
+						sim.hosts[i].pause()
+					}
+				}, 12*time.Second).requireOneLog()
+			})
+		}
+	}
+}
+
+// Guards against two logs, or none, after random faults of two hosts at the first start.
+func TestOneLogIsFoundedUnderRandomFaults(t *testing.T) {
+	for seed := range 100 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			firstStart(t, fmt.Sprint("random first ", seed), func(sim *simulation) {
+				for _, i := range sim.rng.Perm(len(sim.hosts))[:2] {
+					h, kind := sim.hosts[i], sim.rng.IntN(4)
+					at := time.Duration(sim.rng.Int64N(int64(6 * time.Second)))
+					length := time.Duration(sim.rng.Int64N(int64(9 * time.Second)))
+					sim.logf("fault of kind %d at %s from %v for %v", kind, h.name, at, length)
+					sim.after(at, func() {
+						switch kind {
+						case 0:
+							sim.isolate(h)
+						case 1:
+							h.pause()
+						default:
+							crash(sim, h)
+						}
+					})
+					sim.after(at+length, func() {
+						switch {
+						case h.paused:
+							h.resume()
+						case !h.up:
+							h.start()
+						}
+					})
+				}
+			}, 16*time.Second).requireOneLog()
+		})
+	}
+}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -212,6 +212,33 @@
 	return live
 }
 
+// InTouch reports whether this host exchanges messages with a live host: with it itself
+// or, if it is not a neighbour, with a majority of the neighbours, which would know
+// that it is gone.
+func (s *State) InTouch(now time.Time, host string) bool {
+	rec := s.members[host]
+	if rec == nil || rec.State != Alive {
+		return false
+	}
+	if host == s.self.Host {
+		return true
+	}
+	answers := func(host string) bool {
+		c := s.contacts[host]
+		return c != nil && !c.echoAt.IsZero() && now.Sub(c.echoAt) <= MajorityWindow
+	}
+	if slices.Contains(s.neighbours, host) {
+		return answers(host)
+	}
+	answering := 0
+	for _, n := range s.neighbours {
+		if answers(n) {
+			answering++
+		}
+	}
+	return answering > len(s.neighbours)/2
+}
+
 // Ready reports whether a neighbour announced that it accepts new requests.
 func (s *State) Ready(host string) bool {
 	c := s.contacts[host]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,7 +112,7 @@
 	fs.StringVar(&r.readyListen, "ready-listen", "", "IP:port that serves only the readiness of this host; empty for none")
 	fs.StringVar(&r.metricsListen, "metrics-listen", "", "IP:port that serves only /metrics; empty for none")
 	fs.BoolVar(&r.ServePlan, "serve-plan", false, "serve callers by the route plan instead of groups and selectors")
-	fs.BoolVar(&r.FindVoters, "find-voters", false, "hosts with the role voter find each other through -peers; -voters stays empty")
+	fs.BoolVar(&r.FindVoters, "find-voters", false, "hosts with the role voter find each other through -peers, which must be the same on all hosts at the first start; -voters stays empty")
 	fs.BoolVar(&r.FoundLog, "found-log", false, "with -find-voters: this is the first start of the whole system, with empty disks")
 	fs.IntVar(&r.LossTolerance, "loss-tolerance", 1, "with -find-voters: hosts with the role voter that may be lost at once, 1 or 2")
 	fs.DurationVar(&r.LeasePeriod, "lease-period", 3*time.Second, "how long a target counts as alive after its last announcement, 1s to 1m")
