Choose founders by whether their disk dates from the first start

Cause: the hosts chose the founder among all hosts with a disk; the one that came back may found nothing, and the others waited for it for good.

Change: the data directory records that it was created at the first start, and the membership tells which hosts have such a directory. Only they are named as initial voters. A host that kept its disk may still found the log; one that lost it joins.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -37,7 +37,8 @@
 	// then find each other through the membership.
 	FindVoters bool
 	// FoundLog lets this host take part in founding the replicated log. It is
-	// set only at the first start of the whole system.
+	// set only if its disk has been there since the first start of the whole system,
+	// and goes with membership.RoleFounder.
 	FoundLog bool
 	// FirstSeeds are the peer addresses, perhaps with this host's own, that all hosts
 	// were given at the first start. The log is founded only while a majority of them
--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -48,7 +48,7 @@
 	c.founding.initial = nil
 	age := now.Sub(c.founding.since)
 	if c.opts.FoundLog && age >= foundAfter && c.members.Seen().IsZero() && c.majorityOfSeeds(now, live) {
-		c.founding.initial = initialVoters(logHolders(live, membership.RoleVoter), c.wantedVoters(), age >= foundWithFewerAfter)
+		c.founding.initial = initialVoters(logHolders(live, membership.RoleVoter|membership.RoleFounder), c.wantedVoters(), age >= foundWithFewerAfter)
 	}
 	return c.consensus(now, consensus.MembersFound{Contacts: logHolders(live, membership.RoleVoter), Initial: c.founding.initial})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,6 +83,7 @@
 	incarnation uint64
 	tokens      *confighttp.Tokens // nil without authentication, on loopback only
 	journal     *journal.Journal   // nil on a host without the log
+	mayFound    bool               // the data directory dates from the first start of the whole system
 	pools       *poolrun.Pools
 	metrics     *metrics
 	driver      *queryrun.Driver
@@ -180,7 +181,7 @@
 		Self: d.settings.Host, Member: d.member(), Seeds: d.seeds(), Staleness: d.settings.ConfigStaleness, Voters: d.voterFeeds(),
 		Shares: connections.Config{DrainTimeout: d.settings.MaxTimeout},
 		Node:   node, Codec: controlcodec.Codec{Plans: d.adapter.Plans},
-		ServePlan: d.settings.ServePlan, FindVoters: d.settings.FindVoters, FoundLog: d.settings.FoundLog, FirstSeeds: d.settings.Peers,
+		ServePlan: d.settings.ServePlan, FindVoters: d.settings.FindVoters, FoundLog: d.mayFound, FirstSeeds: d.settings.Peers,
 		LossTolerance: d.settings.LossTolerance, LeasePeriod: d.settings.LeasePeriod,
 		Lifecycle: lifecycle.Options{
 			BalancerLag: d.settings.BalancerLag, ShutdownTimeout: d.settings.ShutdownTimeout, AnswerTimeout: answerTimeout, HandoverTimeout: d.handoverTimeout(),
@@ -226,6 +227,9 @@
 			m.Roles |= flag
 		}
 	}
+	if d.mayFound {
+		m.Roles |= membership.RoleFounder
+	}
 	return m
 }
 
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -22,11 +22,12 @@
 	if !d.settings.HasRole(settings.Voter) {
 		return nil, nil
 	}
-	j, recovered, err := journal.Open(journal.Options{Dir: d.settings.DataDir, Log: d.log, Completed: d.persisted})
+	j, recovered, err := journal.Open(journal.Options{Dir: d.settings.DataDir, Log: d.log, Completed: d.persisted, FirstStart: d.settings.FoundLog})
 	if err != nil {
 		return nil, err
 	}
 	d.journal = j
+	d.mayFound = recovered.FirstStart
 	return consensus.New(d.nodeOptions(recovered.Identity), recovered.State)
 }
 
--- a/internal/faultmatrix/found_test.go
+++ b/internal/faultmatrix/found_test.go
@@ -11,6 +11,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
+	"github.com/hawthornlock/hawthornlock/internal/membership"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan/plancodec"
@@ -32,7 +33,9 @@
 	o.Voters = nil
 	o.FindVoters, o.ServePlan, o.LossTolerance = true, true, 1
 	h.disk.firstStart = h.disk.firstStart || h.starts == 0
-	o.FoundLog = h.disk.firstStart
+	if o.FoundLog = h.disk.firstStart; o.FoundLog {
+		o.Member.Roles |= membership.RoleFounder
+	}
 	for _, i := range []int{1, 4, 5} {
 		o.FirstSeeds = append(o.FirstSeeds, sim.hosts[i].address)
 	}
@@ -275,6 +278,25 @@
 	}
 }
 
+// Guards against a system that never founds its log because the founder was killed first, with its disk or without.
+func TestLogIsFoundedAfterTheFounderIsKilled(t *testing.T) {
+	for _, at := range []time.Duration{700 * time.Millisecond, 1550 * time.Millisecond, 1700 * time.Millisecond} {
+		for _, lost := range []bool{false, true} {
+			t.Run(fmt.Sprint(at, lost), func(t *testing.T) {
+				firstStart(t, "founder killed", func(sim *simulation) {
+					sim.run(at)
+					crash(sim, sim.hosts[0])
+					if lost {
+						loseDisk(sim, sim.hosts[0])
+					}
+					sim.run(time.Second)
+					sim.hosts[0].start()
+				}, 4*time.Second).requireOneLog()
+			})
+		}
+	}
+}
+
 // Guards against two logs, or none, after random faults of two hosts at the first start.
 func TestOneLogIsFoundedUnderRandomFaults(t *testing.T) {
 	for seed := range 100 {
--- a/internal/journal/files.go
+++ b/internal/journal/files.go
@@ -18,6 +18,7 @@
 const (
 	lockName       = "lock"
 	identityName   = "identity"
+	firstStartName = "first-start"
 	temporaryExt   = ".tmp"
 	segmentFormat  = "segment-%016x.log"
 	snapshotFormat = "snapshot-%016x-%016x.snap"
@@ -58,10 +59,11 @@
 
 // listing holds the names of the journal's files in a data directory.
 type listing struct {
-	identity  bool
-	segments  []uint64 // ascending
-	snapshots []string
-	temporary []string
+	identity   bool
+	firstStart bool
+	segments   []uint64 // ascending
+	snapshots  []string
+	temporary  []string
 }
 
 func (d directory) list() (listing, error) {
@@ -75,6 +77,8 @@
 		switch {
 		case name == identityName:
 			l.identity = true
+		case name == firstStartName:
+			l.firstStart = true
 		case strings.HasSuffix(name, temporaryExt):
 			l.temporary = append(l.temporary, name)
 		case parseName(name, segmentFormat, &number):
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -336,6 +336,20 @@
 	require.Equal(t, first.Identity, again.Identity)
 }
 
+// Guards against a host that forgets at a restart that its disk dates from the first start of the system, or assumes it of an empty disk.
+func TestFirstStartIsRecorded(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		fs := newMemFS()
+		for _, o := range []Options{{FirstStart: first}, {}} {
+			o.Dir, o.FS = "d", fs
+			j, r, err := Open(o)
+			require.NoError(t, err)
+			require.NoError(t, j.Close())
+			require.Equal(t, first, r.FirstStart)
+		}
+	}
+}
+
 // Guards against opening a directory that lost its log under the old identity,
 // or one that lost its identity with the old log.
 func TestPartlyEmptiedDirectoryIsRefused(t *testing.T) {
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -15,7 +15,10 @@
 type Options struct {
 	Dir string
 	FS  FS // OS by default
-	Log *eventlog.Logger
+	// FirstStart is set at the first start of the whole system. It is recorded in an
+	// empty data directory.
+	FirstStart bool
+	Log        *eventlog.Logger
 
 	// Completed is called by the journal goroutine for every request, in
 	// order. It may block, which delays further writes.
@@ -59,7 +62,10 @@
 type Recovered struct {
 	Identity consensus.Identity
 	New      bool // the data directory was empty
-	State    consensus.DurableState
+	// FirstStart reports whether the directory was created at the first start of the
+	// whole system.
+	FirstStart bool
+	State      consensus.DurableState
 
 	Bytes          int64 // read from segments and the snapshot
 	Entries        int   // read, including those replaced or covered by a snapshot
@@ -109,7 +115,7 @@
 	if !l.identity {
 		return j.createNew(l)
 	}
-	recovered := Recovered{}
+	recovered := Recovered{FirstStart: l.firstStart}
 	if recovered.Identity, err = dir.readIdentity(); err != nil {
 		return nil, recovered, err
 	}
@@ -131,7 +137,7 @@
 // last, so a directory with an identity always has a log, and a missing log is
 // detected.
 func (j *Journal) createNew(l listing) (*Journal, Recovered, error) {
-	recovered := Recovered{New: true}
+	recovered := Recovered{New: true, FirstStart: l.firstStart || j.opts.FirstStart}
 	if len(l.snapshots) > 0 || len(l.segments) > 1 {
 		return nil, recovered, j.dir.corrupt(identityName, 0, "the identity is missing in a directory with data")
 	}
@@ -144,6 +150,11 @@
 	if err := j.roll(); err != nil {
 		return nil, recovered, errors.Wrap(err, "journal: start a segment")
 	}
+	if j.opts.FirstStart {
+		if err := j.dir.replace(firstStartName, nil); err != nil {
+			return nil, recovered, errors.Wrap(err, "journal: record the first start")
+		}
+	}
 	var err error
 	if recovered.Identity, err = j.dir.createIdentity(); err != nil {
 		return nil, recovered, errors.Wrap(err, "journal: create the identity")
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -18,9 +18,10 @@
 
 // Roles of a host.
 const (
-	RoleEntry Roles = 1 << iota // serves callers
-	RoleVoter                   // takes part in consensus
-	RoleRelay                   // forwards updates for its region
+	RoleEntry   Roles = 1 << iota // serves callers
+	RoleVoter                     // takes part in consensus
+	RoleRelay                     // forwards updates for its region
+	RoleFounder                   // a voter whose disk has been there since the first start of the whole system
 )
 
 // Has reports whether r includes all of want.
@@ -29,7 +30,7 @@
 // String returns the roles as the settings name them.
 func (r Roles) String() string {
 	var names []string
-	for i, n := range []string{"entry", "voter", "relay"} {
+	for i, n := range []string{"entry", "voter", "relay", "founder"} {
 		if r.Has(1 << i) {
 			names = append(names, n)
 		}
