Drop a field of the search for a cluster that is used within one call

Cause: founding.initial was kept between searches; since the founding needs fresh evidence each time, it is set anew in each. Change: a local variable.

--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -24,7 +24,6 @@
 type founding struct {
 	since      time.Time // from when on this host has run without a pause, zero before the first search
 	searchedAt time.Time
-	initial    []consensus.Member
 }
 
 // lookForCluster tells the node, while it knows no leader, which hosts it can
@@ -45,12 +44,12 @@
 	}
 	c.founding.searchedAt = now
 	live := c.members.Live()
-	c.founding.initial = nil
+	var initial []consensus.Member
 	age := now.Sub(c.founding.since)
 	if c.opts.FoundLog && age >= foundAfter && c.members.Seen().IsZero() && c.majorityOfSeeds(now, live) {
-		c.founding.initial = initialVoters(logHolders(live, membership.RoleVoter|membership.RoleFounder), c.wantedVoters(), age >= foundWithFewerAfter)
+		initial = initialVoters(logHolders(live, membership.RoleVoter|membership.RoleFounder), c.wantedVoters(), age >= foundWithFewerAfter)
 	}
-	return c.consensus(now, consensus.MembersFound{Contacts: logHolders(live, membership.RoleVoter), Initial: c.founding.initial})
+	return c.consensus(now, consensus.MembersFound{Contacts: logHolders(live, membership.RoleVoter), Initial: initial})
 }
 
 // majorityOfSeeds reports whether this host is in touch with a majority of the first
