Close connections between hosts that leave bytes unacknowledged for a second

Cause: a connection that goes silent for good without a reset was found only by the timeout of each call, 2 s for messages between hosts and up to the caller's deadline for gathers. When all connections of a link are silent, its four workers wait that long, and heartbeats, votes and updates of the configuration queue behind them.

Change: connections to other hosts have TCP_USER_TIMEOUT of one second, where the system has it. It counts unacknowledged bytes only, so a slow answer is not affected.

Test: TestSilentConnectionsAreClosedBySystem checks the option on a dialed connection; it was 0 before. A connection whose packets vanish can't be made here without rights over the network, so the effect is not measured.

--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -22,6 +22,10 @@
 	// dialTimeout is short because a host without power does not answer and every
 	// worker of its link waits for it. The round trip time is 40 ms at most.
 	dialTimeout     = 300 * time.Millisecond
+	// maxSilence is how long a peer may leave bytes unacknowledged. It covers two lost
+	// packets in a row. Connections may go silent without a reset while new ones work;
+	// until then a worker and the messages behind it wait on each of them.
+	maxSilence      = time.Second
 	idleConnTimeout = 30 * time.Second
 	// idleLinkTimeout is how long a link without messages is kept.
 	idleLinkTimeout = time.Minute
@@ -56,7 +60,7 @@
 func New() *Links {
 	ctx, stop := context.WithCancel(context.Background())
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout, Control: limitSilence}).DialContext,
 		MaxIdleConnsPerHost:    workersPerPeer,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
