Accept only responses with a final status as answers

Cause: the parser of the standard library takes any three digits for a status. The reader of searchers' replies took everything below 200 for an interim response and read on, so the body was parsed as the head of the answer; with a head in it, the caller got it. 600 to 999 were passed on as they were. The clients of the administration interface took everything below 300 for a success, and a gatherer's reply with a status below 100 would have made the handler panic.

Change: package httpanswer says which statuses are final (200 to 599) and which interim (100 to 199 without 101). Any other one ends the exchange as lost and closes the connection, in every reader: replies of searchers, proxied and gathered, orders and queries to targets, replies of gatherers, calls between hosts, and the clients.

Tests: five rows of TestFaultyAnswers, TestResponseWithoutAStatusIsNoPart, three rows of TestVerdictOfReplies, a row of TestAnswersWithoutContentAreFailures and TestResponsesOfHostsHaveAStatus.

--- a/internal/cli/caller.go
+++ b/internal/cli/caller.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
+	"github.com/hawthornlock/hawthornlock/internal/httpanswer"
 	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -133,7 +134,7 @@
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "reply cut off")
 	}
-	if resp.StatusCode < 300 {
+	if httpanswer.Success(resp.StatusCode) {
 		return raw, nil
 	}
 	var e confighttp.Error
--- a/internal/config/confighttp/client.go
+++ b/internal/config/confighttp/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hawthornlock/hawthornlock/internal/httpanswer"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -203,7 +204,7 @@
 	}
 	defer resp.Body.Close()
 	dec := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes))
-	if resp.StatusCode < 300 {
+	if httpanswer.Success(resp.StatusCode) {
 		if err := dec.Decode(out); err != nil {
 			return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeInternal, "unreadable reply")
 		}
--- a/internal/forward/forwardrun/engine_test.go
+++ b/internal/forward/forwardrun/engine_test.go
@@ -138,15 +138,28 @@
 	}
 }
 
+// faultyAnswer is what a searcher sends to a request, and whether and with which verdict
+// it may be used.
+type faultyAnswer struct {
+	script func(id string, c net.Conn) bool
+	ok     bool
+	v      verdict.Verdict
+}
+
+// invalidStatus is an answer whose status is none, with a body that looks like a good
+// answer.
+func invalidStatus(status string) faultyAnswer {
+	return faultyAnswer{func(id string, c net.Conn) bool {
+		body := reply(id, "smuggled")
+		return write(c, fmt.Sprintf("HTTP/1.1 %s X\r\nSignature: s\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body))
+	}, false, verdict.MayHaveRun}
+}
+
 // Guards against using a reply that belongs to another request, is incomplete,
 // or is not the searcher's: a request that is not idempotent must fail without
 // the promise that it did not run, and the next request must get its own reply.
 func TestFaultyAnswers(t *testing.T) {
-	for name, c := range map[string]struct {
-		script func(id string, c net.Conn) bool
-		ok     bool
-		v      verdict.Verdict
-	}{
+	for name, c := range map[string]faultyAnswer{
 		"whole":          {func(id string, c net.Conn) bool { return write(c, reply(id, "body")) }, true, 0},
 		"extra behind":   {func(id string, c net.Conn) bool { return write(c, reply(id, "body")+reply(id, "other")) }, true, 0},
 		"garbage behind": {func(id string, c net.Conn) bool { return write(c, reply(id, "body")+"rubbish") }, true, 0},
@@ -177,6 +190,11 @@
 		"failure that ran": {func(id string, c net.Conn) bool {
 			return write(c, "HTTP/1.1 500 Failed\r\nSignature: s\r\nId: "+id+"\r\nContent-Length: 4\r\n\r\nbody")
 		}, false, verdict.Ran},
+		"status 000":          invalidStatus("000"),
+		"status 099":          invalidStatus("099"),
+		"switch of protocols": invalidStatus("101"),
+		"status 600":          invalidStatus("600"),
+		"status 999":          invalidStatus("999"),
 		"interim responses": {func(id string, c net.Conn) bool {
 			return write(c, "HTTP/1.1 102 Processing\r\n\r\n"+reply(id, "body"))
 		}, true, 0},
--- a/internal/forward/forwardrun/faulty_test.go
+++ b/internal/forward/forwardrun/faulty_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// Guards against a part of a gathered answer that comes from a response whose status is none.
+func TestResponseWithoutAStatusIsNoPart(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			var asked atomic.Int64
+			faulty := startSearcher(t, func(_ int, id string, c net.Conn) bool {
+				asked.Add(1)
+				return invalidStatus(status).script(id, c)
+			})
+			good := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, record("a"))) })
+			e := newEngine(t, map[string][]forward.SearcherSpec{"a": {faulty.spec("faulty"), good.spec("good")}})
+			for i := 0; asked.Load() == 0; i++ {
+				a, err := e.Do(context.Background(), gatherCall(fmt.Sprint(i), "a"))
+				require.Nil(t, err)
+				require.Equal(t, record("a"), string(a.Body))
+			}
+		})
+	}
+}
+
 func gatherCall(id string, services ...string) *Call {
 	c := call(id, true)
 	c.Route = &routeplan.Route{
--- a/internal/forward/forwardrun/reply.go
+++ b/internal/forward/forwardrun/reply.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/httpanswer"
 )
 
 // Limits of a reply. A faulty searcher may send bytes without end, in a head or in
@@ -22,8 +24,7 @@
 	maxPartSize = 1 << 20
 	// maxReplySize bounds the body of any other reply in bytes.
 	maxReplySize = 16 << 20
-	// maxInterimResponses bounds the responses with a status below 200 before the
-	// final one.
+	// maxInterimResponses bounds the interim responses before the final one.
 	maxInterimResponses = 8
 	// maxForeignReplies is how many replies to other requests are skipped. A
 	// faulty searcher may send a reply twice, and the second one arrives where
@@ -190,13 +191,17 @@
 		c.in.begin()
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: x.call.Method})
 		c.in.end()
+		switch {
+		case err != nil:
+		case httpanswer.Final(resp.StatusCode):
+			return resp, nil
+		case !httpanswer.Interim(resp.StatusCode):
+			err = httpanswer.NotAnAnswer(resp.StatusCode)
+		}
 		if err != nil {
 			c.memory.release(c.in.takeCharge())
 			return nil, err
 		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
-		}
 	}
 	return nil, errInterim
 }
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
+	"github.com/hawthornlock/hawthornlock/internal/httpanswer"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 )
 
@@ -107,6 +108,8 @@
 		return errors.Newf("%d replies and %d missing shards for a part of %d shards", len(a.Signatures), a.Missing, len(c.Shards))
 	case c.Shards == nil && a.Reply == nil && len(a.Signatures) == 0:
 		return errors.New("an answer without a reply")
+	case a.Reply != nil && !httpanswer.Final(a.Reply.Status):
+		return httpanswer.NotAnAnswer(a.Reply.Status)
 	}
 	return nil
 }
--- a/internal/gathering/gatheringrpc/codec_test.go
+++ b/internal/gathering/gatheringrpc/codec_test.go
@@ -84,6 +84,7 @@
 		"nothing":                  {whole, forwardrun.Answer{}, false},
 		"only missing shards":      {whole, forwardrun.Answer{Missing: 3}, false},
 		"a searcher's reply":       {whole, forwardrun.Answer{Reply: reply}, true},
+		"a reply without a status": {whole, forwardrun.Answer{Reply: &forwardrun.Reply{Status: 42}}, false},
 		"some shards":              {whole, forwardrun.Answer{Signatures: []string{"a"}, Missing: 7}, true},
 		"a part":                   {part, forwardrun.Answer{Signatures: []string{"a", "b"}, Missing: 1}, true},
 		"a part that has no shard": {part, forwardrun.Answer{Missing: 3}, true},
--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -21,7 +21,7 @@
 	callTimeout    = 2 * time.Second
 	// dialTimeout is short because a host without power does not answer and every
 	// worker of its link waits for it. The round trip time is 40 ms at most.
-	dialTimeout     = 300 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// maxSilence is how long a peer may leave bytes unacknowledged. It covers two lost
 	// packets in a row. Connections may go silent without a reset while new ones work;
 	// until then a worker and the messages behind it wait on each of them.
--- a/internal/peerlink/transport.go
+++ b/internal/peerlink/transport.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hawthornlock/hawthornlock/internal/httpanswer"
 )
 
 // peerTransport sends requests with the only header that other hosts need, and fails
@@ -23,6 +25,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !httpanswer.Final(resp.StatusCode) {
+		return nil, errors.CombineErrors(httpanswer.NotAnAnswer(resp.StatusCode), resp.Body.Close())
+	}
 	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxResponseBody}
 	return resp, nil
 }
--- a/internal/peerlink/transport_test.go
+++ b/internal/peerlink/transport_test.go
@@ -1,8 +1,10 @@
 package peerlink
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -31,6 +33,34 @@
 	require.Equal(t, "v8", r.Header.Get("Twirp-Version"), "the request itself is not changed")
 }
 
+// Guards against a response without a valid status that a host takes for an answer.
+func TestResponsesOfHostsHaveAStatus(t *testing.T) {
+	for status, valid := range map[string]bool{"000": false, "099": false, "101": false, "200": true, "503": true, "600": false} {
+		t.Run(status, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = c.Write([]byte("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+			links := New()
+			defer links.Close()
+			resp, err := links.Client().Get("http://" + ln.Addr().String())
+			require.Equal(t, valid, err == nil)
+			if err == nil {
+				require.NoError(t, resp.Body.Close())
+			}
+		})
+	}
+}
+
 // Guards against the memory that a response without end takes, and against a response
 // of the greatest allowed size that is cut.
 func TestResponsesOfHostsAreBounded(t *testing.T) {
--- a/internal/targets/targethttp/client.go
+++ b/internal/targets/targethttp/client.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/httpanswer"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -161,6 +162,12 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if !httpanswer.Final(resp.StatusCode) {
+		closeConn(conn)
+		err := httpanswer.NotAnAnswer(resp.StatusCode)
+		c.logFault(address, requestID, err.Error())
+		return verdict.Wrap(err, verdict.MayHaveRun, CodeReplyInvalid, "read reply")
+	}
 	body, err := readReply(resp, c.cfg.MaxReplyBytes)
 	if err != nil {
 		return c.readError(ctx, address, requestID, err)
--- a/internal/targets/targethttp/client_test.go
+++ b/internal/targets/targethttp/client_test.go
@@ -71,7 +71,7 @@
 }
 
 func response(status int, body string) string {
-	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 %03d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
 
 func echoOrder(body []byte) string {
@@ -164,6 +164,9 @@
 		{"not_run with status 500", response(500, `{"not_run":true,"reason":"shed"}`), verdict.MayHaveRun, CodeTargetError},
 		{"not_run with status 200", response(200, `{"not_run":true,"reason":"shed"}`), verdict.MayHaveRun, CodeReplyInvalid},
 		{"404", response(404, `no such page`), verdict.MayHaveRun, CodeTargetError},
+		{"status 000", response(0, `{"request_id":"o-1"}`), verdict.MayHaveRun, CodeReplyInvalid},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", verdict.MayHaveRun, CodeReplyInvalid},
+		{"status 600", response(600, `{"not_run":true,"reason":"shed"}`), verdict.MayHaveRun, CodeReplyInvalid},
 		{"malformed", response(200, `{"request_id":`), verdict.MayHaveRun, CodeReplyInvalid},
 		{"another request", response(200, `{"request_id":"o-0"}`), verdict.MayHaveRun, CodeReplyInvalid},
 		{"too large", response(200, strings.Repeat("x", 300)), verdict.MayHaveRun, CodeReplyTooLarge},
