--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -67,7 +67,9 @@
 // If the settings name no voters, MembersFound supplies them from the
 // membership at the first start of the whole system. Two hosts may then briefly
 // have different lists. A founder needs the same list from every initial voter,
-// so only one list can found a cluster.
+// within one election timeout. That Initial is empty on a host that may be cut off from
+// the others is up to the caller. A node that was founded in vain, because its initial
+// voters belong to another cluster, joins that one.
 //
 // A member that hears from no leader for several seconds may have been removed
 // while it was down. It asks to join again with its identity and log, and
