Keep a target's statement that it is gone for the rest of its incarnation

Cause: the DELETE was recorded as a drain that a reply had shown, which an announcement ends that arrives a lease period later; after the lease's end nothing of it was kept. A DELETE for a target that the host did not know was acknowledged and forgotten.

Change: a target that says that it is gone counts as leaving, which holds for its incarnation, spreads over newer announcements and outlasts its lease. The statement names no incarnation: within a minute after the target started again under its name it may be that of the earlier one, and then it only drains, as before.

Test: TestLateHeartbeatDoesNotUndoADeparture, which failed before for a target that departs while alive and for one whose lease had ended.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -165,6 +165,10 @@
 		effects, err := c.registry.Announce(now, ev.Announcement)
 		out := c.targetEffects(now, effects)
 		return append(out, Resolve{Token: ev.Token, Err: err})
+	case Departed:
+		effects, err := c.registry.Depart(now, ev.Target)
+		out := c.targetEffects(now, effects)
+		return append(out, Resolve{Token: ev.Token, Err: err})
 	case SeedsChanged:
 		return c.membership(now, membership.SeedsChanged{Seeds: ev.Seeds})
 	case HeartbeatReceived:
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -38,6 +38,12 @@
 	Announcement targets.Announcement
 }
 
+// Departed reports that a target has said that it is gone.
+type Departed struct {
+	Token  uint64
+	Target string
+}
+
 // TargetsEvent is an event for the target registry.
 type TargetsEvent struct{ Event targets.Event }
 
@@ -217,6 +223,7 @@
 
 func (Tick) isControlEvent()            {}
 func (Announced) isControlEvent()       {}
+func (Departed) isControlEvent()        {}
 func (TargetsEvent) isControlEvent()    {}
 func (ConsensusEvent) isControlEvent()  {}
 func (FollowEvent) isControlEvent()     {}
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -111,13 +111,11 @@
 	return d.loop.Snapshot().Targets.Target(name)
 }
 
-// DrainTarget marks a target as draining. An unknown target is ignored.
-func (d *Daemon) DrainTarget(ctx context.Context, target string) error {
-	r, ok := d.Target(target)
-	if !ok {
-		return nil
-	}
-	return d.loop.Post(ctx, control.TargetsEvent{Event: targets.DrainObserved{Target: target, Incarnation: r.Incarnation}})
+// Depart records that a target has said that it is gone. The error of an unknown target
+// has the code targets.CodeUnknown.
+func (d *Daemon) Depart(ctx context.Context, target string) error {
+	_, err := d.loop.Call(ctx, func(token uint64) control.Event { return control.Departed{Token: token, Target: target} })
+	return err
 }
 
 // maxConnectionsPerHost bounds this host's connections to one searcher. A
--- a/internal/targets/announcement.go
+++ b/internal/targets/announcement.go
@@ -30,6 +30,7 @@
 	CodeStale         verdict.Code = "stale_announcement"
 	CodeLayoutChanged verdict.Code = "layout_changed"
 	CodeAddressTaken  verdict.Code = "address_taken"
+	CodeUnknown       verdict.Code = "unknown_target"
 )
 
 // Phase is the state that a target reports about itself.
--- a/internal/targets/messages.go
+++ b/internal/targets/messages.go
@@ -41,7 +41,7 @@
 }
 
 // DrainObserved reports that a target takes no new work. Leaving is set if a
-// reply of the target itself said so, which holds for the rest of its
+// reply of the target itself said so, or the target said that it is gone, which holds for the rest of its
 // incarnation. Otherwise a later announcement ends the drain.
 type DrainObserved struct {
 	Target      string
--- a/internal/targets/registry.go
+++ b/internal/targets/registry.go
@@ -33,6 +33,10 @@
 	MaxPendingRenewals = 50_000 // renewals that wait to be forwarded
 )
 
+// lateDeparture is how late a target's statement that it is gone may arrive. A target
+// sends it until it is acknowledged, over some seconds, and a partition may delay it.
+const lateDeparture = time.Minute
+
 // entry is a target's record with the state of its lease at this host. Times
 // are in Unix nanoseconds to keep entries small.
 type entry struct {
@@ -42,6 +46,7 @@
 	renewedAt     int64  // when this host received that renewal
 	leaseStart    int64  // start of the current lease period
 	statusSince   int64  // when this host learned of rec.Status, or when rec expired
+	restartedAt   int64  // when this host learned of rec.Incarnation in place of another one, 0 if never
 	owners        owners
 	standbyWeight uint64 // weight of owners[1]; a heavier host that joins becomes an owner
 	position      int    // in Registry.list
@@ -260,6 +265,9 @@
 		r.list = append(r.list, e)
 	} else {
 		r.unlink(now, e)
+		if rec.Incarnation != e.rec.Incarnation {
+			e.restartedAt = now.UnixNano()
+		}
 		if rec.Incarnation != e.rec.Incarnation || rec.contentHash != e.rec.contentHash {
 			e.renewedSeq = 0
 		}
@@ -353,6 +361,30 @@
 	return append(effects, d)
 }
 
+// Depart applies a target's statement that it is gone. It holds for the rest of the
+// target's incarnation, like Leaving: an announcement of it that arrives later was sent
+// before. The statement names no incarnation, so one that arrives soon after the target
+// started again may be that of the earlier one, and only drains the target.
+//
+// A target that this host does not know is an error, since nothing would be kept of the
+// statement; another host may know the target.
+func (r *Registry) Depart(now time.Time, target string) ([]Effect, error) {
+	e := r.entries[target]
+	if e == nil {
+		return nil, verdict.New(verdict.NotRun, CodeUnknown, "target %q is not known", target)
+	}
+	restarted := e.restartedAt != 0 && now.UnixNano()-e.restartedAt < int64(lateDeparture)
+	if e.rec.Status != StatusExpired {
+		return r.drainObserved(now, DrainObserved{Target: target, Incarnation: e.rec.Incarnation, Leaving: !restarted}), nil
+	}
+	if e.rec.Leaving || restarted {
+		return nil, nil
+	}
+	rec := e.rec.with(e.rec.Seq, StatusExpired)
+	rec.Leaving = true
+	return []Effect{disseminate(r.store(now, rec), "")}, nil
+}
+
 func (r *Registry) drainObserved(now time.Time, ev DrainObserved) []Effect {
 	e := r.entries[ev.Target]
 	switch {
--- a/internal/targets/registry_test.go
+++ b/internal/targets/registry_test.go
@@ -361,3 +361,49 @@
 	require.Empty(t, r.entries)
 	require.Empty(t, r.View().Snapshots())
 }
+
+// Guards against a target that has said that it is gone and takes work again when a heartbeat from before arrives late.
+func TestLateHeartbeatDoesNotUndoADeparture(t *testing.T) {
+	for name, expired := range map[string]bool{"departed while alive": false, "departed after its lease": true} {
+		t.Run(name, func(t *testing.T) {
+			r, now := NewRegistry("h1"), start
+			r.Step(now, MembersChanged{Live: []string{"h1"}, Quorate: true})
+			announce(t, r, now, announcement("t1", 1, 1001))
+			pass := func(d time.Duration) {
+				for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+					r.Step(now, Tick{})
+				}
+			}
+			if expired {
+				pass(2 * LeasePeriod)
+			}
+			effects, err := r.Depart(now, "t1")
+			require.NoError(t, err)
+			require.NotEmpty(t, disseminated(effects))
+			for seq := uint64(2); seq < 10; seq += 2 {
+				pass(LeasePeriod + LeasePeriod/2)
+				announce(t, r, now, announcement("t1", seq, 1001))
+				r.Step(now, RenewalsReceived{From: "h2", Renewals: []Renewal{{Target: "t1", Incarnation: 1, Seq: seq + 1, ContentHash: record(t, r, now).contentHash}}})
+				require.NotEqual(t, StatusAlive, record(t, r, now).Status)
+			}
+			next := announcement("t1", 1, 1001)
+			next.Incarnation = 2
+			announce(t, r, now, next)
+			require.Equal(t, StatusAlive, record(t, r, now).Status)
+
+			// The statement of the earlier incarnation, which arrives after the restart.
+			_, err = r.Depart(now, "t1")
+			require.NoError(t, err)
+			require.False(t, record(t, r, now).Leaving)
+			next.Seq = 2
+			pass(LeasePeriod / 2)
+			announce(t, r, now, next)
+			pass(LeasePeriod * 3 / 4)
+			next.Seq = 3
+			announce(t, r, now, next)
+			require.Equal(t, StatusAlive, record(t, r, now).Status)
+		})
+	}
+	_, err := NewRegistry("h1").Depart(start, "t1")
+	require.Equal(t, CodeUnknown, verdict.CodeOf(err))
+}
