Let a learner that is gone make room for one that joins

Cause: a learner is removed only by one of the same name, and there may be eight.

Change: where there is no room, the learner that has been silent for longest, and for more than an election timeout, leaves the set in the same change. Learners don't count for a majority, and one that returns joins again.

--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -1,7 +1,9 @@
 package consensus
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -326,3 +328,37 @@
 		require.LessOrEqual(t, late, runs/10, "%d voters", voters)
 	}
 }
+
+// Guards against members that are gone for good and keep others from joining.
+func TestLearnersThatAreGoneMakeRoom(t *testing.T) {
+	s := newHealthySim(t, 3)
+	for i := range 300 {
+		m := Member{Name: fmt.Sprint("x", i), Address: fmt.Sprint("x", i)}
+		s.addHost(m)
+		h := s.hosts[3]
+		s.run(2 * time.Second)
+		set := s.leader().node.voters()
+		require.True(t, set.IsLearner(h.self.Identity), "host %d", i)
+		require.LessOrEqual(t, len(set.Learners), DefaultMaxLearners)
+		s.crash(h)
+		s.hosts = s.hosts[:3]
+		s.network = slices.DeleteFunc(s.network, func(m simMessage) bool { return m.to == h.self.Name })
+		if i%50 == 0 {
+			s.compact(s.leader())
+		}
+	}
+}
+
+// Guards against a learner that is alive and loses its place to one that joins.
+func TestLearnersThatAreAliveKeepTheirPlace(t *testing.T) {
+	s := newHealthySim(t, 3)
+	for i := range DefaultMaxLearners + 1 {
+		s.addHost(Member{Name: fmt.Sprint("x", i), Address: fmt.Sprint("x", i)})
+		s.run(2 * time.Second)
+	}
+	set := s.leader().node.voters()
+	require.Len(t, set.Learners, DefaultMaxLearners)
+	for _, h := range s.hosts[3 : 3+DefaultMaxLearners] {
+		require.True(t, set.IsLearner(h.self.Identity))
+	}
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -36,6 +36,15 @@
 	offset   uint64
 }
 
+// silentSince returns the last time at which the follower may have been alive as far as
+// this leader knows.
+func (p *progress) silentSince() time.Time {
+	if p.active.IsZero() {
+		return p.since
+	}
+	return p.active
+}
+
 // sendAppends sends as many appends as the follower's progress permits, or starts
 // to send a snapshot if the log lacks the entries.
 func (n *Node) sendAppends(p *progress) {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -262,6 +262,9 @@
 }
 
 func (s *sim) transmit(h *simHost, e Send) {
+	if !slices.ContainsFunc(s.hosts, func(o *simHost) bool { return o.self.Name == e.To.Address }) {
+		return // the host is gone for good
+	}
 	copies := 1
 	switch r := s.rnd.Float64(); {
 	case r < s.loss:
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -64,11 +64,9 @@
 	s.LeaseHeld = n.leaseHeld()
 	s.TermApplied = n.applied >= n.leading.termStart
 	for _, p := range n.followers() {
-		f := FollowerStatus{Member: p.member, Match: p.match, LastActive: p.active, SilentSince: p.active, Snapshot: p.state == snapshotting}
-		if p.active.IsZero() {
-			f.SilentSince = p.since
-		}
-		s.Followers = append(s.Followers, f)
+		s.Followers = append(s.Followers, FollowerStatus{
+			Member: p.member, Match: p.match, LastActive: p.active, SilentSince: p.silentSince(), Snapshot: p.state == snapshotting,
+		})
 	}
 	return s
 }
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -163,10 +163,31 @@
 		return set, invalidChange("%s is already a member", m.Identity)
 	}
 	changed := set.withLearner(m)
-	if len(changed.Learners) > n.opts.MaxLearners {
+	if len(changed.Learners) <= n.opts.MaxLearners {
+		return changed, nil
+	}
+	gone, ok := n.silentLearner()
+	if !ok {
 		return set, invalidChange("there are already %d learners", len(set.Learners))
 	}
-	return changed, nil
+	return changed.without(gone), nil
+}
+
+// silentLearner returns the learner that has been silent for longest, if that is more than
+// an election timeout. It has no vote, so it can make room for another one; if it returns,
+// it joins again.
+func (n *Node) silentLearner() (Identity, bool) {
+	var longest *progress
+	for _, m := range n.voters().Learners {
+		p := n.leading.progress[m.Identity]
+		if p != nil && (longest == nil || p.silentSince().Before(longest.silentSince())) {
+			longest = p
+		}
+	}
+	if longest == nil || n.now.Sub(longest.silentSince()) < n.opts.ElectionTimeout {
+		return "", false
+	}
+	return longest.member.Identity, true
 }
 
 func (n *Node) withPromoted(set VoterSet, id Identity) (VoterSet, *verdict.Error) {
