--- a/internal/control/controlrun/loop.go
+++ b/internal/control/controlrun/loop.go
@@ -21,8 +21,8 @@
 	maxBatch = 256
 	// lateTickGap is the gap between two ticks above which it is logged.
 	lateTickGap = 250 * time.Millisecond
-	// loggedSuspension is the shortest suspension of the machine that is logged. A
-	// slight difference of the clocks' rates adds up to less.
+	// loggedSuspension is the shortest suspension of the machine that is logged. Shorter
+	// ones end no lease.
 	loggedSuspension = 50 * time.Millisecond
 )
 
