--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -39,7 +39,10 @@
 		return nil
 	}
 	// After a pause the member list is as old as the pause is long.
-	if now.Sub(c.founding.searchedAt) > membership.PauseBound {
+	switch {
+	case c.founding.searchedAt.IsZero():
+		c.founding.since = c.startedAt
+	case now.Sub(c.founding.searchedAt) > membership.PauseBound:
 		c.founding.since = now
 	}
 	c.founding.searchedAt = now
