Identify client accounts by their keys and refuse keys that nobody confirms

Cause: the route plan may name client accounts with keys, which the code ignored, so requests with any key ran, and targets got whatever account name the caller sent.

Change: package accounts holds the accounts of the plan. A request needs a known key unless its route is public; the key is replaced by the account's name before the request leaves the host, and gatherers get a digest of it. The leader's confirmation now names the version of its route plan, so that a host knows since when no newer plan can have revoked a key.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -20,7 +20,7 @@
 	if s.Role != consensus.Leader || !s.LeaseHeld || !s.TermApplied || s.Applied < s.Commit {
 		return nil
 	}
-	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), At: now})
+	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), Plan: c.plans.Version(), At: now})
 }
 
 func (c *Core) confirm(now time.Time, e follow.Confirmed) []Effect {
@@ -28,6 +28,7 @@
 		return nil
 	}
 	c.confirmed = follow.Confirmation(e)
+	c.confirmPlan()
 	out := c.membership(now, membership.ConfigApplied{Position: c.position()})
 	return append(out, c.membership(now, membership.LeaderConfirmed{
 		Position: membership.Position{Term: e.Term, Revision: e.Revision}, At: e.At,
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -33,11 +33,14 @@
 	Term         uint64 // of the latest confirmation
 	Phase        lifecycle.Phase
 
-	ConfirmedAt   time.Time
-	AgreedMembers config.Members // agreed member list
-	Hosts         []Host         // known hosts, by name
-	Voters        []Voter        // on a host with a log, by name and identity
-	Shares        connections.View
+	ConfirmedAt time.Time
+	// PlanConfirmedAt is when a leader last stated that no plan newer than Plan was
+	// accepted. It is zero if none has done so since the start of this process.
+	PlanConfirmedAt time.Time
+	AgreedMembers   config.Members // agreed member list
+	Hosts           []Host         // known hosts, by name
+	Voters          []Voter        // on a host with a log, by name and identity
+	Shares          connections.View
 }
 
 // Host describes a host in a snapshot.
@@ -82,7 +85,7 @@
 	s := &Snapshot{
 		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
 		Plan:  c.plans.Table(),
-		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, AgreedMembers: c.store.Members(), Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
+		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, PlanConfirmedAt: c.planConfirmedAt, AgreedMembers: c.store.Members(), Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
 	}
 	if old != nil && !c.dirty.table && old.Targets == view {
 		s.Table, s.Catalogs, s.GroupMembers = old.Table, old.Catalogs, old.GroupMembers
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -68,7 +68,13 @@
 }
 
 // Ready reports whether the load balancer should send work to this host.
-func (d *Daemon) Ready() bool { return d.loop.Snapshot().Ready }
+//
+// A host whose keys are not confirmed would refuse most requests, which another host can
+// serve.
+func (d *Daemon) Ready() bool {
+	s := d.loop.Snapshot()
+	return s.Ready && (s.Plan == nil || s.Plan.Accounts == nil || d.keysConfirmed(s))
+}
 
 // Phase returns the host's lifecycle phase.
 func (d *Daemon) Phase() lifecycle.Phase { return d.loop.Snapshot().Phase }
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -400,12 +400,18 @@
 		record.Plan = snapshot.Plan.Version
 	}
 	route, refusal := s.accept(snapshot, m)
+	var access Access
+	if refusal == nil {
+		access, refusal = s.d.identify(snapshot.Plan, route, gatheringrpc.Keys(m))
+	}
 	if refusal != nil {
 		record.Err = refusal
 		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(refusal), Plan: record.Plan}, nil
 	}
 	record.Route, record.Objective = route.Name, route.Objective
-	answer, failure := s.d.engine.Do(ctx, gatheringrpc.DecodeCall(now, m, route))
+	call := gatheringrpc.DecodeCall(now, m, route)
+	access.Apply(call)
+	answer, failure := s.d.engine.Do(ctx, call)
 	holdForResponse(ctx, answer)
 	if answer.Reply != nil && !answer.Charge.Take(int64(len(answer.Reply.Body))) { // for the encoded copy
 		answer.Reply, failure = nil, errReplyMemory(verdict.MayHaveRun)
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -11,10 +11,11 @@
 )
 
 // Confirmation is the last confirmation that a feed knows: the leader of Term
-// confirmed Revision as its latest revision.
+// confirmed Revision as its latest revision and Plan as the version of its route plan.
 type Confirmation struct {
 	Term     uint64
 	Revision uint64
+	Plan     uint64
 	At       time.Time // zero if there is none
 }
 
@@ -66,6 +67,7 @@
 	if !c.At.IsZero() {
 		u.Confirmed = true
 		u.ConfirmedRevision = c.Revision
+		u.ConfirmedPlan = c.Plan
 		u.ConfirmedAge = max(0, now.Sub(c.At))
 	}
 	if p.Revision >= revision {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -142,7 +142,7 @@
 	// the confirmation look older but never newer.
 	if u.Confirmed && u.ConfirmedRevision <= f.revision {
 		f.confirmed = true
-		out = append(out, Confirmed{Term: u.Term, Revision: u.ConfirmedRevision, At: sent.Add(-u.ConfirmedAge)})
+		out = append(out, Confirmed{Term: u.Term, Revision: u.ConfirmedRevision, Plan: u.ConfirmedPlan, At: sent.Add(-u.ConfirmedAge)})
 	}
 	if u.Confirmed && u.ConfirmedRevision > f.revision {
 		out = append(out, f.pollFeed(now, s))
--- a/internal/follow/followrpc/codec.go
+++ b/internal/follow/followrpc/codec.go
@@ -23,7 +23,7 @@
 func EncodeUpdate(u follow.Update) (*Update, error) {
 	m := &Update{
 		From: u.From, Seq: u.Seq, Term: u.Term, Confirmed: u.Confirmed,
-		ConfirmedRevision: u.ConfirmedRevision, ConfirmedAgeNs: int64(u.ConfirmedAge),
+		ConfirmedRevision: u.ConfirmedRevision, ConfirmedPlan: u.ConfirmedPlan, ConfirmedAgeNs: int64(u.ConfirmedAge),
 	}
 	for _, a := range u.Changes {
 		change, err := configcodec.EncodeChange(a.Change)
@@ -50,7 +50,7 @@
 func DecodeUpdate(m *Update, plans plancodec.Decoder) (follow.Update, error) {
 	u := follow.Update{
 		From: m.GetFrom(), Seq: m.GetSeq(), Term: m.GetTerm(), Confirmed: m.GetConfirmed(),
-		ConfirmedRevision: m.GetConfirmedRevision(), ConfirmedAge: max(0, time.Duration(m.GetConfirmedAgeNs())),
+		ConfirmedRevision: m.GetConfirmedRevision(), ConfirmedPlan: m.GetConfirmedPlan(), ConfirmedAge: max(0, time.Duration(m.GetConfirmedAgeNs())),
 	}
 	for _, a := range m.GetChanges() {
 		change, err := configcodec.DecodeChange(a.GetChange())
--- a/internal/follow/messages.go
+++ b/internal/follow/messages.go
@@ -60,6 +60,7 @@
 	// latest revision, ConfirmedAge before the feed answered.
 	Confirmed         bool
 	ConfirmedRevision uint64
+	ConfirmedPlan     uint64 // version of the leader's route plan then
 	ConfirmedAge      time.Duration
 	Changes           []Accepted          // consecutive revisions
 	State             *config.State       // in place of Changes when these are no longer kept
@@ -128,11 +129,13 @@
 
 func (ApplyPlan) isFollowEffect() {}
 
-// Confirmed reports that Revision was the latest revision of the leader of Term
-// at the time At, by this host's clock.
+// Confirmed reports that Revision was the latest revision and Plan the version of the
+// route plan of the leader of Term at the time At, by this host's clock. This host may
+// not have that plan yet.
 type Confirmed struct {
 	Term     uint64
 	Revision uint64
+	Plan     uint64
 	At       time.Time
 }
 
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/accounts"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
 // Call is a caller's request, read in full.
@@ -27,8 +29,18 @@
 	// Delay is the part of the latency that passes outside of this host: on the
 	// network to the caller and, at a gatherer, on the way to the host that asked.
 	Delay time.Duration
+	// Account is the client account of the caller, nil if the route needs none. Key is
+	// the digest of the key by which it was found.
+	Account *accounts.Account
+	Key     accounts.Key
+	// Permit returns why no further attempt may be made, or nil. It is called on the
+	// goroutine of the run before each attempt. A nil Permit permits all.
+	Permit func() *verdict.Error
 }
 
+// priority returns the rank of the call, 0 for the most urgent.
+func (c *Call) priority() int { return c.Account.PriorityOr(c.Route.Priority) }
+
 // began returns the time from which the latency objective counts here: an answer
 // that leaves this host within the objective after it reaches the caller in time.
 func (c *Call) began() time.Time { return c.Arrived.Add(-c.Delay) }
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -275,6 +275,7 @@
 	leaving     []forward.Identity
 	endsSeen    map[string]uint64 // by service found busy: attempts that had ended there
 	ended       atomic.Bool       // the run needs no more events
+	denied      *verdict.Error    // why Call.Permit stopped further attempts
 
 	mu      sync.Mutex
 	closed  bool  // the answer no longer needs the replies
@@ -343,6 +344,9 @@
 	for {
 		if o, done := r.execute(effects); done {
 			answer, err := r.answer(run, o)
+			if err != nil && err.Verdict == verdict.NotRun && r.denied != nil {
+				err = r.denied
+			}
 			return answer, err
 		}
 		now = time.Now()
@@ -493,6 +497,11 @@
 
 // Begin implements forward.Environment.
 func (r *runner) Begin(now time.Time, name string, opts forward.AttemptOptions) (*forward.Searcher, bool) {
+	if r.call.Permit != nil {
+		if r.denied = r.call.Permit(); r.denied != nil {
+			return nil, false
+		}
+	}
 	s, busy, ends := r.engine.service(name).begin(now, r.criteria(), opts, r.rng)
 	if busy {
 		if r.endsSeen == nil {
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// before orders waiting runs by the priority of their route, then by deadline.
+// before orders waiting runs by their priority, then by deadline.
 func (w waiter) before(o waiter) bool {
 	a, b := w.runner.call, o.runner.call
-	if a.Route.Priority != b.Route.Priority {
-		return a.Route.Priority < b.Route.Priority
+	if pa, pb := a.priority(), b.priority(); pa != pb {
+		return pa < pb
 	}
 	return a.Deadline.Before(b.Deadline)
 }
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hawthornlock/hawthornlock/internal/accounts"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/httpanswer"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
@@ -21,6 +22,9 @@
 		From: from, Plan: version, RequestId: []byte(c.ID), Method: []byte(c.Method), Uri: []byte(c.URI), Host: []byte(c.Host),
 		Headers: encodeHeader(c.Header), Body: c.Body, Path: []byte(path),
 	}
+	if c.Account != nil {
+		m.Key = c.Key[:]
+	}
 	if c.Shards != nil {
 		m.ShardSet = c.Route.Gather.SetID()
 	}
@@ -49,6 +53,14 @@
 	return true
 }
 
+// Keys returns the digests of the keys with which the caller's request came.
+func Keys(m *GatherRequest) []accounts.Key {
+	if len(m.GetKey()) != len(accounts.Key{}) {
+		return nil
+	}
+	return []accounts.Key{accounts.Key(m.GetKey())}
+}
+
 // SetTimes sets the times of a request that is sent now. hop is the time that passes
 // on the way to the gatherer and back.
 func (m *GatherRequest) SetTimes(now time.Time, c *forwardrun.Call, hop time.Duration) {
--- a/internal/routeplan/plan.go
+++ b/internal/routeplan/plan.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hawthornlock/hawthornlock/internal/accounts"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -32,6 +33,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   CallerLimits
+	// Accounts are the client accounts. If it is nil, requests need no key.
+	Accounts []accounts.Account
 }
 
 // Route says how requests to a host name and path prefix are handled.
@@ -45,8 +48,9 @@
 	Timeout time.Duration
 	// Objective is the latency objective. A later answer is worth less.
 	Objective   time.Duration
-	MaxAttempts int // attempts of one caller's request that may run, for each service
-	Priority    int // 0 is the most urgent
+	MaxAttempts int  // attempts of one caller's request that may run, for each service
+	Priority    int  // 0 is the most urgent
+	Public      bool // requests need no key
 	Splits      []Split
 	Gather      *Gather
 }
@@ -161,6 +165,9 @@
 		}
 		first[key] = r.Name
 	}
+	if err := accounts.Validate(p.Accounts); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, CodeInvalidPlan, "the accounts of the plan")
+	}
 	return nil
 }
 
--- a/internal/routeplan/table.go
+++ b/internal/routeplan/table.go
@@ -6,12 +6,15 @@
 	"net/netip"
 	"slices"
 	"strings"
+
+	"github.com/hawthornlock/hawthornlock/internal/accounts"
 )
 
 // Table looks up the routes and services of a plan. It is immutable.
 type Table struct {
 	Version  uint64
 	Limits   CallerLimits
+	Accounts *accounts.Directory // nil if requests need no key
 	routes   map[routeKey]*Route
 	services map[string]*Service
 	gathered []string // names of the services from which some route gathers, sorted
@@ -24,7 +27,7 @@
 
 // NewTable returns the table of a valid plan.
 func NewTable(p *Plan) *Table {
-	t := &Table{Version: p.Version, Limits: p.Limits, routes: make(map[routeKey]*Route, len(p.Routes)), services: make(map[string]*Service, len(p.Services)), gathers: make(map[uint64]*Gather), routed: make(map[string]bool)}
+	t := &Table{Version: p.Version, Limits: p.Limits, Accounts: accounts.NewDirectory(p.Accounts), routes: make(map[routeKey]*Route, len(p.Routes)), services: make(map[string]*Service, len(p.Services)), gathers: make(map[uint64]*Gather), routed: make(map[string]bool)}
 	for i := range p.Services {
 		t.services[p.Services[i].Name] = &p.Services[i]
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -19,6 +19,10 @@
 	maxNameBytes  = 64
 	minLease      = time.Second
 	maxLease      = time.Minute
+	// minRevocation leaves time for the polls through which a host learns that its keys
+	// are confirmed.
+	minRevocation = time.Second
+	maxRevocation = time.Hour
 	// maxLossTolerance is a minority of five voters, the most that a log has.
 	maxLossTolerance = 2
 	maxCapacity      = 1_000_000_000
@@ -127,6 +131,9 @@
 			c.add("-%s must be above zero", d.flag)
 		}
 	}
+	if s.RevocationBound != 0 && (s.RevocationBound < minRevocation || s.RevocationBound > maxRevocation) {
+		c.add("-revocation-bound %s is neither 0 nor within %s..%s", s.RevocationBound, minRevocation, maxRevocation)
+	}
 	if s.LeasePeriod < minLease || s.LeasePeriod > maxLease {
 		c.add("-lease-period %s is outside %s..%s", s.LeasePeriod, minLease, maxLease)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,9 @@
 	RetryWindow   time.Duration // with ServePlan
 	MemoryLimit   uint64        // of the process in bytes; 0 for none
 	Capacity      uint          // for work on behalf of other hosts, relative to theirs
+	// RevocationBound is the longest time for which a revoked key may still be accepted
+	// on any host; 0 for no bound.
+	RevocationBound time.Duration
 
 	AdminTokenFile   string
 	LogLevel         zerolog.Level
@@ -120,6 +123,7 @@
 	fs.DurationVar(&r.RetryWindow, "retry-window", 10*time.Second, "with -serve-plan: time window of the limit on extra attempts")
 	fs.Uint64Var(&r.MemoryLimit, "memory-limit", 0, "bytes of memory that the process may use; 0 for no limit, otherwise at least 67108864")
 	fs.UintVar(&r.Capacity, "capacity", 1, "capacity of this host for work on behalf of other hosts, relative to theirs, 1 to 1000000000")
+	fs.DurationVar(&r.RevocationBound, "revocation-bound", 0, "with -serve-plan: how long after the acknowledgement of a plan without a key requests with it may still run, on any host, in touch or not, 1s to 1h; 0 for no bound")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "minimum level of the events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves an unconfirmed configuration, 1s to 4s")
