Estimate the way to gatherers by failure domain, up to a quarter of the objective

Nearly all of their parts ended at the time that was set aside for them, and the answers then took 11 to 15 ms to the caller's host: the estimate was the mean over all gatherers, near and far, and bounded to 8 ms of the objective of 80 ms.

Change: gathering.Hops keeps an estimate for each failure domain, takes two deviations instead of one, clips outliers of lost packets, and may take up to a quarter of the objective.

--- a/internal/gathering/hop.go
+++ b/internal/gathering/hop.go
@@ -2,40 +2,59 @@
 
 import "time"
 
-// Hop estimates the time that a request spends on the way to a gatherer and back:
-// on the network, and in the queues of links and processors of both hosts. The
-// gatherer must answer that much earlier for the answer to reach the caller within
-// its latency objective. It is not safe for concurrent use.
-type Hop struct {
+// Hops estimates the time that a request spends on the way to a gatherer and back: on
+// the network, and in the queues of links and processors of both hosts. The gatherer must
+// answer that much earlier for the answer to reach the caller within its latency
+// objective. Ways to other failure domains are estimated apart, since they can take ten
+// times as long as those within one. It is not safe for concurrent use.
+type Hops struct {
+	domains map[string]*hop
+}
+
+// hop is the estimate for the gatherers of one failure domain.
+type hop struct {
 	mean      time.Duration
 	deviation time.Duration // mean absolute deviation
-	known     bool
 }
 
 const (
 	hopGain = 0.1 // weight of an observation in the mean and the deviation
 	// hopDeviations is how many mean deviations above the mean an answer is
-	// expected to take at most.
-	hopDeviations = 1
+	// expected to take at most. A gather that waits for its slowest shards answers
+	// at the last moment, so that a way that takes longer makes the answer late.
+	hopDeviations = 2
 	// maxHopShare bounds the estimate as a share of the objective. The searchers
 	// need the rest of the time.
-	maxHopShare = 0.1
+	maxHopShare = 0.25
+	// An observation counts as at most hopClip deviations and hopClipTime above the mean:
+	// a lost packet takes 200 ms and says nothing about the next request.
+	hopClip     = 4
+	hopClipTime = time.Millisecond
 )
 
-// Observe records the time that a request spent outside of its gatherer.
-func (h *Hop) Observe(took time.Duration) {
+// Observe records the time that a request spent outside of its gatherer in a failure
+// domain.
+func (h *Hops) Observe(failureDomain string, took time.Duration) {
 	took = max(took, 0)
-	if !h.known {
-		h.mean, h.deviation, h.known = took, took/2, true
+	e := h.domains[failureDomain]
+	if e == nil {
+		if h.domains == nil || len(h.domains) >= MaxDomains {
+			h.domains = make(map[string]*hop)
+		}
+		h.domains[failureDomain] = &hop{mean: took, deviation: took / 2}
 		return
 	}
-	difference := took - h.mean
-	h.mean += time.Duration(hopGain * float64(difference))
-	h.deviation += time.Duration(hopGain * float64(max(difference, -difference)-h.deviation))
+	difference := min(took-e.mean, hopClip*e.deviation+hopClipTime)
+	e.mean += time.Duration(hopGain * float64(difference))
+	e.deviation += time.Duration(hopGain * float64(max(difference, -difference)-e.deviation))
 }
 
-// Time returns the time to set aside for the way of a request with a latency
-// objective, 0 before the first observation.
-func (h *Hop) Time(objective time.Duration) time.Duration {
-	return min(h.mean+hopDeviations*h.deviation, time.Duration(maxHopShare*float64(objective)))
+// Time returns the time to set aside for the way of a request with a latency objective to
+// a gatherer in a failure domain, 0 before the first observation there.
+func (h *Hops) Time(failureDomain string, objective time.Duration) time.Duration {
+	e := h.domains[failureDomain]
+	if e == nil {
+		return 0
+	}
+	return min(e.mean+hopDeviations*e.deviation, time.Duration(maxHopShare*float64(objective)))
 }
