Wait for the other parts of a divided gather of which nothing has run

Change: if all parts that have ended were refused, the others get 40 ms to be refused as well. The request then gets 503 with a time to come back.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -53,7 +53,9 @@
 //
 // A part that fails ends the request as soon as too few shards are left. The other
 // parts then go on in the background: their searchers are at work, and breaking them
-// off would only waste what they have done.
+// off would only waste what they have done. If nothing is known to have run, the other
+// parts get refusalWait to be refused too: while the gatherers start, all of them refuse,
+// and only a request of which nothing has run can be refused with a time to come back.
 func (d *Daemon) gatherParts(ctx context.Context, call *forwardrun.Call, h handOver, parts []gathering.Part) (*forwardrun.Answer, *verdict.Error) {
 	if share := d.leastShare(call.Route); !forwardrun.Admits(call.ID, share) {
 		d.engine.Stats().Shed.Add(1)
@@ -73,16 +75,26 @@
 		}()
 	}
 	var results []forwardrun.PartResult
+	var refused <-chan time.Time
 	for len(results) < len(parts) {
+		waited := false
 		select {
 		case r := <-ended:
 			results = append(results, r)
+		case <-refused:
+			waited = true
 		case <-ctx.Done():
 			return &forwardrun.Answer{}, callerGone()
 		}
-		if !forwardrun.Enough(call.Route.Gather, results) {
+		if forwardrun.Enough(call.Route.Gather, results) {
+			continue
+		}
+		if waited || !forwardrun.NothingRan(results) {
 			break
 		}
+		if refused == nil {
+			refused = time.After(refusalWait)
+		}
 	}
 	stop()
 	if len(results) == len(parts) {
@@ -91,6 +103,10 @@
 	return forwardrun.MergeParts(call.Route.Gather, results, len(parts)-len(results))
 }
 
+// refusalWait bounds the wait for the other parts of a request of which one was refused.
+// A refusal takes a round trip between failure domains and some processor time.
+const refusalWait = 40 * time.Millisecond
+
 // gatherPart has a part of a gather carried out: the one of this host's failure domain
 // by this host, if it is a gatherer, and any other by a gatherer of its domain if
 // possible.
--- a/internal/forward/forwardrun/parts.go
+++ b/internal/forward/forwardrun/parts.go
@@ -1,6 +1,7 @@
 package forwardrun
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,12 @@
 	return left >= g.MinShards()
 }
 
+// NothingRan reports whether all of the parts that have ended were refused before they
+// ran.
+func NothingRan(results []PartResult) bool {
+	return !slices.ContainsFunc(results, func(r PartResult) bool { return r.Err == nil || r.Err.Verdict != verdict.NotRun })
+}
+
 // missing returns the number of shards without a reply.
 func (r PartResult) missing() int {
 	if r.Err != nil {
--- a/internal/forward/forwardrun/parts_test.go
+++ b/internal/forward/forwardrun/parts_test.go
@@ -85,6 +85,10 @@
 			require.Empty(t, a.Body)
 		})
 	}
+	refused := failed(verdict.NotRun, "overloaded", 0)
+	require.True(t, NothingRan([]PartResult{refused, refused}), "worth waiting for the other parts")
+	require.False(t, NothingRan([]PartResult{refused, good}))
+	require.False(t, NothingRan([]PartResult{refused, failed(verdict.MayHaveRun, "lost", 0)}))
 	a, err := MergeParts(gatherOf(100, 5, 0.5), []PartResult{good, failed(verdict.MayHaveRun, "lost", 0)}, 0)
 	require.Nil(t, err, "enough shards are left")
 	require.Equal(t, 50, a.Missing)
