Ask another gatherer soon if a connection to the first one is not set up

Change: gathering.Hops bounds the wait for a connection by three times the estimated way, at least 30 ms. Nothing was sent on a call without a connection, so another gatherer may be asked.

Result: tests of packages gathering and daemon pass; not measured alone.

--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http/httptrace"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -288,6 +289,8 @@
 	defer unbind()
 	attempt, cancel := context.WithDeadline(bound, call.Deadline)
 	defer cancel()
+	connected, attempt, stopWaiting := d.boundConnect(attempt, cancel, gatherer)
+	defer stopWaiting()
 	client := &chargedClient{client: d.links.Client(), charge: d.engine.NewCharge()}
 	reply, err := gatheringrpc.NewGatheringProtobufClient(peerlink.BaseURL(address), client).Gather(attempt, m)
 	d.recordGatherer(ctx, host, err)
@@ -306,11 +309,11 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return &forwardrun.Answer{}, callerGone()
-	case err != nil && d.Ending().Err() != nil && !peerlink.NotSent(err):
+	case err != nil && d.Ending().Err() != nil && connected() && !peerlink.NotSent(err):
 		return &forwardrun.Answer{}, hostStops(verdict.MayHaveRun, host)
 	case err != nil && !time.Now().Before(call.Deadline):
 		return &forwardrun.Answer{}, verdict.New(verdict.MayHaveRun, verdict.CodeDeadlineExceeded, "host %s did not answer in time", host)
-	case err != nil && peerlink.NotSent(err):
+	case err != nil && (!connected() || peerlink.NotSent(err)):
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "connect to host "+host)
 	case err != nil:
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "call host "+host)
@@ -324,6 +327,22 @@
 	return answer, failure
 }
 
+// boundConnect cancels a call to a gatherer if it has no connection in time. connected
+// reports whether it got one; if not, nothing of the call was sent.
+func (d *Daemon) boundConnect(ctx context.Context, cancel context.CancelFunc, gatherer gathering.Host) (connected func() bool, traced context.Context, stop func() bool) {
+	d.gather.mu.Lock()
+	wait := d.gather.hops.Connect(gatherer.FailureDomain)
+	d.gather.mu.Unlock()
+	var got atomic.Bool
+	timer := time.AfterFunc(wait, func() {
+		if !got.Load() {
+			cancel()
+		}
+	})
+	traced = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }})
+	return got.Load, traced, timer.Stop
+}
+
 func hostStops(v verdict.Verdict, gatherer string) *verdict.Error {
 	return verdict.New(v, verdict.CodeHostStops, "this host stops before host %s has answered", gatherer).WithRetryAfter(forward.RetryAfterStop)
 }
--- a/internal/gathering/hop.go
+++ b/internal/gathering/hop.go
@@ -30,6 +30,12 @@
 	// a lost packet takes 200 ms and says nothing about the next request.
 	hopClip     = 4
 	hopClipTime = time.Millisecond
+	// A connection that is not set up within connectHops times the estimate, at least
+	// minConnect, belongs to a host without power or to a lost packet, which is sent again
+	// only after a second.
+	connectHops = 3
+	minConnect  = 30 * time.Millisecond
+	maxConnect  = 300 * time.Millisecond
 )
 
 // Observe records the time that a request spent outside of its gatherer in a failure
@@ -49,6 +55,16 @@
 	e.deviation += time.Duration(hopGain * float64(max(difference, -difference)-e.deviation))
 }
 
+// Connect returns how long to wait for a connection to a gatherer in a failure domain
+// before another gatherer is asked.
+func (h *Hops) Connect(failureDomain string) time.Duration {
+	e := h.domains[failureDomain]
+	if e == nil {
+		return maxConnect
+	}
+	return min(max(connectHops*(e.mean+hopDeviations*e.deviation), minConnect), maxConnect)
+}
+
 // Time returns the time to set aside for the way of a request with a latency objective to
 // a gatherer in a failure domain, 0 before the first observation there.
 func (h *Hops) Time(failureDomain string, objective time.Duration) time.Duration {
--- a/internal/gathering/hop_test.go
+++ b/internal/gathering/hop_test.go
@@ -24,10 +24,14 @@
 	}
 	require.GreaterOrEqual(t, h.Time("a", objective), 8*time.Millisecond, "all requests are back by then")
 	require.Less(t, h.Time("a", objective), 10500*time.Microsecond)
+	require.Equal(t, maxConnect, h.Connect("b"), "nothing is known of this failure domain")
+	h.Observe("c", time.Millisecond)
+	require.Equal(t, minConnect, h.Connect("c"))
 	for range 100 {
 		h.Observe("a", time.Second)
 	}
 	require.Equal(t, 25*time.Millisecond, h.Time("a", objective))
+	require.Equal(t, maxConnect, h.Connect("a"), "a slow network must not cut off every dial")
 	for range 100 {
 		h.Observe("a", -time.Millisecond) // the gatherer's clock ran faster
 	}
