Replicate and distribute the withdrawn failure domains

Cause: every host must know the withdrawals, also those without a log, and a host that starts must know them before it serves.

A host with a log decides orders by its replicated store alone, also while a feed has shown it a newer set. The catalogs of the older query engine leave withdrawn targets out.

--- a/internal/control/catalogs.go
+++ b/internal/control/catalogs.go
@@ -9,6 +9,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // catalogs holds the query catalog and the targets of each group. A change of a
@@ -18,6 +19,7 @@
 // Published maps, catalogs and slices are never modified.
 type catalogs struct {
 	table        *routing.Table
+	withdrawals  *withdrawal.Set
 	snapshots    map[string]*groupedSnapshot // by index snapshot
 	groupsOf     map[string][]string         // by labels, see labelKey
 	records      map[string]publishedTarget  // by target
@@ -39,17 +41,17 @@
 
 func newCatalogs() *catalogs { return &catalogs{} }
 
-// update applies a table and a view to the catalogs. changed holds the targets
-// that may differ from the last view.
-func (c *catalogs) update(table *routing.Table, view *targets.View, changed map[string]bool) {
-	if c.table == nil || !slices.EqualFunc(c.table.Groups(), table.Groups(), sameMembership) {
+// update applies a table and a view to the catalogs, without the targets of withdrawn
+// failure domains. changed holds the targets that may differ from the last view.
+func (c *catalogs) update(table *routing.Table, view *targets.View, withdrawals *withdrawal.Set, changed map[string]bool) {
+	if c.table == nil || c.withdrawals != withdrawals || !slices.EqualFunc(c.table.Groups(), table.Groups(), sameMembership) {
 		c.reset(table)
 		changed = make(map[string]bool, view.Len())
 		for r := range view.Targets() {
 			changed[r.Target] = true
 		}
 	}
-	c.table = table
+	c.table, c.withdrawals = table, withdrawals
 	c.updateGroupMembers(view, changed)
 	c.updateSnapshots(view)
 }
@@ -99,7 +101,7 @@
 	for name := range changed {
 		old := c.records[name]
 		r, ok := view.Target(name)
-		if ok && r.Status != targets.StatusAlive {
+		if ok && (r.Status != targets.StatusAlive || c.withdrawals.Withdrawn(r.FailureDomain)) {
 			ok = false
 		}
 		if old.record == r && ok {
@@ -199,6 +201,9 @@
 	grouped := &groupedSnapshot{source: s, byGroup: make(map[string]query.Snapshot)}
 	for i := range s.Shards {
 		for _, r := range s.ReplicasAt(i) {
+			if c.withdrawals.Withdrawn(r.Target.FailureDomain) {
+				continue
+			}
 			for _, g := range c.groups(r.Target) {
 				qs, ok := grouped.byGroup[g]
 				if !ok {
--- a/internal/control/catalogs_test.go
+++ b/internal/control/catalogs_test.go
@@ -53,10 +53,10 @@
 			},
 			"publish": func(t *rapid.T) {
 				table := routing.NewTable(1, groups, nil)
-				incremental.update(table, reg.View(), changed)
+				incremental.update(table, reg.View(), nil, changed)
 				clear(changed)
 				full := newCatalogs()
-				full.update(table, reg.View(), nil)
+				full.update(table, reg.View(), nil, nil)
 				require.Equal(t, full.byGroup, incremental.byGroup)
 				for _, g := range groups {
 					require.ElementsMatch(t, full.groupMembers[g.Name], incremental.groupMembers[g.Name])
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -20,7 +20,7 @@
 	if s.Role != consensus.Leader || !s.LeaseHeld || !s.TermApplied || s.Applied < s.Commit {
 		return nil
 	}
-	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), Plan: c.plans.Version(), At: now})
+	return c.confirm(now, follow.Confirmed{Term: s.Term, Revision: c.store.Revision(), Plan: c.plans.Version(), Withdrawals: c.withdrawals.store.Set().Revision(), At: now})
 }
 
 func (c *Core) confirm(now time.Time, e follow.Confirmed) []Effect {
@@ -58,6 +58,7 @@
 func (c *Core) follow(now time.Time, ev follow.Event) []Effect {
 	c.follower.SetRevision(c.store.Revision())
 	c.follower.SetPlanVersion(c.plans.Version())
+	c.follower.SetWithdrawals(c.withdrawals.inForce.Revision())
 	var out []Effect
 	for _, e := range c.follower.Step(now, ev) {
 		switch e := e.(type) {
@@ -72,6 +73,8 @@
 		case follow.ApplyPlan:
 			_, effects := c.applyPlan(now, e.Document)
 			out = append(out, effects...)
+		case follow.ApplyWithdrawals:
+			out = append(out, c.applyWithdrawals(now, e.Set)...)
 		case follow.Confirmed:
 			out = append(out, c.confirm(now, e)...)
 		case follow.FeedReplaced:
--- a/internal/control/controlcodec/codec.go
+++ b/internal/control/controlcodec/codec.go
@@ -16,6 +16,8 @@
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan/plancodec"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal/withdrawalcodec"
 )
 
 // Version is the encoding version that this package writes and the newest that
@@ -41,6 +43,12 @@
 	return encodeCommand(proposals.KindPlan, at, d.Encoded)
 }
 
+// EncodeWithdrawal returns the log entry of an order to withdraw or restore a failure
+// domain.
+func EncodeWithdrawal(at time.Time, o withdrawal.Order) []byte {
+	return encodeCommand(proposals.KindWithdrawal, at, withdrawalcodec.EncodeOrder(o))
+}
+
 // EncodeChange returns the log entry of a change.
 func EncodeChange(at time.Time, c config.Change) ([]byte, error) {
 	data, err := configcodec.EncodeChange(c)
@@ -95,6 +103,12 @@
 			return control.Command{}, err
 		}
 		cmd.Plan = d
+	case proposals.KindWithdrawal:
+		o, err := withdrawalcodec.DecodeOrder(data)
+		if err != nil {
+			return control.Command{}, err
+		}
+		cmd.Withdrawal = o
 	default:
 		return control.Command{}, errors.Wrapf(ErrMalformed, "kind %d", b[1])
 	}
@@ -114,8 +128,16 @@
 	}
 	out := appendPart(appendPart([]byte{Version}, data), ledger)
 	out = appendPart(out, encodeLists(s.EarlierLists))
+	if s.Plan == nil && s.Withdrawals == nil {
+		return out, nil
+	}
+	var plan []byte
 	if s.Plan != nil {
-		out = appendPart(out, s.Plan.Encoded)
+		plan = s.Plan.Encoded
+	}
+	out = appendPart(out, plan)
+	if s.Withdrawals != nil {
+		out = appendPart(out, withdrawalcodec.EncodeSet(s.Withdrawals))
 	}
 	return out, nil
 }
@@ -153,7 +175,7 @@
 	if err != nil {
 		return control.ReplicatedState{}, err
 	}
-	plan, err := codec.decodePlanPart(rest)
+	plan, withdrawals, err := codec.decodeOptionalParts(rest)
 	if err != nil {
 		return control.ReplicatedState{}, err
 	}
@@ -166,20 +188,39 @@
 		return control.ReplicatedState{}, err
 	}
 	lists, err := decodeLists(listsPart)
-	return control.ReplicatedState{Config: cfg, Orders: ledger, EarlierLists: lists, Plan: plan}, err
+	return control.ReplicatedState{Config: cfg, Orders: ledger, EarlierLists: lists, Plan: plan, Withdrawals: withdrawals}, err
 }
 
-// decodePlanPart reads the last part, which is absent without a route plan.
-func (codec Codec) decodePlanPart(b []byte) (*routeplan.Document, error) {
+// decodeOptionalParts reads the last parts: the route plan, which may be empty, and the
+// withdrawals. Without withdrawals the snapshot ends after the plan, and without a plan
+// either, before it. Snapshots written before there were withdrawals have that form.
+func (codec Codec) decodeOptionalParts(b []byte) (*routeplan.Document, *withdrawal.Set, error) {
 	if len(b) == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
 	part, rest, err := cutPart(b)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	if len(rest) != 0 {
-		return nil, ErrMalformed
+	var plan *routeplan.Document
+	if len(part) > 0 {
+		if plan, err = plancodec.Decode(part, codec.Plans); err != nil {
+			return nil, nil, err
+		}
+	}
+	if len(rest) == 0 {
+		if plan == nil {
+			return nil, nil, ErrMalformed
+		}
+		return plan, nil, nil
+	}
+	part, rest, err = cutPart(rest)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(part) == 0 || len(rest) != 0 {
+		return nil, nil, ErrMalformed
 	}
-	return plancodec.Decode(part, codec.Plans)
+	withdrawals, err := withdrawalcodec.DecodeSet(part)
+	return plan, withdrawals, err
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/spread"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // Options are the fixed inputs of a core.
@@ -58,11 +59,12 @@
 
 // Command is a decoded entry of the replicated log.
 type Command struct {
-	Kind   proposals.Kind
-	At     time.Time
-	Change *config.Change      // with proposals.KindChange
-	Order  orders.Command      // with proposals.KindOrder
-	Plan   *routeplan.Document // with proposals.KindPlan
+	Kind       proposals.Kind
+	At         time.Time
+	Change     *config.Change      // with proposals.KindChange
+	Order      orders.Command      // with proposals.KindOrder
+	Plan       *routeplan.Document // with proposals.KindPlan
+	Withdrawal withdrawal.Order    // with proposals.KindWithdrawal
 }
 
 // ReplicatedState is the state of all replicated state machines.
@@ -71,6 +73,7 @@
 	Orders       orders.State
 	EarlierLists []EarlierList       // earlier member lists whose hosts may not know the successor
 	Plan         *routeplan.Document // nil before the first plan
+	Withdrawals  *withdrawal.Set     // nil before the first order
 }
 
 // Bounds of the log, above which it is compacted into a snapshot. The bound in
@@ -100,6 +103,7 @@
 	knownHostsAt    time.Time            // when knownHosts was built
 	life            *lifecycle.State
 	plans           *routeplan.Store
+	withdrawals     withdrawals
 	startedAt       time.Time
 	founding        founding
 	logBytes        int  // of entries applied since the last snapshot
@@ -123,17 +127,18 @@
 // NewCore returns the core of a host that has just started.
 func NewCore(opts Options, now time.Time) *Core {
 	c := &Core{
-		opts:     opts,
-		registry: targets.NewRegistry(opts.Self),
-		store:    config.NewStore(),
-		node:     opts.Node,
-		ledger:   orders.NewLedger(orders.DefaultLimits()),
-		reads:    make(map[string]Read),
-		tracker:  proposals.NewTracker(),
-		follower: follow.NewFollower(opts.Self, opts.Node != nil),
-		feed:     follow.NewFeed(opts.Self),
-		life:     lifecycle.New(opts.Lifecycle, now),
-		plans:    routeplan.NewStore(),
+		opts:        opts,
+		registry:    targets.NewRegistry(opts.Self),
+		store:       config.NewStore(),
+		node:        opts.Node,
+		ledger:      orders.NewLedger(orders.DefaultLimits()),
+		reads:       make(map[string]Read),
+		tracker:     proposals.NewTracker(),
+		follower:    follow.NewFollower(opts.Self, opts.Node != nil),
+		feed:        follow.NewFeed(opts.Self),
+		life:        lifecycle.New(opts.Lifecycle, now),
+		plans:       routeplan.NewStore(),
+		withdrawals: withdrawals{store: withdrawal.NewStore(nil)},
 
 		startedAt: now,
 	}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -26,4 +26,7 @@
 	EventReadAnswered = eventlog.Define(1205, zerolog.InfoLevel, "read of the replicated state answered",
 		"The leader answered an operator's read. The fields say in which term and up to which log entry.",
 		"None. If two hosts answered with different versions, compare their terms.")
+	EventWithdrawals = eventlog.Define(1206, zerolog.WarnLevel, "withdrawn failure domains changed",
+		"An operator withdrew or restored a failure domain. This host now sends nothing to the targets of the failure domains that the event names.",
+		"None. hawthornlock domain list shows the capacity that is left.")
 )
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -13,12 +13,16 @@
 const planConfirmWait = 1800 * time.Millisecond
 
 // canServePlan reports whether a starting host that serves the route plan may
-// become ready.
+// become ready. It must know the withdrawals that the leader has confirmed, so that it sends
+// nothing to a failure domain that was withdrawn before it started.
 func (c *Core) canServePlan(now time.Time) bool {
 	if c.plans.Document() == nil {
 		return false
 	}
-	return !c.confirmed.At.IsZero() || now.Sub(c.startedAt) >= planConfirmWait
+	if !c.confirmed.At.IsZero() && c.withdrawals.inForce.Revision() >= c.confirmed.Withdrawals {
+		return true
+	}
+	return now.Sub(c.startedAt) >= planConfirmWait
 }
 
 // confirmPlan records the latest confirmation that covers the plan in force here. One
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -12,6 +12,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // consensus steps the replicated log and handles its effects.
@@ -150,6 +151,9 @@
 	case proposals.KindPlan:
 		result, effects := c.applyPlan(now, cmd.Plan)
 		return result, effects, nil
+	case proposals.KindWithdrawal:
+		result, effects := c.applyOrder(now, cmd.Withdrawal)
+		return result, effects, nil
 	}
 	return nil, nil, verdict.New(verdict.Ran, verdict.CodeInternal, "log entry %d has the unknown kind %d", e.Index, cmd.Kind)
 }
@@ -231,6 +235,8 @@
 		c.feed.Reset()
 		_, planEffects := c.applyPlan(now, state.Plan)
 		out = append(out, planEffects...)
+		c.withdrawals.store = withdrawal.NewStore(state.Withdrawals)
+		out = append(out, c.applyWithdrawals(now, state.Withdrawals)...)
 	}
 	out = append(out, resolveAll(c.tracker.Restored(s.Index))...)
 	return append(out, c.configChanged(now)...)
@@ -247,5 +253,6 @@
 	c.logBytes = 0
 	return []Effect{EncodeState{Index: s.Applied, State: ReplicatedState{
 		Config: c.store.State(), Orders: c.ledger.State(), EarlierLists: copyLists(c.earlierLists), Plan: c.plans.Document(),
+		Withdrawals: c.withdrawals.store.Set(),
 	}}}
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // Snapshot is the part of the control state that traffic goroutines read. It is
@@ -28,6 +29,7 @@
 	GroupMembers map[string][]query.Replica // one searcher of each target that takes new work, by group
 	Targets      *targets.View
 	Plan         *routeplan.Table // nil before the first plan
+	Withdrawals  *withdrawal.Set  // nil before the first order
 	Leader       consensus.Member // zero if unknown
 	Revision     uint64
 	Term         uint64 // of the latest confirmation
@@ -84,14 +86,14 @@
 	}
 	s := &Snapshot{
 		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
-		Plan:  c.plans.Table(),
+		Plan: c.plans.Table(), Withdrawals: c.withdrawals.inForce,
 		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, PlanConfirmedAt: c.planConfirmedAt, AgreedMembers: c.store.Members(), Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
 	}
 	if old != nil && !c.dirty.table && old.Targets == view {
 		s.Table, s.Catalogs, s.GroupMembers = old.Table, old.Catalogs, old.GroupMembers
 	} else {
 		s.Table = c.store.Table()
-		c.catalogs.update(s.Table, view, c.changed)
+		c.catalogs.update(s.Table, view, s.Withdrawals, c.changed)
 		clear(c.changed)
 		s.Catalogs, s.GroupMembers = c.catalogs.byGroup, c.catalogs.groupMembers
 	}
@@ -135,7 +137,8 @@
 type Dump struct {
 	Now       time.Time
 	Revision  uint64
-	Plan      uint64 // version of the route plan in force
+	Plan      uint64   // version of the route plan in force
+	Withdrawn []string `json:",omitempty"` // failure domains
 	Confirmed time.Time
 	Phase     lifecycle.Phase
 	Gate      entry.Gate
@@ -152,7 +155,7 @@
 
 func (c *Core) dump(now time.Time) Dump {
 	d := Dump{
-		Now: now, Revision: c.store.Revision(), Plan: c.plans.Version(), Confirmed: c.confirmed.At, Phase: c.life.Phase(), Gate: c.gate(now),
+		Now: now, Revision: c.store.Revision(), Plan: c.plans.Version(), Withdrawn: c.withdrawals.inForce.Names(), Confirmed: c.confirmed.At, Phase: c.life.Phase(), Gate: c.gate(now),
 		Feeds: c.follower.Feeds(), Followers: c.feed.Followers(), Pending: c.tracker.Len(),
 		Targets: c.registry.View().Len(), Members: c.store.Members(), Freshness: c.members.Freshness(now).String(),
 		Shares: c.shares.View(now).Phase().String(), Live: c.members.Live(),
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -8,15 +8,17 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // Confirmation is the last confirmation that a feed knows: the leader of Term
 // confirmed Revision as its latest revision and Plan as the version of its route plan.
 type Confirmation struct {
-	Term     uint64
-	Revision uint64
-	Plan     uint64
-	At       time.Time // zero if there is none
+	Term        uint64
+	Revision    uint64
+	Plan        uint64
+	Withdrawals uint64    // revision of the leader's withdrawals
+	At          time.Time // zero if there is none
 }
 
 // Push is an update that a feed sends without a poll.
@@ -26,17 +28,19 @@
 }
 
 type followerState struct {
-	lastSeen time.Time
-	revision uint64
-	plan     uint64
+	lastSeen    time.Time
+	revision    uint64
+	plan        uint64
+	withdrawals uint64
 }
 
 // Feed serves the configuration of its host to followers.
 type Feed struct {
-	self      string
-	recent    []Accepted // consecutive revisions, oldest first
-	followers map[string]*followerState
-	plan      *routeplan.Document // in force at this host
+	self        string
+	recent      []Accepted // consecutive revisions, oldest first
+	followers   map[string]*followerState
+	plan        *routeplan.Document // in force at this host
+	withdrawals *withdrawal.Set     // in force at this host
 }
 
 // NewFeed returns the feed of the host self.
@@ -64,8 +68,14 @@
 		u.Plan = f.plan
 		s.plan = f.plan.Version
 	}
+	s.withdrawals = max(s.withdrawals, p.Withdrawals)
+	if f.withdrawals.Revision() > p.Withdrawals {
+		u.Withdrawals = f.withdrawals
+		s.withdrawals = f.withdrawals.Revision()
+	}
 	if !c.At.IsZero() {
 		u.Confirmed = true
+		u.ConfirmedWithdrawals = c.Withdrawals
 		u.ConfirmedRevision = c.Revision
 		u.ConfirmedPlan = c.Plan
 		u.ConfirmedAge = max(0, now.Sub(c.At))
@@ -135,6 +145,23 @@
 	return out
 }
 
+// WithdrawalsApplied records the withdrawals in force and returns the pushes for the
+// followers that lack them.
+func (f *Feed) WithdrawalsApplied(now time.Time, term uint64, set *withdrawal.Set) []Push {
+	f.withdrawals = set
+	f.prune(now)
+	var out []Push
+	for _, host := range slices.Sorted(maps.Keys(f.followers)) {
+		s := f.followers[host]
+		if s.withdrawals >= set.Revision() {
+			continue
+		}
+		s.withdrawals = set.Revision()
+		out = append(out, Push{To: host, Update: Update{From: f.self, Term: term, Withdrawals: set}})
+	}
+	return out
+}
+
 // Reset drops the recent changes after the configuration was replaced.
 func (f *Feed) Reset() { f.recent = nil }
 
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -28,17 +28,18 @@
 // order of consecutive revisions. A confirmation of a term lower than the
 // highest seen is ignored.
 type Follower struct {
-	self      string
-	hasLog    bool // the host's own replicated log supplies the changes
-	revision  uint64
-	plan      uint64 // version of the route plan in force here
-	confirmed bool   // an update has confirmed the configuration
-	term      uint64
-	seq       uint64
-	feeds     []*feedState
-	known     []FeedHost
-	next      int // index in known at which the search for a feed starts
-	ahead     aheadPeer
+	self        string
+	hasLog      bool // the host's own replicated log supplies the changes
+	revision    uint64
+	plan        uint64 // version of the route plan in force here
+	withdrawals uint64 // revision of the withdrawals in force here
+	confirmed   bool   // an update has confirmed the configuration
+	term        uint64
+	seq         uint64
+	feeds       []*feedState
+	known       []FeedHost
+	next        int // index in known at which the search for a feed starts
+	ahead       aheadPeer
 }
 
 // NewFollower returns the follower of the host self. With hasLog it only
@@ -58,6 +59,9 @@
 // SetPlanVersion records the version of the route plan in force at this host.
 func (f *Follower) SetPlanVersion(v uint64) { f.plan = max(f.plan, v) }
 
+// SetWithdrawals records the revision of the withdrawals in force at this host.
+func (f *Follower) SetWithdrawals(revision uint64) { f.withdrawals = max(f.withdrawals, revision) }
+
 // Feeds returns the names of the feeds in use.
 func (f *Follower) Feeds() []string {
 	var out []string
@@ -112,13 +116,13 @@
 		clear(s.polls)
 	}
 	s.polls[f.seq] = now
-	return SendPoll{To: s.host.Host, Poll: Poll{From: f.self, Seq: f.seq, Revision: f.revision, Plan: f.plan}}
+	return SendPoll{To: s.host.Host, Poll: Poll{From: f.self, Seq: f.seq, Revision: f.revision, Plan: f.plan, Withdrawals: f.withdrawals}}
 }
 
 func (f *Follower) updateReceived(now time.Time, u Update) []Effect {
-	// Route plans are ordered by version, so an update of an older term may
-	// carry a newer plan.
-	out := f.applyPlan(u)
+	// Route plans are ordered by version and withdrawals by revision, so an update of
+	// an older term may carry newer ones.
+	out := append(f.applyWithdrawals(u), f.applyPlan(u)...)
 	if u.Term < f.term {
 		return out
 	}
@@ -142,7 +146,7 @@
 	// the confirmation look older but never newer.
 	if u.Confirmed && u.ConfirmedRevision <= f.revision {
 		f.confirmed = true
-		out = append(out, Confirmed{Term: u.Term, Revision: u.ConfirmedRevision, Plan: u.ConfirmedPlan, At: sent.Add(-u.ConfirmedAge)})
+		out = append(out, Confirmed{Term: u.Term, Revision: u.ConfirmedRevision, Plan: u.ConfirmedPlan, Withdrawals: u.ConfirmedWithdrawals, At: sent.Add(-u.ConfirmedAge)})
 	}
 	if u.Confirmed && u.ConfirmedRevision > f.revision {
 		out = append(out, f.pollFeed(now, s))
@@ -158,6 +162,14 @@
 	return []Effect{ApplyPlan{Document: u.Plan}}
 }
 
+func (f *Follower) applyWithdrawals(u Update) []Effect {
+	if u.Withdrawals.Revision() <= f.withdrawals {
+		return nil
+	}
+	f.withdrawals = u.Withdrawals.Revision()
+	return []Effect{ApplyWithdrawals{Set: u.Withdrawals}}
+}
+
 // applyConfig returns the effects that apply the state or changes of an update.
 func (f *Follower) applyConfig(u Update) []Effect {
 	if f.hasLog {
@@ -324,7 +336,7 @@
 	}
 	if now.Sub(a.since) >= planPeerPatience && !slices.Contains(f.Feeds(), a.host) {
 		f.seq++
-		out = append(out, SendPoll{To: a.host, Poll: Poll{From: f.self, Seq: f.seq, Revision: f.revision, Plan: f.plan}})
+		out = append(out, SendPoll{To: a.host, Poll: Poll{From: f.self, Seq: f.seq, Revision: f.revision, Plan: f.plan, Withdrawals: f.withdrawals}})
 	}
 	return out
 }
--- a/internal/follow/followrpc/codec.go
+++ b/internal/follow/followrpc/codec.go
@@ -7,23 +7,24 @@
 	"github.com/hawthornlock/hawthornlock/internal/config/configcodec"
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan/plancodec"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal/withdrawalcodec"
 )
 
 // EncodePoll converts a poll to its message.
 func EncodePoll(p follow.Poll) *Poll {
-	return &Poll{From: p.From, Seq: p.Seq, Revision: p.Revision, Plan: p.Plan}
+	return &Poll{From: p.From, Seq: p.Seq, Revision: p.Revision, Plan: p.Plan, Withdrawals: p.Withdrawals}
 }
 
 // DecodePoll converts a message to a poll.
 func DecodePoll(m *Poll) follow.Poll {
-	return follow.Poll{From: m.GetFrom(), Seq: m.GetSeq(), Revision: m.GetRevision(), Plan: m.GetPlan()}
+	return follow.Poll{From: m.GetFrom(), Seq: m.GetSeq(), Revision: m.GetRevision(), Plan: m.GetPlan(), Withdrawals: m.GetWithdrawals()}
 }
 
 // EncodeUpdate converts an update to its message.
 func EncodeUpdate(u follow.Update) (*Update, error) {
 	m := &Update{
 		From: u.From, Seq: u.Seq, Term: u.Term, Confirmed: u.Confirmed,
-		ConfirmedRevision: u.ConfirmedRevision, ConfirmedPlan: u.ConfirmedPlan, ConfirmedAgeNs: int64(u.ConfirmedAge),
+		ConfirmedRevision: u.ConfirmedRevision, ConfirmedPlan: u.ConfirmedPlan, ConfirmedWithdrawals: u.ConfirmedWithdrawals, Withdrawals: withdrawalcodec.EncodeSet(u.Withdrawals), ConfirmedAgeNs: int64(u.ConfirmedAge),
 	}
 	for _, a := range u.Changes {
 		change, err := configcodec.EncodeChange(a.Change)
@@ -50,7 +51,7 @@
 func DecodeUpdate(m *Update, plans plancodec.Decoder) (follow.Update, error) {
 	u := follow.Update{
 		From: m.GetFrom(), Seq: m.GetSeq(), Term: m.GetTerm(), Confirmed: m.GetConfirmed(),
-		ConfirmedRevision: m.GetConfirmedRevision(), ConfirmedPlan: m.GetConfirmedPlan(), ConfirmedAge: max(0, time.Duration(m.GetConfirmedAgeNs())),
+		ConfirmedRevision: m.GetConfirmedRevision(), ConfirmedPlan: m.GetConfirmedPlan(), ConfirmedWithdrawals: m.GetConfirmedWithdrawals(), ConfirmedAge: max(0, time.Duration(m.GetConfirmedAgeNs())),
 	}
 	for _, a := range m.GetChanges() {
 		change, err := configcodec.DecodeChange(a.GetChange())
@@ -73,5 +74,7 @@
 		}
 		u.Plan = plan
 	}
-	return u, nil
+	set, err := withdrawalcodec.DecodeSet(m.GetWithdrawals())
+	u.Withdrawals = set
+	return u, err
 }
--- a/internal/follow/messages.go
+++ b/internal/follow/messages.go
@@ -13,6 +13,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // Intervals and timeouts of the protocol. Two polls must fit into FeedTimeout,
@@ -45,10 +46,11 @@
 
 // Poll asks a feed for the changes after Revision.
 type Poll struct {
-	From     string // host that asks
-	Seq      uint64 // echoed by the update
-	Revision uint64
-	Plan     uint64 // version of the route plan that the host has
+	From        string // host that asks
+	Seq         uint64 // echoed by the update
+	Revision    uint64
+	Plan        uint64 // version of the route plan that the host has
+	Withdrawals uint64 // revision of the withdrawals that the host has
 }
 
 // Update answers a poll, or pushes changes when Seq is zero.
@@ -58,13 +60,15 @@
 	Term uint64 // highest term that the feed knows
 	// Confirmed means that the leader of Term confirmed ConfirmedRevision as its
 	// latest revision, ConfirmedAge before the feed answered.
-	Confirmed         bool
-	ConfirmedRevision uint64
-	ConfirmedPlan     uint64 // version of the leader's route plan then
-	ConfirmedAge      time.Duration
-	Changes           []Accepted          // consecutive revisions
-	State             *config.State       // in place of Changes when these are no longer kept
-	Plan              *routeplan.Document // if the feed has a newer one
+	Confirmed            bool
+	ConfirmedRevision    uint64
+	ConfirmedPlan        uint64 // version of the leader's route plan then
+	ConfirmedWithdrawals uint64 // revision of the leader's withdrawals then
+	ConfirmedAge         time.Duration
+	Changes              []Accepted          // consecutive revisions
+	State                *config.State       // in place of Changes when these are no longer kept
+	Plan                 *routeplan.Document // if the feed has a newer one
+	Withdrawals          *withdrawal.Set     // if the feed has a newer one
 }
 
 // Event is an input of a Follower.
@@ -127,16 +131,21 @@
 // ApplyPlan applies a route plan that a feed sent.
 type ApplyPlan struct{ Document *routeplan.Document }
 
-func (ApplyPlan) isFollowEffect() {}
+// ApplyWithdrawals applies withdrawals that a feed sent.
+type ApplyWithdrawals struct{ Set *withdrawal.Set }
+
+func (ApplyPlan) isFollowEffect()        {}
+func (ApplyWithdrawals) isFollowEffect() {}
 
-// Confirmed reports that Revision was the latest revision and Plan the version of the
-// route plan of the leader of Term at the time At, by this host's clock. This host may
-// not have that plan yet.
+// Confirmed reports that Revision was the latest revision, Plan the version of the route
+// plan and Withdrawals the revision of the withdrawals of the leader of Term at the time At, by this host's clock. This host may
+// not have that plan or these withdrawals yet.
 type Confirmed struct {
-	Term     uint64
-	Revision uint64
-	Plan     uint64
-	At       time.Time
+	Term        uint64
+	Revision    uint64
+	Plan        uint64
+	Withdrawals uint64
+	At          time.Time
 }
 
 // FeedReplaced reports that the feed Old was replaced by New, because Old did not
--- a/internal/proposals/proposals.go
+++ b/internal/proposals/proposals.go
@@ -21,9 +21,10 @@
 
 // Kinds of commands.
 const (
-	KindChange Kind = iota + 1 // internal/config
-	KindOrder                  // internal/orders
-	KindPlan                   // internal/routeplan
+	KindChange     Kind = iota + 1 // internal/config
+	KindOrder                      // internal/orders
+	KindPlan                       // internal/routeplan
+	KindWithdrawal                 // internal/withdrawal
 )
 
 // Command is one entry of the replicated log. At is the time by the proposer's
--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -137,11 +137,3 @@
 	}
 	return out
 }
-
-// Newer returns the set with the higher revision.
-func Newer(a, b *Set) *Set {
-	if b.Revision() > a.Revision() {
-		return b
-	}
-	return a
-}
