Withdraw and restore failure domains

Cause: nothing may be sent to the targets of a failure domain that the operator has withdrawn, also not by requests that wait or are hedged.

Searchers of withdrawn failure domains are left out, and a gate is asked when an attempt begins and again when its request is sent, over an idle connection or a new one. The older engine asks when it picks a replica and when a sub-request or order has got its slot.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -318,6 +318,7 @@
 			a.command("", querySpec(a)),
 			a.group("order", "Place an order and ask for its outcome", orderSpecs(a)...),
 			a.group("voter", "Show and remove the hosts that hold the log", voterSpecs(a)...),
+			a.group("domain", "Show, withdraw and restore failure domains", domainSpecs(a)...),
 			a.group("host", "Show, drain, resume and forget hosts", hostSpecs(a)...),
 			a.command("", explainSpec(a)),
 			a.command("", versionSpec(a)),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -30,6 +30,7 @@
 	mu          sync.Mutex // held while a request is served
 	store       *config.Store
 	hosts       []confighttp.Host
+	withdrawn   bool
 	dropReplies bool // carries out a POST, but closes the connection instead of replying
 	reply       func(w http.ResponseWriter, body string)
 
@@ -76,6 +77,40 @@
 	return nil
 }
 
+func (c *cluster) Domains() confighttp.Domains {
+	return confighttp.Domains{Domains: []confighttp.Domain{{Domain: "fd1", Region: "r", Withdrawn: c.withdrawn, Hosts: 1, Targets: 2}}}
+}
+
+func (c *cluster) PreviewDomain(domain string, withdraw bool) (confighttp.DomainOrder, error) {
+	if domain != "fd1" {
+		return confighttp.DomainOrder{}, verdict.New(verdict.NotRun, "unknown_failure_domain", "failure domain %q is unknown", domain)
+	}
+	return confighttp.DomainOrder{Domain: domain, Withdrawn: withdraw, Capacity: []confighttp.ServiceCapacity{{Service: "desk", Searchers: 2, Slots: 4, Lost: withdraw}}}, nil
+}
+
+func (c *cluster) OrderDomain(_ context.Context, _ string, withdraw bool) (uint64, error) {
+	c.withdrawn = withdraw
+	return 1, nil
+}
+
+// Guards against a dry run that withdraws a failure domain, and against an output that does
+// not name the services which would have no searcher.
+func TestDomainCommands(t *testing.T) {
+	c := newCluster(t)
+	require.Equal(t, exitDone, c.run(t, "domain", "withdraw", "fd1", "-dry-run"), c.err.String())
+	require.Contains(t, c.out.String(), "Nothing was changed.")
+	require.Regexp(t, "desk .*no searcher left", c.out.String())
+	require.False(t, c.withdrawn)
+	require.Equal(t, exitDone, c.run(t, "domain", "withdraw", "fd1"), c.err.String())
+	require.True(t, c.withdrawn)
+	require.Equal(t, exitDone, c.run(t, "domain", "list"))
+	require.Regexp(t, "fd1 +r +yes +1 +2", c.out.String())
+	require.Equal(t, exitDone, c.run(t, "domain", "restore", "fd1"), c.err.String())
+	require.False(t, c.withdrawn)
+	require.Equal(t, exitNotRun, c.run(t, "domain", "withdraw", "fd2"))
+	require.Contains(t, c.err.String(), `failure domain "fd2" is unknown`)
+}
+
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{store: config.NewStore(), stateDir: t.TempDir(), now: time.Date(2026, 12, 4, 1, 0, 0, 0, time.UTC)}
 	api := confighttp.New(confighttp.Options{Backend: c, Log: eventlog.Nop()})
--- a/internal/config/confighttp/backend.go
+++ b/internal/config/confighttp/backend.go
@@ -39,6 +39,7 @@
 	Voters() ([]Voter, error)
 	// RemoveVoter permanently revokes the vote of an identity.
 	RemoveVoter(ctx context.Context, identity string) error
+	DomainBackend
 }
 
 // Target is a target as the answering host sees it.
--- a/internal/config/confighttp/events.go
+++ b/internal/config/confighttp/events.go
@@ -31,4 +31,7 @@
 	eventRemoveVoter = eventlog.Define(7007, zerolog.WarnLevel, "voter removal requested",
 		"an operator asked to revoke the vote of an identity",
 		"none if it was intended; hawthornlock voter list shows the remaining voters")
+	eventDomain = eventlog.Define(7008, zerolog.WarnLevel, "failure domain ordered",
+		"an operator asked this host to withdraw or restore a failure domain",
+		"none if it was accepted; otherwise send the order again")
 )
--- a/internal/config/confighttp/server.go
+++ b/internal/config/confighttp/server.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // Bounds of a request.
@@ -91,6 +92,9 @@
 	handle(http.MethodPost, "/hosts/{host}/resume", s.resumeHost)
 	handle(http.MethodGet, "/voters", s.voters)
 	handle(http.MethodPost, "/voters/{identity}/remove", s.removeVoter)
+	handle(http.MethodGet, "/domains", s.domains)
+	handle(http.MethodPost, "/domains/{domain}/withdraw", s.withdrawDomain)
+	handle(http.MethodPost, "/domains/{domain}/restore", s.restoreDomain)
 	handle(http.MethodGet, "/state", s.state)
 	return root
 }
@@ -203,7 +207,7 @@
 	}
 	status := http.StatusServiceUnavailable
 	switch {
-	case d.Code == codeNotFound, d.Code == CodeUnknownHost:
+	case d.Code == codeNotFound, d.Code == CodeUnknownHost, d.Code == withdrawal.CodeUnknownDomain:
 		status = http.StatusNotFound
 	case errors.Is(err, context.DeadlineExceeded):
 		status, d.Code = http.StatusGatewayTimeout, verdict.CodeDeadlineExceeded
--- a/internal/config/confighttp/server_test.go
+++ b/internal/config/confighttp/server_test.go
@@ -20,6 +20,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 const (
@@ -35,6 +36,9 @@
 	proposeErr error
 	drained    string
 	removed    string
+	withdrawn  bool
+	orders     uint64
+	orderErr   error
 }
 
 func (f *fakeBackend) Propose(_ context.Context, c config.Change) (config.Result, error) {
@@ -84,6 +88,63 @@
 	return nil
 }
 
+func (f *fakeBackend) Domains() Domains {
+	return Domains{Revision: f.orders, Domains: []Domain{{Domain: "fd/1", Region: "r", Withdrawn: f.withdrawn, Hosts: 2, Targets: 3}}}
+}
+
+func (f *fakeBackend) PreviewDomain(domain string, withdraw bool) (DomainOrder, error) {
+	if domain != "fd/1" {
+		return DomainOrder{}, verdict.New(verdict.NotRun, withdrawal.CodeUnknownDomain, "failure domain %q is unknown", domain)
+	}
+	return DomainOrder{Domain: domain, Withdrawn: withdraw, Revision: f.orders, Capacity: []ServiceCapacity{{Service: "a", Searchers: 1, Slots: 2, Lost: withdraw}}}, nil
+}
+
+func (f *fakeBackend) OrderDomain(_ context.Context, _ string, withdraw bool) (uint64, error) {
+	f.withdrawn = withdraw
+	f.orders++
+	return f.orders, f.orderErr
+}
+
+// Guards against a dry run that withdraws a failure domain, an unknown one that is
+// accepted, and an order of a team that does not run the hosts.
+func TestDomainOrders(t *testing.T) {
+	f := newFixture(t, "")
+	ctx := t.Context()
+	dry, err := f.client.OrderDomain(ctx, "fd/1", true, true)
+	require.NoError(t, err)
+	require.True(t, dry.DryRun)
+	require.True(t, dry.Capacity[0].Lost)
+	require.Zero(t, f.orders, "a dry run changed the state")
+
+	done, err := f.client.OrderDomain(ctx, "fd/1", true, false)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), done.Revision)
+	list, err := f.client.Domains(ctx)
+	require.NoError(t, err)
+	require.Equal(t, Domains{Revision: 1, Domains: []Domain{{Domain: "fd/1", Region: "r", Withdrawn: true, Hosts: 2, Targets: 3}}}, list)
+	_, err = f.client.OrderDomain(ctx, "fd/1", false, false)
+	require.NoError(t, err)
+	require.False(t, f.withdrawn)
+
+	_, err = f.client.OrderDomain(ctx, "nowhere", true, false)
+	var remote *RemoteError
+	require.ErrorAs(t, err, &remote)
+	require.Equal(t, http.StatusNotFound, remote.Status)
+	require.Equal(t, withdrawal.CodeUnknownDomain, remote.Detail.Code)
+	require.Equal(t, verdict.NotRun, remote.Detail.Verdict)
+
+	f.orderErr = verdict.New(verdict.MayHaveRun, "unknown_outcome", "lost")
+	_, err = f.client.OrderDomain(ctx, "fd/1", true, false)
+	require.Equal(t, verdict.MayHaveRun, VerdictOf(err))
+
+	teams := newFixture(t, "red "+redToken)
+	teams.client.Token = redToken
+	_, err = teams.client.OrderDomain(ctx, "fd/1", true, false)
+	require.ErrorAs(t, err, &remote)
+	require.Equal(t, http.StatusForbidden, remote.Status)
+	require.Zero(t, teams.orders)
+}
+
 type fixture struct {
 	*fakeBackend
 	client *Client
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -44,6 +44,7 @@
 		},
 		ReplyMemory: int64(d.settings.MemoryLimit) / replyMemoryDivisor,
 		Budget:      d.retryLimits(),
+		Gate:        searcherGate{d},
 	})
 }
 
@@ -135,7 +136,7 @@
 const connectionFraction = 0.5
 
 // searcherSpecs returns the searchers that this host may send requests to, by
-// service. A service whose requests other hosts carry out for this one has no entry.
+// service, without those in withdrawn failure domains. A service whose requests other hosts carry out for this one has no entry.
 func (d *Daemon) searcherSpecs(s *control.Snapshot, p *placement, hosts int) map[string][]forward.SearcherSpec {
 	out := make(map[string][]forward.SearcherSpec)
 	if s.Plan == nil {
@@ -146,7 +147,7 @@
 	for r := range s.Targets.Targets() {
 		service := r.Labels[ServiceLabel]
 		planned, ok := s.Plan.Service(service)
-		if !ok || r.Status != targets.StatusAlive {
+		if !ok || r.Status != targets.StatusAlive || s.Withdrawals.Withdrawn(r.FailureDomain) {
 			continue
 		}
 		if _, gathers := slices.BinarySearch(gathered, service); gathers && p.unknown {
@@ -187,16 +188,16 @@
 func (d *Daemon) applySearchers(a *applied, s *control.Snapshot) {
 	hosts := fleetSize(s)
 	p := a.placement
-	if p == nil || p.unknown || a.plan != s.Plan || a.targets != s.Targets || !sameSlice(a.placedHosts, s.Hosts) {
+	if p == nil || p.unknown || a.plan != s.Plan || a.targets != s.Targets || a.withdrawals != s.Withdrawals || !sameSlice(a.placedHosts, s.Hosts) {
 		a.placedHosts = s.Hosts
 		p = newPlacement(s, time.Since(d.startedAt), a.placement)
 	}
 	recomputed := p != a.placement
-	if a.targets != s.Targets || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
+	if a.targets != s.Targets || a.withdrawals != s.Withdrawals || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
 		if !a.placement.same(p) {
 			d.log.Log(eventGatherersChanged).Strs("gatherers", p.names()).Bool("unknown", p.unknown).Int("hosts", hosts).Int("live", liveHosts(s)).Send()
 		}
-		a.plan, a.hosts = s.Plan, hosts
+		a.plan, a.hosts, a.withdrawals = s.Plan, hosts, s.Withdrawals
 		d.gather.placement.Store(p)
 		d.engine.SetSearchers(d.searcherSpecs(s, p, hosts))
 	}
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -9,6 +9,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
 )
 
 // applied is the state that applySnapshots last applied to the traffic side.
@@ -21,6 +22,7 @@
 	shares  map[netip.AddrPort]int
 
 	plan        *routeplan.Table
+	withdrawals *withdrawal.Set
 	placement   *placement
 	placedHosts []control.Host // from which placement was computed
 	sharers     sharers
@@ -72,9 +74,9 @@
 const maxApplyWait = 500 * time.Millisecond
 
 // wait returns how long a snapshot waits for further changes before it is applied. A new
-// route plan does not wait.
+// route plan does not wait, nor do new withdrawals.
 func (a *applied) wait(now time.Time, s *control.Snapshot) time.Duration {
-	if a.at.IsZero() || a.plan != s.Plan || s.Plan == nil {
+	if a.at.IsZero() || a.plan != s.Plan || a.withdrawals != s.Withdrawals || s.Plan == nil {
 		return 0
 	}
 	period := applyPeriod * time.Duration(s.Targets.Len()+len(s.Hosts))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -194,6 +194,7 @@
 	d.gather.chooser, d.gather.log = gathering.NewChooser(), forwardrun.NewGatherLog(d.log)
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
+	d.groups.SetWithdrawn(func(domain string) bool { return d.loop.Snapshot().Withdrawals.Withdrawn(domain) })
 	d.admission = admissionrun.New(admission.Config{Concurrency: d.settings.MaxQueries, QueueLength: d.settings.QueueLength}, d.log)
 	d.driver = queryrun.New(queryrun.Config{
 		Transport: entryrun.NewTransport(client, d.groups), Catalogs: d.loop, Log: d.log, OnDrain: d.observeDrain, Seed: d.settings.Seed,
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -143,7 +143,7 @@
 	out := make(map[string]map[string]bool)
 	for r := range s.Targets.Targets() {
 		service := r.Labels[ServiceLabel]
-		if _, ok := slices.BinarySearch(gathered, service); !ok || r.Status != targets.StatusAlive {
+		if _, ok := slices.BinarySearch(gathered, service); !ok || r.Status != targets.StatusAlive || s.Withdrawals.Withdrawn(r.FailureDomain) {
 			continue
 		}
 		if out[r.FailureDomain] == nil {
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -23,6 +23,8 @@
 	"github.com/hawthornlock/hawthornlock/internal/routeplan/plancodec"
 	"github.com/hawthornlock/hawthornlock/internal/settings"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal/withdrawalcodec"
 )
 
 // submitRetryDelay is the wait between attempts to find the leader. An election
@@ -242,6 +244,8 @@
 		return orderscodec.EncodeReply(r)
 	case routeplan.Result:
 		return plancodec.EncodeResult(r), nil
+	case withdrawal.Result:
+		return withdrawalcodec.EncodeResult(r), nil
 	default:
 		return nil, verdict.New(verdict.Ran, verdict.CodeInternal, "the log returned a %T", result)
 	}
--- a/internal/entry/entryrun/chooser.go
+++ b/internal/entry/entryrun/chooser.go
@@ -26,7 +26,12 @@
 func (c *chooser) Pick(_ time.Time, candidates []query.Replica, avoidDomain string) (int, bool) {
 	c.scratch = c.scratch[:0]
 	for _, r := range candidates {
-		c.scratch = append(c.scratch, balanceReplica(r))
+		if !c.group.withdrawn(r.FailureDomain) { // a query keeps the replicas of its start
+			c.scratch = append(c.scratch, balanceReplica(r))
+		}
+	}
+	if len(c.scratch) == 0 {
+		return 0, false
 	}
 	opts := balance.PickOptions{MaxEjectedPercent: c.group.limits.MaxEjectedPercent}
 	if avoidDomain != "" {
@@ -40,8 +45,8 @@
 	if result == balance.Picked {
 		c.reserve(picked)
 	}
-	for i := range c.scratch {
-		if c.scratch[i].Key == picked.Key {
+	for i := range candidates {
+		if balanceReplica(candidates[i]).Key == picked.Key {
 			return i, true
 		}
 	}
--- a/internal/entry/entryrun/chooser_test.go
+++ b/internal/entry/entryrun/chooser_test.go
@@ -45,6 +45,24 @@
 	}
 }
 
+// Guards against a hedge or retry of a query that goes to a target whose failure domain
+// was withdrawn after the query had begun.
+func TestNoPickInAWithdrawnDomain(t *testing.T) {
+	withdrawn := ""
+	groups := NewGroups(query.DefaultBudgetLimits(), 1, eventlog.Nop())
+	groups.SetWithdrawn(func(domain string) bool { return domain == withdrawn })
+	c := &chooser{group: groups.get(routing.Group{Name: "g"})}
+	candidates := []query.Replica{{Target: "a", Searcher: "s", Slots: 2, FailureDomain: "fd1"}, {Target: "b", Searcher: "s", Slots: 2, FailureDomain: "fd2"}}
+	withdrawn = "fd1"
+	for range 4 {
+		i, ok := c.Pick(time.Time{}, candidates, "")
+		require.True(t, ok)
+		require.Equal(t, "b", candidates[i].Target)
+	}
+	_, ok := c.Pick(time.Time{}, candidates[:1], "")
+	require.False(t, ok, "no other replica holds the shard")
+}
+
 // Guards against slots that stay reserved after a query that never sent the
 // sub-requests it had picked replicas for.
 func TestUnusedReservationsAreReleased(t *testing.T) {
--- a/internal/entry/entryrun/groups.go
+++ b/internal/entry/entryrun/groups.go
@@ -17,6 +17,7 @@
 	queryGroup *query.Group
 	balancer   *balancerun.Balancer
 	sheds      *shedMeter
+	withdrawn  func(failureDomain string) bool
 }
 
 // Groups holds the traffic state of all groups. It is safe for concurrent
@@ -25,6 +26,8 @@
 	log    *eventlog.Logger
 	limits query.BudgetLimits
 	seed   uint64
+	// withdrawn reports whether nothing may be sent to the targets of a failure domain.
+	withdrawn func(failureDomain string) bool
 
 	mu     sync.RWMutex
 	hosts  int
@@ -33,9 +36,13 @@
 
 // NewGroups returns an empty set. The limits apply to groups that set none.
 func NewGroups(limits query.BudgetLimits, seed uint64, log *eventlog.Logger) *Groups {
-	return &Groups{log: log, limits: limits, seed: seed, hosts: 1, groups: make(map[string]*group)}
+	return &Groups{log: log, limits: limits, seed: seed, withdrawn: func(string) bool { return false }, hosts: 1, groups: make(map[string]*group)}
 }
 
+// SetWithdrawn sets what reports whether nothing may be sent to the targets of a failure
+// domain. It must be called before the first request.
+func (g *Groups) SetWithdrawn(f func(failureDomain string) bool) { g.withdrawn = f }
+
 // get returns the state of a group. When the limits of a group change, its
 // budgets, latencies and shed meter are reset, and its balancer is kept.
 func (g *Groups) get(want routing.Group) *group {
@@ -51,7 +58,7 @@
 	if known != nil && known.limits == want.Limits {
 		return known
 	}
-	fresh := &group{limits: want.Limits, queryGroup: g.newQueryGroup(want.Limits), sheds: &shedMeter{}}
+	fresh := &group{limits: want.Limits, queryGroup: g.newQueryGroup(want.Limits), sheds: &shedMeter{}, withdrawn: g.withdrawn}
 	if known != nil {
 		fresh.balancer = known.balancer
 	} else {
--- a/internal/entry/entryrun/orders.go
+++ b/internal/entry/entryrun/orders.go
@@ -139,6 +139,10 @@
 	if err != nil {
 		return "", orders.TargetReplied{Verdict: verdict.NotRun, Reason: err.Error()}
 	}
+	if s.groups.withdrawn(replica.FailureDomain) {
+		b.Release(replica, balance.Outcome{Kind: balance.Canceled})
+		return replica.Target, orders.TargetReplied{Verdict: verdict.NotRun, Reason: errWithdrawn(verdict.CodeUnavailable, replica.FailureDomain).Error()}
+	}
 	start := time.Now()
 	reply, err := s.client.Order(ctx, addresses[replica.Key].Address, targethttp.OrderRequest{RequestID: o.RequestID, Body: o.Body})
 	b.Release(replica, balance.Outcome{Kind: outcomeOf(ctx, err), Latency: time.Since(start)})
--- a/internal/entry/entryrun/transport.go
+++ b/internal/entry/entryrun/transport.go
@@ -53,6 +53,10 @@
 	if err != nil {
 		return query.Reply{Attempt: req.Attempt, Err: translate(err)}
 	}
+	if t.groups.withdrawn(replica.FailureDomain) {
+		c.group.balancer.Release(replica, balance.Outcome{Kind: balance.Canceled})
+		return query.Reply{Attempt: req.Attempt, Err: errWithdrawn(query.CodeDraining, replica.FailureDomain)}
+	}
 	start := time.Now()
 	reply, err := t.search(ctx, req)
 	end := time.Now()
@@ -83,6 +87,12 @@
 	return out, nil
 }
 
+// errWithdrawn returns the error of a request that waited for a slot at a target whose
+// failure domain has been withdrawn.
+func errWithdrawn(code verdict.Code, failureDomain string) error {
+	return verdict.New(verdict.NotRun, code, "failure domain %q is withdrawn", failureDomain)
+}
+
 func translate(err error) error {
 	code, ok := queryCodes[verdict.CodeOf(err)]
 	if !ok {
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -26,6 +26,8 @@
 	// OnLeaving is called when a reply of a target said that it leaves. It must not
 	// block, and may be called more than once for one target.
 	OnLeaving func(target string, incarnation uint64)
+	// Gate keeps requests away from searchers. nil admits all of them.
+	Gate forward.Gate
 	// ReplyMemory bounds the bytes that replies hold at any time, all calls
 	// together. 0 means DefaultReplyMemory.
 	ReplyMemory int64
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -37,7 +37,9 @@
 }
 
 func newService(e *Engine, name string) *service {
-	return &service{engine: e, name: name, group: forward.NewGroup(name, e.config.Budget), pools: make(map[forward.Identity]*pool)}
+	s := &service{engine: e, name: name, group: forward.NewGroup(name, e.config.Budget), pools: make(map[forward.Identity]*pool)}
+	s.group.SetGate(e.config.Gate)
+	return s
 }
 
 func (s *service) setHosts(n int) {
@@ -157,6 +159,11 @@
 func (s *service) send(x *exchange) {
 	id := x.Searcher.Identity
 	c := s.takeIdle(id)
+	if c != nil && !s.maySend(id) {
+		s.released(id, c, true)
+		x.end(forward.Unsent, nil)
+		return
+	}
 	if c != nil && x.Again && !x.call.Route.Idempotent {
 		c.close() // its reader goroutine releases it
 		s.countOpen(id)
@@ -169,6 +176,14 @@
 	go s.dial(id, x)
 }
 
+// maySend reports whether a request that was assigned to a searcher may be sent to it
+// now.
+func (s *service) maySend(id forward.Identity) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.MaySend(time.Now(), id)
+}
+
 func (s *service) countOpen(id forward.Identity) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,7 +241,7 @@
 	s.used.Opened++
 	s.poolOf(id).probing = false
 	s.group.RecordDial(id, true)
-	mayReceive := s.group.MayReceive(time.Now(), id)
+	mayReceive := s.group.MayReceive(time.Now(), id) && (x == nil || s.group.MaySend(time.Now(), id))
 	s.mu.Unlock()
 	c := newConn(nc, s.engine.config.Wire, &s.engine.memory, func(c *conn, reusable bool) { s.released(id, c, reusable) })
 	if x != nil && mayReceive {
--- /dev/null
+++ b/internal/forward/gate.go
@@ -0,0 +1,33 @@
+package forward
+
+import "time"
+
+// Gate keeps requests away from searchers for reasons that the searchers themselves don't
+// state in their replies. It must be safe for concurrent use.
+type Gate interface {
+	// Admits reports whether an attempt may begin at a searcher now.
+	Admits(now time.Time, id Identity) bool
+	// Begin records that an attempt begins at a searcher that Admits has admitted. It
+	// reports whether the searcher still admits it.
+	Begin(now time.Time, id Identity) bool
+	// Send reports whether the request of an attempt that has begun may now be sent.
+	// The answer can change while the attempt waits for a connection.
+	Send(now time.Time, id Identity) bool
+}
+
+// openGate admits all attempts.
+type openGate struct{}
+
+func (openGate) Admits(time.Time, Identity) bool { return true }
+func (openGate) Begin(time.Time, Identity) bool  { return true }
+func (openGate) Send(time.Time, Identity) bool   { return true }
+
+// SetGate sets the gate of the group. Without one, all attempts are admitted.
+func (g *Group) SetGate(gate Gate) {
+	if gate != nil {
+		g.gate = gate
+	}
+}
+
+// MaySend reports whether the request of an attempt may now be sent to its searcher.
+func (g *Group) MaySend(now time.Time, id Identity) bool { return g.gate.Send(now, id) }
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -11,13 +11,14 @@
 	Service   string
 	searchers []*Searcher
 	budget    Budget
+	gate      Gate
 
 	restrictions map[Identity]restriction // of searchers that are not in the group
 }
 
 // NewGroup returns a group without searchers.
 func NewGroup(service string, limits BudgetLimits) *Group {
-	return &Group{Service: service, budget: NewBudget(limits), restrictions: make(map[Identity]restriction)}
+	return &Group{Service: service, budget: NewBudget(limits), gate: openGate{}, restrictions: make(map[Identity]restriction)}
 }
 
 // Budget returns the budget of extra attempts at this service.
@@ -105,7 +106,7 @@
 		if !c.AllowTried && slices.Contains(c.Tried, s) {
 			continue
 		}
-		if !s.usable() || s.pausedAt(now) {
+		if !s.usable() || s.pausedAt(now) || !g.gate.Admits(now, s.Identity) {
 			continue
 		}
 		if s.inFlight >= s.capacity {
@@ -153,10 +154,10 @@
 
 // Expected returns the least expected time of an attempt, including the rest of
 // a pause. It is not ok if no searcher is usable: the last dial to each one
-// failed, it leaves, or another searcher has its address.
+// failed, it leaves, the gate keeps requests away, or another searcher has its address.
 func (g *Group) Expected(now time.Time, c Criteria) (least time.Duration, ok bool) {
 	for _, s := range g.searchers {
-		if !s.usable() {
+		if !s.usable() || !g.gate.Admits(now, s.Identity) {
 			continue
 		}
 		if t := s.expected(now, c) + max(s.pausedUntil.Sub(now), 0); !ok || t < least {
@@ -188,6 +189,9 @@
 	if s == nil || opts.Extra && !g.budget.Spend(now) {
 		return nil, busy
 	}
+	if !g.gate.Begin(now, s.Identity) {
+		return nil, false
+	}
 	s.begin(now)
 	return s, false
 }
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -129,7 +129,7 @@
 	var first time.Time
 	for _, s := range g.searchers {
 		switch {
-		case !s.usable(), !opts.AllowTried && slices.Contains(opts.Tried, s):
+		case !s.usable(), !g.gate.Admits(now, s.Identity), !opts.AllowTried && slices.Contains(opts.Tried, s):
 		case !s.pausedAt(now):
 			return time.Time{}
 		case first.IsZero() || s.pausedUntil.Before(first):
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,6 +34,7 @@
 	s.Roles = parseRoles(c, r.roles)
 	s.Peers = parsePeers(c, r.peers)
 	s.Voters = parseVoters(c, r.voters)
+	s.FailureDomains = parseFailureDomains(c, r.failureDomains)
 	s.CallerListen = parseAddress(c, "caller-listen", r.callerListen)
 	s.TargetListen = parseAddress(c, "target-listen", r.targetListen)
 	s.AdminListen = parseAddress(c, "admin-listen", r.adminListen)
@@ -211,6 +212,22 @@
 	return out
 }
 
+func parseFailureDomains(c *checker, text string) map[string]string {
+	out := make(map[string]string)
+	for _, part := range splitList(text) {
+		name, region, ok := strings.Cut(part, "=")
+		if !ok || name == "" || region == "" || len(name) > maxNameBytes {
+			c.add("-failure-domains holds %q, which is not name=region", part)
+			continue
+		}
+		if _, repeated := out[name]; repeated {
+			c.add("-failure-domains names %q twice", name)
+		}
+		out[name] = region
+	}
+	return out
+}
+
 func parseVoters(c *checker, text string) []VoterAddress {
 	var out []VoterAddress
 	for _, part := range splitList(text) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,9 +45,12 @@
 	Region        string
 	FailureDomain string
 	Roles         []Role
-	DataDir       string
-	Peers         []netip.AddrPort
-	Voters        []VoterAddress
+	// FailureDomains are the known failure domains with the region of each, if the
+	// settings list them.
+	FailureDomains map[string]string
+	DataDir        string
+	Peers          []netip.AddrPort
+	Voters         []VoterAddress
 
 	CallerListen  netip.AddrPort
 	TargetListen  netip.AddrPort
@@ -94,6 +97,7 @@
 // and checked.
 type raw struct {
 	Settings
+	failureDomains                                      string
 	roles, peers, voters, logLevel                      string
 	callerListen, targetListen, adminListen, peerListen string
 	readyListen, metricsListen                          string
@@ -104,6 +108,7 @@
 	fs.StringVar(&r.Host, "host", "", "name of this host, unique among all hosts")
 	fs.StringVar(&r.Region, "region", "local", "region of this host")
 	fs.StringVar(&r.FailureDomain, "failure-domain", "", "failure domain of this host")
+	fs.StringVar(&r.failureDomains, "failure-domains", "", "comma-separated name=region of all failure domains, the only ones that can be withdrawn; empty for those of the known hosts and targets")
 	fs.StringVar(&r.roles, "roles", "entry", "comma-separated roles: entry, voter, relay")
 	fs.StringVar(&r.DataDir, "data-dir", "", "data directory on the host's disk; only with the role voter")
 	fs.StringVar(&r.peers, "peers", "", "comma-separated IP:port of other hosts' peer listeners, from which this host learns the others")
