Refuse a write when a sync reports a full disk, and go on

Cause: file systems that allocate blocks only when they write data back report a full disk at the sync.

The request is refused as not run. Any other failed sync still ends the process.

--- a/internal/daemon/withdrawals.go
+++ b/internal/daemon/withdrawals.go
@@ -167,3 +167,6 @@
 func (g searcherGate) withdrawn(id forward.Identity) bool {
 	return g.d.loop.Snapshot().Withdrawals.Withdrawn(id.FailureDomain)
 }
+
+// Withdrawn reports whether this host sends nothing to the targets of a failure domain.
+func (d *Daemon) Withdrawn(domain string) bool { return d.loop.Snapshot().Withdrawals.Withdrawn(domain) }
--- /dev/null
+++ b/internal/forward/forwardrun/gate_test.go
@@ -0,0 +1,118 @@
+package forwardrun
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/verdict"
+)
+
+// testGate keeps requests away from one target while closed is set.
+type testGate struct {
+	target string
+	closed atomic.Bool
+}
+
+func (g *testGate) open(id forward.Identity) bool { return id.Target != g.target || !g.closed.Load() }
+
+func (g *testGate) Admits(_ time.Time, id forward.Identity) bool { return g.open(id) }
+func (g *testGate) Begin(_ time.Time, id forward.Identity) bool  { return g.open(id) }
+func (g *testGate) Send(_ time.Time, id forward.Identity) bool   { return g.open(id) }
+
+func newGatedEngine(t *testing.T, g forward.Gate, specs map[string][]forward.SearcherSpec) *Engine {
+	t.Helper()
+	e := New(Config{Wire: testWire{}, Gate: g, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}})
+	e.SetSearchers(specs)
+	t.Cleanup(e.Close)
+	return e
+}
+
+// Guards against an attempt that was chosen before the gate closed and is sent after it,
+// over a connection that is idle or one that is opened for it.
+func TestChosenAttemptIsNotSentThroughAClosedGate(t *testing.T) {
+	for name, warm := range map[string]bool{"idle connection": true, "new connection": false} {
+		t.Run(name, func(t *testing.T) {
+			s := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, "body")) })
+			g := &testGate{target: "t"}
+			spec := s.spec("t")
+			spec.OnDemand = true
+			e := newGatedEngine(t, g, map[string][]forward.SearcherSpec{"a": {spec}})
+			if warm {
+				_, err := e.Do(context.Background(), call("first", true))
+				require.Nil(t, err)
+			}
+			before := s.count()
+			svc := e.service("a")
+			searcher, _, _ := svc.begin(time.Now(), forward.Criteria{}, forward.AttemptOptions{}, rand.New(rand.NewPCG(1, 2)))
+			require.NotNil(t, searcher)
+			g.closed.Store(true)
+			results := make(chan forward.Result, 1)
+			svc.send(&exchange{
+				Attempt: &forward.Attempt{Service: "a", Searcher: searcher, Began: time.Now(), Open: true}, call: call("q", true), deadline: time.Now().Add(testTimeout),
+				done: func(_ *exchange, result forward.Result) { results <- result },
+			})
+			require.Equal(t, forward.Unsent, <-results)
+			require.Equal(t, before, s.count())
+			_, err := e.Do(context.Background(), call("next", true))
+			require.Equal(t, verdict.NotRun, err.Verdict)
+			g.closed.Store(false)
+			_, err = e.Do(context.Background(), call("last", true))
+			require.Nil(t, err)
+		})
+	}
+}
+
+// Guards against a request that waits for capacity, or that is due for a hedge, and then
+// goes to a searcher whose gate closed meanwhile.
+func TestWaitingAndHedgedRequestsStayAwayFromAClosedGate(t *testing.T) {
+	g := &testGate{target: "withdrawn"}
+	var late atomic.Int64
+	release := make(chan struct{})
+	slow := startSearcher(t, func(_ int, id string, c net.Conn) bool {
+		<-release
+		return write(c, reply(id, record("a")))
+	})
+	withdrawn := startSearcher(t, func(_ int, id string, c net.Conn) bool {
+		if g.closed.Load() {
+			late.Add(1)
+		}
+		<-release
+		return write(c, reply(id, record("a")))
+	})
+	a, b := slow.spec("stays"), withdrawn.spec("withdrawn")
+	a.Capacity, b.Capacity = 2, 2
+	e := newGatedEngine(t, g, map[string][]forward.SearcherSpec{"a": {a, b}})
+	done := make(chan *verdict.Error, 8)
+	ask := func(id string) {
+		go func() {
+			_, err := e.Do(context.Background(), gatherCall(id, "a"))
+			done <- err
+		}()
+	}
+	for _, id := range []string{"1", "2", "3", "4"} { // they fill both searchers
+		ask(id)
+	}
+	require.Eventually(t, func() bool { return slow.count()+withdrawn.count() == 4 }, testTimeout, time.Millisecond)
+	for _, id := range []string{"5", "6", "7", "8"} {
+		ask(id)
+	}
+	svc := e.service("a")
+	require.Eventually(t, func() bool {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		return len(svc.waiters) >= 4
+	}, testTimeout, time.Millisecond)
+	g.closed.Store(true)
+	close(release)
+	for range 8 {
+		require.Nil(t, <-done)
+	}
+	require.Zero(t, late.Load())
+}
--- a/internal/journal/files.go
+++ b/internal/journal/files.go
@@ -113,7 +113,8 @@
 	}
 	_, err = f.Write(content)
 	if err == nil {
-		if err = f.Sync(); err != nil {
+		// A full disk leaves a file that is not in use yet.
+		if err = f.Sync(); err != nil && !noSpace(err) {
 			err = &FatalError{Op: "sync of " + filepath.Base(path), cause: err}
 		}
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -242,7 +242,7 @@
 		return err
 	}
 	if err := j.file.Sync(); err != nil {
-		return j.fail("sync", err)
+		return j.syncFailed(err)
 	}
 	j.stats.synced(len(j.buf))
 	j.size += len(j.buf)
@@ -259,6 +259,22 @@
 	return nil
 }
 
+// syncFailed handles a failed sync of the segment. File systems that allocate blocks only
+// when they write data back report a full disk here. The record is then cut off, and the
+// segment is as before once the cut is durable. Any other failed sync is fatal.
+func (j *Journal) syncFailed(err error) error {
+	if !noSpace(err) {
+		return j.fail("sync", err)
+	}
+	if cut := j.file.Truncate(int64(j.size)); cut != nil {
+		return j.fail("truncating an unsynced write", cut)
+	}
+	if again := j.file.Sync(); again != nil {
+		return j.fail("sync of a truncated segment", again)
+	}
+	return err
+}
+
 // afterSnapshot starts a segment, so that earlier ones can be removed once the
 // snapshot covers them. On a full disk the current segment stays in use.
 func (j *Journal) afterSnapshot() error {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -266,6 +267,41 @@
 	}
 }
 
+// Guards against a process that ends because its disk is full, on a file system that
+// reports this only when data is synced, and against a log that this damages.
+func TestFullDiskAtASyncRefusesAndRecovers(t *testing.T) {
+	for first := range 30 {
+		fs := newMemFS()
+		w := newWorkload(rand.New(rand.NewPCG(uint64(first), 2)), 30)
+		j, _, done, err := open(fs, "d")
+		require.NoError(t, err)
+		acked, err := write(t, j, done, w.requests[:first], 3)
+		require.NoError(t, err)
+		setFull := func(full bool) {
+			fs.mu.Lock()
+			defer fs.mu.Unlock()
+			fs.syncFull = full
+		}
+		setFull(true)
+		for range 2 {
+			refused, err := write(t, j, done, w.requests[first:first+1], 1)
+			require.Zero(t, refused)
+			require.Equal(t, verdict.NotRun, verdict.Of(err))
+			require.Equal(t, CodeStorageFull, verdict.CodeOf(err))
+			var fatal *FatalError
+			require.False(t, errors.As(err, &fatal))
+		}
+		setFull(false)
+		_, err = write(t, j, done, w.requests[acked:], 3)
+		require.NoError(t, err)
+		require.NoError(t, j.Close())
+		j, r, _, err := open(fs, "d")
+		require.NoError(t, err)
+		requireState(t, w.states[len(w.states)-1], r.State)
+		require.NoError(t, j.Close())
+	}
+}
+
 // Guards against undetected damage before the last record, in any byte of any
 // file.
 func TestCorruptionIsRefused(t *testing.T) {
--- a/internal/journal/memfs_test.go
+++ b/internal/journal/memfs_test.go
@@ -24,6 +24,7 @@
 	ops      int
 	crashAt  int // operation at which the host crashes, or 0
 	failSync bool
+	syncFull bool // a sync reports a full disk, as with delayed allocation
 	space    int // bytes that may still be written; negative for no limit
 }
 
@@ -187,6 +188,9 @@
 	if err := h.fs.op(); err != nil {
 		return err
 	}
+	if h.fs.syncFull && !bytes.Equal(h.f.data, h.f.synced) {
+		return syscall.ENOSPC
+	}
 	if h.fs.failSync {
 		return syscall.EIO
 	}
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -55,16 +55,20 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := file.Write(start); err != nil {
+	_, err = file.Write(start)
+	if err == nil {
+		err = file.Sync()
+		if err != nil && !noSpace(err) {
+			return nil, j.fail("sync of a new segment", errors.CombineErrors(err, file.Close()))
+		}
+	}
+	if err != nil {
 		err = errors.CombineErrors(err, file.Close())
 		if removeErr := j.dir.fs.Remove(path); removeErr != nil {
 			return nil, j.fail("removing a partial segment", removeErr)
 		}
 		return nil, err
 	}
-	if err := file.Sync(); err != nil {
-		return nil, j.fail("sync of a new segment", errors.CombineErrors(err, file.Close()))
-	}
 	if err := j.dir.fs.SyncDir(j.dir.path); err != nil {
 		return nil, j.fail("sync of the data directory", errors.CombineErrors(err, file.Close()))
 	}
