Keep requests away from cold targets beyond their bound

Cause: a plan states how many requests a second a cold target may get from all hosts together; hedges and retries count too.

Change: services carry warmup_s and warmup_per_s, announcements the remaining time, and settings the overage and slack. The gate of the searchers asks the table of package warmup when an attempt begins and when its request is sent, and passes lost connections and failed dials on to it. A plan without a bound never asks the table.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -34,6 +34,7 @@
 	if !d.settings.ServePlan {
 		return nil
 	}
+	d.gate = newSearcherGate(d)
 	return forwardrun.New(forwardrun.Config{
 		Wire: d.adapter.Wire, FailureDomain: d.settings.FailureDomain, Seed: d.settings.Seed,
 		OnMisdirected: func(target string, incarnation uint64) {
@@ -44,7 +45,7 @@
 		},
 		ReplyMemory: int64(d.settings.MemoryLimit) / replyMemoryDivisor,
 		Budget:      d.retryLimits(),
-		Gate:        searcherGate{d},
+		Gate:        d.gate,
 	})
 }
 
@@ -186,6 +187,7 @@
 
 // applySearchers updates the forwarding engine from a snapshot.
 func (d *Daemon) applySearchers(a *applied, s *control.Snapshot) {
+	d.gate.update(time.Now(), s)
 	hosts := fleetSize(s)
 	p := a.placement
 	if p == nil || p.unknown || a.plan != s.Plan || a.targets != s.Targets || a.withdrawals != s.Withdrawals || !sameSlice(a.placedHosts, s.Hosts) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,6 +99,7 @@
 	startedAt   time.Time
 	gather      gatherState
 	engine      *forwardrun.Engine // nil unless the host serves a route plan
+	gate        *searcherGate      // nil like engine
 	listeners   Listeners
 	servers     map[string]*http.Server
 	workers     sync.WaitGroup
--- /dev/null
+++ b/internal/daemon/gate.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/control"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/targets"
+	"github.com/hawthornlock/hawthornlock/internal/warmup"
+	"github.com/hawthornlock/hawthornlock/internal/withdrawal"
+)
+
+// searcherGate implements forward.Gate: nothing is sent to the targets of withdrawn failure
+// domains, by the latest snapshot of the control state, and a cold target gets no more than
+// this host's share.
+type searcherGate struct {
+	d    *Daemon
+	held atomic.Int64 // attempts that were kept away from a cold target
+	// bounded is set while a service of the plan bounds the requests to cold targets.
+	// Without one, the table is not asked.
+	bounded atomic.Bool
+
+	mu    sync.Mutex
+	table *warmup.Table
+
+	// What the table was last updated from. Only update uses it.
+	plan        *routeplan.Table
+	targets     *targets.View
+	withdrawals *withdrawal.Set
+	epoch       uint64
+}
+
+func newSearcherGate(d *Daemon) *searcherGate {
+	return &searcherGate{d: d, table: warmup.NewTable(d.settings.Host, d.startedAt, d.settings.LeasePeriod)}
+}
+
+// Admits implements forward.Gate.
+func (g *searcherGate) Admits(now time.Time, id forward.Identity) bool {
+	if g.withdrawn(id) {
+		return false
+	}
+	ok := g.ask(func(t *warmup.Table) bool { return t.Admits(now, id.Target) })
+	if !ok {
+		g.held.Add(1)
+	}
+	return ok
+}
+
+// Begin implements forward.Gate.
+func (g *searcherGate) Begin(now time.Time, id forward.Identity) bool {
+	return !g.withdrawn(id) && g.ask(func(t *warmup.Table) bool { return t.Begin(now, id.Target) })
+}
+
+// Send implements forward.Gate.
+func (g *searcherGate) Send(now time.Time, id forward.Identity) bool {
+	return !g.withdrawn(id) && g.ask(func(t *warmup.Table) bool { return t.Send(now, id.Target) })
+}
+
+// Lost implements forward.Gate.
+func (g *searcherGate) Lost(now time.Time, id forward.Identity) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Lost(now, id.Target)
+}
+
+func (g *searcherGate) withdrawn(id forward.Identity) bool {
+	return g.d.loop.Snapshot().Withdrawals.Withdrawn(id.FailureDomain)
+}
+
+func (g *searcherGate) ask(f func(*warmup.Table) bool) bool {
+	if !g.bounded.Load() {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return f(g.table)
+}
+
+// update passes a snapshot to the table. Calls must not overlap.
+func (g *searcherGate) update(now time.Time, s *control.Snapshot) {
+	if s.Plan == nil || g.plan == s.Plan && g.targets == s.Targets && g.withdrawals == s.Withdrawals && g.epoch == s.AgreedMembers.Epoch {
+		return
+	}
+	v := warmup.View{Epoch: s.AgreedMembers.Epoch, Hosts: s.AgreedMembers.Hosts, Restored: s.Withdrawals.RestoredSince(g.withdrawals)}
+	for r := range s.Targets.Targets() {
+		svc, ok := s.Plan.Service(r.Labels[ServiceLabel])
+		if !ok || svc.WarmupRate <= 0 {
+			continue
+		}
+		v.Targets = append(v.Targets, warmup.Target{
+			Name: r.Target, FailureDomain: r.FailureDomain, Incarnation: r.Incarnation, Seq: r.Seq, Cold: r.Phase == targets.Cold, Warmup: svc.Warmup,
+			Limit: warmup.Limit{Rate: svc.WarmupRate, Overage: g.d.settings.WarmupOverage, Slack: g.d.settings.WarmupSlack},
+		})
+	}
+	g.plan, g.targets, g.withdrawals, g.epoch = s.Plan, s.Targets, s.Withdrawals, s.AgreedMembers.Epoch
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Update(now, v)
+	g.bounded.Store(len(v.Targets) > 0)
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -65,6 +65,10 @@
 		total("forward_lost_total", "Attempts without a usable answer.", &st.Lost),
 		total("forward_rejected_total", "Attempts that searchers rejected.", &st.Rejected),
 		total("forward_shed_total", "Gathered requests that were rejected because the shards could not answer in time.", &st.Shed),
+		total("forward_cold_held_total", "Attempts that were kept away from a cold target because this host had no share left of the requests to it.", &d.gate.held),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "withdrawn_failure_domains", Help: "Failure domains to whose targets this host sends nothing, by order of an operator."}, func() float64 {
+			return float64(len(d.loop.Snapshot().Withdrawals.Names()))
+		}),
 		total("forward_dials_total", "Connections opened to searchers.", &st.Dials),
 		total("forward_dial_failures_total", "Connections to searchers that could not be opened.", &st.DialFailures),
 	}
--- a/internal/daemon/withdrawals.go
+++ b/internal/daemon/withdrawals.go
@@ -10,7 +10,6 @@
 	"github.com/hawthornlock/hawthornlock/internal/config/confighttp"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/control/controlcodec"
-	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -152,21 +151,7 @@
 	return result.Revision, err
 }
 
-// searcherGate implements forward.Gate by the latest snapshot of the control state.
-type searcherGate struct{ d *Daemon }
-
-// Admits implements forward.Gate.
-func (g searcherGate) Admits(_ time.Time, id forward.Identity) bool { return !g.withdrawn(id) }
-
-// Begin implements forward.Gate.
-func (g searcherGate) Begin(_ time.Time, id forward.Identity) bool { return !g.withdrawn(id) }
-
-// Send implements forward.Gate.
-func (g searcherGate) Send(_ time.Time, id forward.Identity) bool { return !g.withdrawn(id) }
-
-func (g searcherGate) withdrawn(id forward.Identity) bool {
-	return g.d.loop.Snapshot().Withdrawals.Withdrawn(id.FailureDomain)
-}
-
 // Withdrawn reports whether this host sends nothing to the targets of a failure domain.
-func (d *Daemon) Withdrawn(domain string) bool { return d.loop.Snapshot().Withdrawals.Withdrawn(domain) }
+func (d *Daemon) Withdrawn(domain string) bool {
+	return d.loop.Snapshot().Withdrawals.Withdrawn(domain)
+}
--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -42,6 +42,9 @@
 	// answered reports whether any reply arrived. The reader goroutine owns it
 	// until it has released the connection.
 	answered bool
+	// lost reports whether the searcher ended the connection in the middle of a request or
+	// before its idle time. It is owned like answered.
+	lost bool
 
 	// writing is held while a request is written that fits the socket's buffer, so
 	// that the reader of a fast reply sees whether all of it was written.
@@ -243,6 +246,7 @@
 func (c *conn) fail(err error) {
 	c.mu.Lock()
 	x := c.current
+	c.lost = !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) && (x != nil || time.Now().Before(c.idleUntil))
 	c.current = nil
 	c.closed = true
 	c.mu.Unlock()
--- a/internal/forward/forwardrun/gate_test.go
+++ b/internal/forward/forwardrun/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 type testGate struct {
 	target string
 	closed atomic.Bool
+	lost   atomic.Int64
 }
 
 func (g *testGate) open(id forward.Identity) bool { return id.Target != g.target || !g.closed.Load() }
@@ -25,6 +27,7 @@
 func (g *testGate) Admits(_ time.Time, id forward.Identity) bool { return g.open(id) }
 func (g *testGate) Begin(_ time.Time, id forward.Identity) bool  { return g.open(id) }
 func (g *testGate) Send(_ time.Time, id forward.Identity) bool   { return g.open(id) }
+func (g *testGate) Lost(time.Time, forward.Identity)             { g.lost.Add(1) }
 
 func newGatedEngine(t *testing.T, g forward.Gate, specs map[string][]forward.SearcherSpec) *Engine {
 	t.Helper()
@@ -116,3 +119,48 @@
 	}
 	require.Zero(t, late.Load())
 }
+
+// Guards against a lost connection or failed dial that leaves a target counted as warm,
+// and against one that is reported although the connection ended as usual.
+func TestLostConnectionsAreReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(id string, c net.Conn) bool
+		lost   bool
+	}{
+		"in a request":  {func(string, net.Conn) bool { return false }, true},
+		"while idle":    {func(id string, c net.Conn) bool { write(c, keepAlive(id, 60)); return false }, true},
+		"after a reply": {func(id string, c net.Conn) bool { write(c, reply(id, "body")); return false }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{}, 64)
+			s := startSearcher(t, func(_ int, id string, conn net.Conn) bool {
+				defer func() { ended <- struct{}{} }()
+				return c.script(id, conn)
+			})
+			g := &testGate{}
+			spec := s.spec("t")
+			spec.OnDemand = true
+			e := newGatedEngine(t, g, map[string][]forward.SearcherSpec{"a": {spec}})
+			_, _ = e.Do(context.Background(), call("q", false))
+			<-ended
+			svc := e.service("a")
+			require.Eventually(t, func() bool {
+				svc.mu.Lock()
+				defer svc.mu.Unlock()
+				return svc.poolOf(spec.Identity).open == 0
+			}, testTimeout, time.Millisecond)
+			require.Equal(t, c.lost, g.lost.Load() > 0)
+		})
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := forward.SearcherSpec{Identity: forward.Identity{Target: "t", Address: ln.Addr().(*net.TCPAddr).AddrPort()}, Slots: 1, Capacity: 1}
+	require.NoError(t, ln.Close())
+	g := &testGate{}
+	newGatedEngine(t, g, map[string][]forward.SearcherSpec{"a": {gone}})
+	require.Eventually(t, func() bool { return g.lost.Load() > 0 }, testTimeout, time.Millisecond)
+}
+
+func keepAlive(id string, seconds int) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nKeep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n", id, seconds)
+}
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -231,6 +231,9 @@
 		p.probing = false
 		p.backoff.Ended(time.Now(), 0, false, rand.Float64())
 		s.group.RecordDial(id, false)
+		if s.engine.ctx.Err() == nil {
+			s.group.ConnectionLost(time.Now(), id)
+		}
 		s.mu.Unlock()
 		if x != nil {
 			x.end(forward.Unsent, nil)
@@ -275,6 +278,9 @@
 			s.used.Unanswered++
 		}
 		now := time.Now()
+		if c.lost {
+			s.group.ConnectionLost(now, id)
+		}
 		p.backoff.Ended(now, now.Sub(c.opened), c.answered, rand.Float64())
 	}
 	if p.open == 0 && !s.hasSearcher(id) {
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -13,6 +13,9 @@
 	// Send reports whether the request of an attempt that has begun may now be sent.
 	// The answer can change while the attempt waits for a connection.
 	Send(now time.Time, id Identity) bool
+	// Lost records that a connection to a searcher could not be opened, or that the
+	// searcher ended one in the middle of a request or before its idle time.
+	Lost(now time.Time, id Identity)
 }
 
 // openGate admits all attempts.
@@ -21,6 +24,7 @@
 func (openGate) Admits(time.Time, Identity) bool { return true }
 func (openGate) Begin(time.Time, Identity) bool  { return true }
 func (openGate) Send(time.Time, Identity) bool   { return true }
+func (openGate) Lost(time.Time, Identity)        {}
 
 // SetGate sets the gate of the group. Without one, all attempts are admitted.
 func (g *Group) SetGate(gate Gate) {
@@ -29,5 +33,8 @@
 	}
 }
 
+// ConnectionLost records that a connection to a searcher was lost or could not be opened.
+func (g *Group) ConnectionLost(now time.Time, id Identity) { g.gate.Lost(now, id) }
+
 // MaySend reports whether the request of an attempt may now be sent to its searcher.
 func (g *Group) MaySend(now time.Time, id Identity) bool { return g.gate.Send(now, id) }
--- a/internal/journal/memfs_test.go
+++ b/internal/journal/memfs_test.go
@@ -25,7 +25,7 @@
 	crashAt  int // operation at which the host crashes, or 0
 	failSync bool
 	syncFull bool // a sync reports a full disk, as with delayed allocation
-	space    int // bytes that may still be written; negative for no limit
+	space    int  // bytes that may still be written; negative for no limit
 }
 
 type memFile struct {
--- a/internal/routeplan/plan.go
+++ b/internal/routeplan/plan.go
@@ -4,6 +4,7 @@
 package routeplan
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,6 +105,11 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int // per searcher, over all hosts
+	// Warmup is the longest time for which a target is cold after its start.
+	Warmup time.Duration
+	// WarmupRate bounds the requests a second to a cold target, over all hosts. 0 states no
+	// bound.
+	WarmupRate float64
 }
 
 // CallerLimits bound what a caller may send. Zero means no bound.
@@ -165,6 +171,11 @@
 		}
 		first[key] = r.Name
 	}
+	for _, s := range p.Services {
+		if s.Warmup < 0 || !(s.WarmupRate >= 0) || math.IsInf(s.WarmupRate, 0) {
+			return invalid("service %q has a negative warm-up time or rate, or one that is not a number", s.Name)
+		}
+	}
 	if err := accounts.Validate(p.Accounts); err != nil {
 		return verdict.Wrap(err, verdict.NotRun, CodeInvalidPlan, "the accounts of the plan")
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,6 +26,8 @@
 	// maxLossTolerance is a minority of five voters, the most that a log has.
 	maxLossTolerance = 2
 	maxCapacity      = 1_000_000_000
+	maxWarmupOverage = 100
+	maxWarmupSlack   = 1_000_000
 	minMemoryLimit   = 64 << 20 // bytes; a host at rest needs about half of it
 )
 
@@ -135,6 +137,9 @@
 	if s.RevocationBound != 0 && (s.RevocationBound < minRevocation || s.RevocationBound > maxRevocation) {
 		c.add("-revocation-bound %s is neither 0 nor within %s..%s", s.RevocationBound, minRevocation, maxRevocation)
 	}
+	if !(s.WarmupOverage >= 0 && s.WarmupOverage <= maxWarmupOverage) || !(s.WarmupSlack >= 0 && s.WarmupSlack <= maxWarmupSlack) {
+		c.add("-warmup-overage %v is outside 0..%d, or -warmup-slack %v outside 0..%d", s.WarmupOverage, maxWarmupOverage, s.WarmupSlack, maxWarmupSlack)
+	}
 	if s.LeasePeriod < minLease || s.LeasePeriod > maxLease {
 		c.add("-lease-period %s is outside %s..%s", s.LeasePeriod, minLease, maxLease)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,10 @@
 	// RevocationBound is the longest time for which a revoked key may still be accepted
 	// on any host; 0 for no bound.
 	RevocationBound time.Duration
+	// A cold target gets at most WarmupOverage times the rate of its service, and
+	// WarmupSlack more, requests a second, over all hosts.
+	WarmupOverage float64
+	WarmupSlack   float64
 
 	AdminTokenFile   string
 	LogLevel         zerolog.Level
@@ -129,6 +133,8 @@
 	fs.Uint64Var(&r.MemoryLimit, "memory-limit", 0, "bytes of memory that the process may use; 0 for no limit, otherwise at least 67108864")
 	fs.UintVar(&r.Capacity, "capacity", 1, "capacity of this host for work on behalf of other hosts, relative to theirs, 1 to 1000000000")
 	fs.DurationVar(&r.RevocationBound, "revocation-bound", 0, "with -serve-plan: how long after the acknowledgement of a plan without a key requests with it may still run, on any host, in touch or not, 1s to 1h; 0 for no bound")
+	fs.Float64Var(&r.WarmupOverage, "warmup-overage", 1.5, "with -serve-plan: factor by which the requests a second to a cold target, over all hosts, may exceed the rate that the route plan states, 0 to 100")
+	fs.Float64Var(&r.WarmupSlack, "warmup-slack", 5, "with -serve-plan: requests a second that a cold target may get in addition, over all hosts, 0 to 1000000")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "minimum level of the events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves an unconfirmed configuration, 1s to 4s")
--- a/internal/targets/targetsrpc/codec.go
+++ b/internal/targets/targetsrpc/codec.go
@@ -3,7 +3,9 @@
 package targetsrpc
 
 import (
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,6 +50,7 @@
 		Healthy:         r.Reported.Healthy,
 		Load:            r.Reported.Load,
 		Leaving:         r.Leaving,
+		ColdForMs:       uint32(min(max(r.WarmupLeft.Milliseconds(), 0), math.MaxUint32)),
 	}
 	position := make(map[string]uint32, len(r.IndexSnapshots))
 	for i, s := range r.IndexSnapshots {
@@ -83,6 +86,7 @@
 			Labels:          msg.GetLabels(),
 			ConnectionLimit: int(msg.GetConnectionLimit()),
 			Phase:           targets.Phase(msg.GetPhase()),
+			WarmupLeft:      time.Duration(msg.GetColdForMs()) * time.Millisecond,
 			Reported:        targets.Reported{Healthy: msg.GetHealthy(), Load: msg.GetLoad()},
 		},
 		Status:  targets.Status(msg.GetStatus()),
--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -122,6 +122,18 @@
 	return out
 }
 
+// RestoredSince returns the failure domains that may have been restored after an earlier
+// set: those that are in use by a later order, sorted.
+func (s *Set) RestoredSince(earlier *Set) []string {
+	var out []string
+	for _, d := range s.Domains() {
+		if !d.Withdrawn && d.Revision > earlier.Revision() {
+			out = append(out, d.Name)
+		}
+	}
+	return out
+}
+
 func (s *Set) find(name string) (int, bool) {
 	return slices.BinarySearchFunc(s.domains, name, func(d Domain, name string) int { return cmp.Compare(d.Name, name) })
 }
