--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/bootclock"
 	"github.com/hawthornlock/hawthornlock/internal/control"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
@@ -23,8 +24,9 @@
 	// Without one, the table is not asked.
 	bounded atomic.Bool
 
-	mu    sync.Mutex
-	table *warmup.Table
+	mu        sync.Mutex
+	table     *warmup.Table
+	suspended time.Duration // of the machine, as of the last question
 
 	// What the table was last updated from. Only update uses it.
 	plan        *routeplan.Table
@@ -33,6 +35,10 @@
 	epoch       uint64
 }
 
+// shortSuspension is the longest suspension after which the states of targets are still
+// taken as known. An announcement takes as long to arrive anyway.
+const shortSuspension = 200 * time.Millisecond
+
 func newSearcherGate(d *Daemon) *searcherGate {
 	return &searcherGate{d: d, table: warmup.NewTable(d.settings.Host, d.startedAt, d.settings.LeasePeriod)}
 }
@@ -76,6 +82,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if total := bootclock.Suspended(); total-g.suspended >= shortSuspension {
+		g.suspended = total
+		g.table.Forget(time.Now())
+	}
 	return f(g.table)
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -78,10 +78,15 @@
 func (d *Daemon) logUsage() {
 	ticker := time.NewTicker(forwardrun.UsageInterval)
 	defer ticker.Stop()
+	held := int64(0) // up to the last line
 	for {
 		select {
 		case <-ticker.C:
 			d.engine.TakeUsage().Log(d.log)
+			if total := d.gate.held.Load(); total > held {
+				d.log.Log(eventColdHeld).Int64("attempts", total-held).Send()
+				held = total
+			}
 		case <-d.ctx.Done():
 			return
 		}
--- a/internal/warmup/table.go
+++ b/internal/warmup/table.go
@@ -32,7 +32,7 @@
 // to them. It is not safe for concurrent use.
 //
 // A target whose state is not known counts as cold: after a restore, after a lost
-// connection or failed dial, and after its record expired. Two things end that. One is a
+// connection or failed dial, after its record expired, and after this host was suspended. Two things end that. One is a
 // record of a later announcement. Hosts pass on only announcements that change something,
 // so the other is time without one: a target that still has a lease when a lease period and
 // the time for a message to spread have passed has announced itself since, and anything
@@ -133,6 +133,14 @@
 	}
 }
 
+// Forget records that this host may have missed announcements, because its machine was
+// suspended: no target's state is known any more.
+func (t *Table) Forget(now time.Time) {
+	for _, s := range t.targets {
+		s.unknownSince = now
+	}
+}
+
 // Cold reports whether a target counts as cold.
 func (t *Table) Cold(now time.Time, target string) bool {
 	s := t.targets[target]
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -84,6 +84,7 @@
 	restored.Restored = []string{"d"}
 	for name, lose := range map[string]func(*Table, time.Time){
 		"restored":        func(x *Table, now time.Time) { x.Update(now, restored) },
+		"suspended":       func(x *Table, now time.Time) { x.Forget(now) },
 		"lost connection": func(x *Table, now time.Time) { x.Lost(now, "t") },
 		"expired": func(x *Table, now time.Time) {
 			x.Update(now, view())
