Ask the gate once for each attempt, and count what it holds back

Cause: a request that may run once and is sent over a new connection asked the gate twice, and so used up the room of another one. The count of attempts that were kept away from cold targets included repeated looks at one request.

Change: the gate is asked after it is known which connection is used. Attempts are counted when a searcher is chosen, and when a request ends without a choice.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -45,14 +45,14 @@
 
 // Admits implements forward.Gate.
 func (g *searcherGate) Admits(now time.Time, id forward.Identity) bool {
-	if g.withdrawn(id) {
-		return false
-	}
-	ok := g.ask(func(t *warmup.Table) bool { return t.Admits(now, id.Target) })
-	if !ok {
+	return !g.withdrawn(id) && g.ask(func(t *warmup.Table) bool { return t.Admits(now, id.Target) })
+}
+
+// Held implements forward.Gate.
+func (g *searcherGate) Held(id forward.Identity) {
+	if !g.withdrawn(id) {
 		g.held.Add(1)
 	}
-	return ok
 }
 
 // Begin implements forward.Gate.
--- a/internal/forward/forwardrun/gate_test.go
+++ b/internal/forward/forwardrun/gate_test.go
@@ -25,6 +25,7 @@
 func (g *testGate) open(id forward.Identity) bool { return id.Target != g.target || !g.closed.Load() }
 
 func (g *testGate) Admits(_ time.Time, id forward.Identity) bool { return g.open(id) }
+func (g *testGate) Held(forward.Identity)                        {}
 func (g *testGate) Begin(_ time.Time, id forward.Identity) bool  { return g.open(id) }
 func (g *testGate) Send(_ time.Time, id forward.Identity) bool   { return g.open(id) }
 func (g *testGate) Lost(time.Time, forward.Identity)             { g.lost.Add(1) }
@@ -164,3 +165,36 @@
 func keepAlive(id string, seconds int) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nKeep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n", id, seconds)
 }
+
+// countingGate lets each attempt through once.
+type countingGate struct {
+	testGate
+	begun, sent atomic.Int64
+}
+
+func (g *countingGate) Begin(time.Time, forward.Identity) bool {
+	g.begun.Add(1)
+	return true
+}
+
+func (g *countingGate) Send(time.Time, forward.Identity) bool { return g.sent.Add(1) <= g.begun.Load() }
+
+// Guards against a request that asks the gate twice, and so uses up another one's room: one
+// that may run once and is sent over a new connection because it was refused on the old one.
+func TestGateIsAskedOnceForEachAttempt(t *testing.T) {
+	s := startSearcher(t, func(n int, id string, c net.Conn) bool {
+		if n == 1 {
+			return write(c, fmt.Sprintf("HTTP/1.1 503 Busy\r\nNot-Run: full\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id))
+		}
+		return write(c, reply(id, "body"))
+	})
+	g := &countingGate{}
+	e := newGatedEngine(t, g, map[string][]forward.SearcherSpec{"a": {s.spec("t")}})
+	for i := range 4 {
+		_, err := e.Do(context.Background(), call(fmt.Sprint(i), false))
+		require.Nil(t, err)
+	}
+	require.EqualValues(t, 5, s.count())
+	require.EqualValues(t, 5, g.begun.Load())
+	require.EqualValues(t, 5, g.sent.Load())
+}
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -159,21 +159,20 @@
 func (s *service) send(x *exchange) {
 	id := x.Searcher.Identity
 	c := s.takeIdle(id)
-	if c != nil && !s.maySend(id) {
-		s.released(id, c, true)
-		x.end(forward.Unsent, nil)
-		return
-	}
 	if c != nil && x.Again && !x.call.Route.Idempotent {
 		c.close() // its reader goroutine releases it
 		s.countOpen(id)
 		c = nil
 	}
-	if c != nil {
+	switch {
+	case c == nil:
+		go s.dial(id, x)
+	case s.maySend(id):
 		c.send(x)
-		return
+	default:
+		s.released(id, c, true)
+		x.end(forward.Unsent, nil)
 	}
-	go s.dial(id, x)
 }
 
 // maySend reports whether a request that was assigned to a searcher may be sent to it
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -7,6 +7,8 @@
 type Gate interface {
 	// Admits reports whether an attempt may begin at a searcher now.
 	Admits(now time.Time, id Identity) bool
+	// Held records that an attempt was kept away from a searcher that Admits did not admit.
+	Held(id Identity)
 	// Begin records that an attempt begins at a searcher that Admits has admitted. It
 	// reports whether the searcher still admits it.
 	Begin(now time.Time, id Identity) bool
@@ -22,6 +24,7 @@
 type openGate struct{}
 
 func (openGate) Admits(time.Time, Identity) bool { return true }
+func (openGate) Held(Identity)                   {}
 func (openGate) Begin(time.Time, Identity) bool  { return true }
 func (openGate) Send(time.Time, Identity) bool   { return true }
 func (openGate) Lost(time.Time, Identity)        {}
@@ -33,6 +36,26 @@
 	}
 }
 
+// admits reports whether the gate lets an attempt begin at a searcher, and records that it
+// does not.
+func (g *Group) admits(now time.Time, s *Searcher) bool {
+	ok := g.gate.Admits(now, s.Identity)
+	if !ok {
+		g.gate.Held(s.Identity)
+	}
+	return ok
+}
+
+// recordHeld records that an attempt was kept away from each searcher that only the gate does
+// not admit.
+func (g *Group) recordHeld(now time.Time) {
+	for _, s := range g.searchers {
+		if s.usable() {
+			g.admits(now, s)
+		}
+	}
+}
+
 // ConnectionLost records that a connection to a searcher was lost or could not be opened.
 func (g *Group) ConnectionLost(now time.Time, id Identity) { g.gate.Lost(now, id) }
 
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -106,7 +106,7 @@
 		if !c.AllowTried && slices.Contains(c.Tried, s) {
 			continue
 		}
-		if !s.usable() || s.pausedAt(now) || !g.gate.Admits(now, s.Identity) {
+		if !s.usable() || s.pausedAt(now) || !g.admits(now, s) {
 			continue
 		}
 		if s.inFlight >= s.capacity {
@@ -164,6 +164,9 @@
 			least, ok = t, true
 		}
 	}
+	if !ok {
+		g.recordHeld(now) // the request ends without a choice
+	}
 	return least, ok
 }
 
