Don't call an order not run because its last copy was refused

Cause: a command that may be sent twice is tried at another host when one does not answer. If that one refuses it, the caller was told that nothing ran, while the first copy could still be committed, for instance by a leader whose disk was full and that writes the entry once there is room.

Change: after an attempt whose outcome is not known, a refusal has the verdict may_have_run. So has an order that another one overtook.

Result: daemon.TestRefusalOfACopyDoesNotCoverEarlierAttempts passes; without the change its cases with an unknown first attempt fail.

--- a/internal/daemon/leader_search_test.go
+++ b/internal/daemon/leader_search_test.go
@@ -81,6 +81,39 @@
 	})
 }
 
+// Guards against an order that is reported as not run because its last copy was refused,
+// while an earlier copy waits for room on the leader's disk and is committed later.
+func TestRefusalOfACopyDoesNotCoverEarlierAttempts(t *testing.T) {
+	for name, last := range map[string]error{
+		"refused":     verdict.New(verdict.NotRun, consensus.CodeStorageFull, "the disk is full"),
+		"no leader":   verdict.New(verdict.NotRun, consensus.CodeNotLeader, "not the leader"),
+		"unreachable": verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no connection"),
+	} {
+		for _, unknownFirst := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, unknownFirst), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := leaderSearch{candidate: func(int) string { return "leader" }, known: func() string { return "" }, forget: func(string) {}, attemptTimeout: planAttemptTimeout}
+					ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+					defer cancel()
+					tries := 0
+					_, err := s.run(ctx, func(ctx context.Context, _ string) ([]byte, error) {
+						if tries++; tries == 1 && unknownFirst {
+							<-ctx.Done()
+							return nil, verdict.New(verdict.MayHaveRun, proposals.CodeUnknownOutcome, "no answer")
+						}
+						return nil, last
+					})
+					want := verdict.NotRun
+					if unknownFirst {
+						want = verdict.MayHaveRun
+					}
+					require.Equal(t, want, verdict.Of(err))
+				})
+			})
+		}
+	}
+}
+
 // Guards against a search that never tries one of the voters, which may be the
 // only one that leads or knows the leader, and against one that leaves out voters
 // while the known leader comes and goes.
--- a/internal/daemon/submit.go
+++ b/internal/daemon/submit.go
@@ -73,15 +73,16 @@
 }
 
 func (s leaderSearch) run(ctx context.Context, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
-	followed := false
+	followed, mayHaveRun := false, false
 	for try := 0; ; try++ {
 		host, began := s.candidate(try), time.Now()
 		result, err := s.ask(ctx, host, f)
 		unknown := err != nil && s.attemptTimeout > 0 && ctx.Err() == nil && verdict.Of(err) == verdict.MayHaveRun
 		if err == nil || !unknown && !retryElsewhere(err) {
-			return result, err
+			return result, withEarlierAttempts(err, mayHaveRun)
 		}
 		if unknown {
+			mayHaveRun = true
 			s.forget(host)
 			if time.Since(began) >= s.attemptTimeout {
 				continue
@@ -95,12 +96,22 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, err
+			return nil, withEarlierAttempts(err, mayHaveRun)
 		case <-time.After(submitRetryDelay):
 		}
 	}
 }
 
+// withEarlierAttempts returns the error of the last attempt. Its promise that nothing ran
+// does not cover an earlier attempt whose outcome is not known, for instance at a leader
+// whose disk is full and that writes the entry once there is room.
+func withEarlierAttempts(err error, mayHaveRun bool) error {
+	if err == nil || !mayHaveRun || verdict.Of(err) != verdict.NotRun {
+		return err
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, proposals.CodeUnknownOutcome, "an earlier attempt may have been accepted")
+}
+
 func (s leaderSearch) ask(ctx context.Context, host string, f func(ctx context.Context, host string) ([]byte, error)) ([]byte, error) {
 	if s.attemptTimeout > 0 {
 		var cancel context.CancelFunc
--- a/internal/daemon/withdrawals.go
+++ b/internal/daemon/withdrawals.go
@@ -39,7 +39,8 @@
 	case err != nil:
 		return withdrawal.Result{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeInternal, "read the result of an order")
 	case result.Outcome == withdrawal.Overtaken:
-		return result, verdict.New(verdict.NotRun, withdrawal.CodeConflict, "another order for failure domain %q was accepted meanwhile; send the order again", domain)
+		// An earlier copy of this order may have been in force before the other order.
+		return result, verdict.New(verdict.MayHaveRun, withdrawal.CodeConflict, "another order for failure domain %q was accepted meanwhile; send the order again", domain)
 	case !result.Acknowledged():
 		return result, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "the record of withdrawals has no room for failure domain %q", domain)
 	}
--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -16,7 +16,7 @@
 	// don't list.
 	CodeUnknownDomain verdict.Code = "unknown_failure_domain"
 	// CodeConflict is the code of an order that was overtaken by another order for the
-	// same failure domain. It changed nothing.
+	// same failure domain, which is in force.
 	CodeConflict verdict.Code = "withdrawal_conflict"
 )
 
