Ignore lost connections to an earlier incarnation of a target

Cause: the connections of a target that restarts may be seen to end after its new incarnation has said that it is warm, which would count it as cold again.

Change: a lost connection names the incarnation.

Result: the tests of warmup, forward and platform pass.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -69,7 +69,7 @@
 func (g *searcherGate) Lost(now time.Time, id forward.Identity) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Lost(now, id.Target)
+	g.table.Lost(now, id.Target, id.Incarnation)
 }
 
 func (g *searcherGate) withdrawn(id forward.Identity) bool {
--- a/internal/warmup/table.go
+++ b/internal/warmup/table.go
@@ -126,9 +126,10 @@
 	}
 }
 
-// Lost records that a connection to a target was lost or could not be opened.
-func (t *Table) Lost(now time.Time, target string) {
-	if s := t.targets[target]; s != nil {
+// Lost records that a connection to an incarnation of a target was lost or could not be
+// opened. Those of an earlier incarnation say nothing about the present one.
+func (t *Table) Lost(now time.Time, target string, incarnation uint64) {
+	if s := t.targets[target]; s != nil && incarnation >= s.Incarnation {
 		s.unknownSince = now
 	}
 }
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -54,7 +54,7 @@
 	x := target(1, true)
 	x.Limit.Rate = 0
 	table.Update(now, View{Targets: []Target{x}})
-	table.Lost(now, "t")
+	table.Lost(now, "t", 1)
 	for range 100 {
 		require.True(t, table.Admits(now, "t") && table.Begin(now, "t") && table.Send(now, "t"))
 	}
@@ -85,7 +85,7 @@
 	for name, lose := range map[string]func(*Table, time.Time){
 		"restored":        func(x *Table, now time.Time) { x.Update(now, restored) },
 		"suspended":       func(x *Table, now time.Time) { x.Forget(now) },
-		"lost connection": func(x *Table, now time.Time) { x.Lost(now, "t") },
+		"lost connection": func(x *Table, now time.Time) { x.Lost(now, "t", 1) },
 		"expired": func(x *Table, now time.Time) {
 			x.Update(now, view())
 			x.Update(now, view(target(2, false)))
@@ -109,11 +109,15 @@
 	}
 	table := NewTable("h0", start, testLease)
 	table.Update(start, view(target(1, false)))
-	table.Lost(start, "t")
+	table.Lost(start, "t", 1)
 	again := target(1, false)
 	again.Incarnation = 2
 	table.Update(start, view(again))
 	require.False(t, table.Cold(start, "t"), "it has started again since and says that it is warm")
+	table.Lost(start, "t", 1)
+	require.False(t, table.Cold(start, "t"), "a connection to the earlier incarnation")
+	table.Lost(start, "t", 2)
+	require.True(t, table.Cold(start, "t"))
 }
 
 // Guards against an attempt that began before the target became cold, or that waited for
