--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -65,6 +65,10 @@
 		total("forward_lost_total", "Attempts without a usable answer.", &st.Lost),
 		total("forward_rejected_total", "Attempts that searchers rejected.", &st.Rejected),
 		total("forward_shed_total", "Gathered requests that were rejected because the shards could not answer in time.", &st.Shed),
+		total("forward_cold_held_total", "Attempts that were kept away from a cold target because this host had no share left of the requests to it.", &d.gate.held),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "withdrawn_failure_domains", Help: "Failure domains to whose targets this host sends nothing, by order of an operator."}, func() float64 {
+			return float64(len(d.loop.Snapshot().Withdrawals.Names()))
+		}),
 		total("forward_dials_total", "Connections opened to searchers.", &st.Dials),
 		total("forward_dial_failures_total", "Connections to searchers that could not be opened.", &st.DialFailures),
 	}
@@ -74,10 +78,15 @@
 func (d *Daemon) logUsage() {
 	ticker := time.NewTicker(forwardrun.UsageInterval)
 	defer ticker.Stop()
+	held := int64(0) // up to the last line
 	for {
 		select {
 		case <-ticker.C:
 			d.engine.TakeUsage().Log(d.log)
+			if total := d.gate.held.Load(); total > held {
+				d.log.Log(eventColdHeld).Int64("attempts", total-held).Send()
+				held = total
+			}
 		case <-d.ctx.Done():
 			return
 		}
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -37,7 +37,9 @@
 }
 
 func newService(e *Engine, name string) *service {
-	return &service{engine: e, name: name, group: forward.NewGroup(name, e.config.Budget), pools: make(map[forward.Identity]*pool)}
+	s := &service{engine: e, name: name, group: forward.NewGroup(name, e.config.Budget), pools: make(map[forward.Identity]*pool)}
+	s.group.SetGate(e.config.Gate)
+	return s
 }
 
 func (s *service) setHosts(n int) {
@@ -162,11 +164,23 @@
 		s.countOpen(id)
 		c = nil
 	}
-	if c != nil {
+	switch {
+	case c == nil:
+		go s.dial(id, x)
+	case s.maySend(id):
 		c.send(x)
-		return
+	default:
+		s.released(id, c, true)
+		x.end(forward.Unsent, nil)
 	}
-	go s.dial(id, x)
+}
+
+// maySend reports whether a request that was assigned to a searcher may be sent to it
+// now.
+func (s *service) maySend(id forward.Identity) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.MaySend(time.Now(), id)
 }
 
 func (s *service) countOpen(id forward.Identity) {
@@ -216,6 +230,9 @@
 		p.probing = false
 		p.backoff.Ended(time.Now(), 0, false, rand.Float64())
 		s.group.RecordDial(id, false)
+		if s.engine.ctx.Err() == nil {
+			s.group.ConnectionLost(time.Now(), id)
+		}
 		s.mu.Unlock()
 		if x != nil {
 			x.end(forward.Unsent, nil)
@@ -226,7 +243,7 @@
 	s.used.Opened++
 	s.poolOf(id).probing = false
 	s.group.RecordDial(id, true)
-	mayReceive := s.group.MayReceive(time.Now(), id)
+	mayReceive := s.group.MayReceive(time.Now(), id) && (x == nil || s.group.MaySend(time.Now(), id))
 	s.mu.Unlock()
 	c := newConn(nc, s.engine.config.Wire, &s.engine.memory, func(c *conn, reusable bool) { s.released(id, c, reusable) })
 	if x != nil && mayReceive {
@@ -260,6 +277,9 @@
 			s.used.Unanswered++
 		}
 		now := time.Now()
+		if c.lost {
+			s.group.ConnectionLost(now, id)
+		}
 		p.backoff.Ended(now, now.Sub(c.opened), c.answered, rand.Float64())
 	}
 	if p.open == 0 && !s.hasSearcher(id) {
--- a/internal/journal/memfs_test.go
+++ b/internal/journal/memfs_test.go
@@ -24,7 +24,8 @@
 	ops      int
 	crashAt  int // operation at which the host crashes, or 0
 	failSync bool
-	space    int // bytes that may still be written; negative for no limit
+	syncFull bool // a sync reports a full disk, as with delayed allocation
+	space    int  // bytes that may still be written; negative for no limit
 }
 
 type memFile struct {
@@ -187,6 +188,9 @@
 	if err := h.fs.op(); err != nil {
 		return err
 	}
+	if h.fs.syncFull && !bytes.Equal(h.f.data, h.f.synced) {
+		return syscall.ENOSPC
+	}
 	if h.fs.failSync {
 		return syscall.EIO
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,6 +26,8 @@
 	// maxLossTolerance is a minority of five voters, the most that a log has.
 	maxLossTolerance = 2
 	maxCapacity      = 1_000_000_000
+	maxWarmupOverage = 100
+	maxWarmupSlack   = 1_000_000
 	minMemoryLimit   = 64 << 20 // bytes; a host at rest needs about half of it
 )
 
@@ -34,6 +36,7 @@
 	s.Roles = parseRoles(c, r.roles)
 	s.Peers = parsePeers(c, r.peers)
 	s.Voters = parseVoters(c, r.voters)
+	s.FailureDomains = parseFailureDomains(c, r.failureDomains)
 	s.CallerListen = parseAddress(c, "caller-listen", r.callerListen)
 	s.TargetListen = parseAddress(c, "target-listen", r.targetListen)
 	s.AdminListen = parseAddress(c, "admin-listen", r.adminListen)
@@ -134,6 +137,9 @@
 	if s.RevocationBound != 0 && (s.RevocationBound < minRevocation || s.RevocationBound > maxRevocation) {
 		c.add("-revocation-bound %s is neither 0 nor within %s..%s", s.RevocationBound, minRevocation, maxRevocation)
 	}
+	if !(s.WarmupOverage >= 0 && s.WarmupOverage <= maxWarmupOverage) || !(s.WarmupSlack >= 0 && s.WarmupSlack <= maxWarmupSlack) {
+		c.add("-warmup-overage %v is outside 0..%d, or -warmup-slack %v outside 0..%d", s.WarmupOverage, maxWarmupOverage, s.WarmupSlack, maxWarmupSlack)
+	}
 	if s.LeasePeriod < minLease || s.LeasePeriod > maxLease {
 		c.add("-lease-period %s is outside %s..%s", s.LeasePeriod, minLease, maxLease)
 	}
@@ -211,6 +217,22 @@
 	return out
 }
 
+func parseFailureDomains(c *checker, text string) map[string]string {
+	out := make(map[string]string)
+	for _, part := range splitList(text) {
+		name, region, ok := strings.Cut(part, "=")
+		if !ok || name == "" || region == "" || len(name) > maxNameBytes {
+			c.add("-failure-domains holds %q, which is not name=region", part)
+			continue
+		}
+		if _, repeated := out[name]; repeated {
+			c.add("-failure-domains names %q twice", name)
+		}
+		out[name] = region
+	}
+	return out
+}
+
 func parseVoters(c *checker, text string) []VoterAddress {
 	var out []VoterAddress
 	for _, part := range splitList(text) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,9 +45,12 @@
 	Region        string
 	FailureDomain string
 	Roles         []Role
-	DataDir       string
-	Peers         []netip.AddrPort
-	Voters        []VoterAddress
+	// FailureDomains are the known failure domains with the region of each, if the
+	// settings list them.
+	FailureDomains map[string]string
+	DataDir        string
+	Peers          []netip.AddrPort
+	Voters         []VoterAddress
 
 	CallerListen  netip.AddrPort
 	TargetListen  netip.AddrPort
@@ -70,6 +73,10 @@
 	// RevocationBound is the longest time for which a revoked key may still be accepted
 	// on any host; 0 for no bound.
 	RevocationBound time.Duration
+	// A cold target gets at most WarmupOverage times the rate of its service, and
+	// WarmupSlack more, requests a second, over all hosts.
+	WarmupOverage float64
+	WarmupSlack   float64
 
 	AdminTokenFile   string
 	LogLevel         zerolog.Level
@@ -94,6 +101,7 @@
 // and checked.
 type raw struct {
 	Settings
+	failureDomains                                      string
 	roles, peers, voters, logLevel                      string
 	callerListen, targetListen, adminListen, peerListen string
 	readyListen, metricsListen                          string
@@ -104,6 +112,7 @@
 	fs.StringVar(&r.Host, "host", "", "name of this host, unique among all hosts")
 	fs.StringVar(&r.Region, "region", "local", "region of this host")
 	fs.StringVar(&r.FailureDomain, "failure-domain", "", "failure domain of this host")
+	fs.StringVar(&r.failureDomains, "failure-domains", "", "comma-separated name=region of all failure domains, the only ones that can be withdrawn; empty for those of the known hosts and targets")
 	fs.StringVar(&r.roles, "roles", "entry", "comma-separated roles: entry, voter, relay")
 	fs.StringVar(&r.DataDir, "data-dir", "", "data directory on the host's disk; only with the role voter")
 	fs.StringVar(&r.peers, "peers", "", "comma-separated IP:port of other hosts' peer listeners, from which this host learns the others")
@@ -124,6 +133,8 @@
 	fs.Uint64Var(&r.MemoryLimit, "memory-limit", 0, "bytes of memory that the process may use; 0 for no limit, otherwise at least 67108864")
 	fs.UintVar(&r.Capacity, "capacity", 1, "capacity of this host for work on behalf of other hosts, relative to theirs, 1 to 1000000000")
 	fs.DurationVar(&r.RevocationBound, "revocation-bound", 0, "with -serve-plan: how long after the acknowledgement of a plan without a key requests with it may still run, on any host, in touch or not, 1s to 1h; 0 for no bound")
+	fs.Float64Var(&r.WarmupOverage, "warmup-overage", 1.5, "with -serve-plan: factor by which the requests a second to a cold target, over all hosts, may exceed the rate that the route plan states, 0 to 100")
+	fs.Float64Var(&r.WarmupSlack, "warmup-slack", 5, "with -serve-plan: requests a second that a cold target may get in addition, over all hosts, 0 to 1000000")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "minimum level of the events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves an unconfirmed configuration, 1s to 4s")
