Bound what clients use before their requests are answered

Cause: nothing bounded heads and bodies in progress together, nor the connections of a listener; see the tests of internal/intake/intaketest. Change: package intake keeps account of all client-facing listeners and decides which request or connection is refused, intakerun applies that to net.Conn and http.Handler. Bodies are read into doubling buffers, and the collector's limit sets the program's pages aside.

--- a/cmd/hawthornlockd/main.go
+++ b/cmd/hawthornlockd/main.go
@@ -36,7 +36,7 @@
 		s.Seed = uint64(time.Now().UnixNano())
 	}
 	if s.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(collectorShare * float64(s.MemoryLimit)))
+		debug.SetMemoryLimit(collectorLimit(s.MemoryLimit))
 	}
 	output := eventlog.NonBlocking(os.Stdout)
 	defer func() { _ = output.Close() }()
@@ -65,6 +65,15 @@
 // socket buffers and the program itself.
 const collectorShare = 0.8
 
+// programBytes is set aside for what does not grow with the memory limit: the pages of the
+// program, about 14 MB, and what the heap grows by during a collection. With 0.8 of 64 MB
+// alone, a process that clients send large bodies to grew to 62 MB and over.
+const programBytes = 24 << 20
+
+func collectorLimit(limit uint64) int64 {
+	return min(int64(collectorShare*float64(limit)), int64(limit)-programBytes)
+}
+
 // load reads the settings from the platform's settings file, if the environment
 // names one, or from flags and environment variables.
 func load(args []string) (*settings.Settings, []daemon.Adapter, error) {
--- a/internal/config/confighttp/server.go
+++ b/internal/config/confighttp/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
+	"github.com/hawthornlock/hawthornlock/internal/intake"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -175,6 +176,14 @@
 			err = errors.New("data after the JSON value")
 		}
 	}
+	var refused *verdict.Error // by a limit on clients
+	if errors.As(err, &refused) {
+		status := http.StatusServiceUnavailable
+		if refused.Code == intake.CodeStalled {
+			status = http.StatusRequestTimeout
+		}
+		return status, ErrorDetail{Code: refused.Code, Verdict: refused.Verdict, Message: refused.Error()}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return http.StatusRequestEntityTooLarge, ErrorDetail{Code: codeTooLarge, Verdict: verdict.NotRun, Message: "the body is larger than 1 MiB; split the change"}
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -17,6 +17,10 @@
 
 // withCallerConn is the ConnContext hook of the callers' server.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	// The round trip time is that of the connection below the limits on clients.
+	if limited, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = limited.NetConn()
+	}
 	return context.WithValue(ctx, callerConnKey{}, &callerConn{Conn: c})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/follow"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/gathering"
+	"github.com/hawthornlock/hawthornlock/internal/intake/intakerun"
 	"github.com/hawthornlock/hawthornlock/internal/journal"
 	"github.com/hawthornlock/hawthornlock/internal/lifecycle"
 	"github.com/hawthornlock/hawthornlock/internal/membership"
@@ -63,7 +64,7 @@
 	return handoverTimeout
 }
 
-// readHeaderTimeout bounds how long a client may take to send its headers.
+// readHeaderTimeout bounds how long another host may take to send its headers.
 const readHeaderTimeout = 5 * time.Second
 
 // maxHeaderBytes bounds the headers that a client may send. The configuration may
@@ -101,6 +102,8 @@
 	engine      *forwardrun.Engine // nil unless the host serves a route plan
 	listeners   Listeners
 	servers     map[string]*http.Server
+	gate        *intakerun.Gate         // limits on clients
+	served      map[string]net.Listener // what the servers accept from
 	workers     sync.WaitGroup
 }
 
@@ -192,6 +195,7 @@
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
 	d.engine = d.newEngine()
 	d.gather.chooser, d.gather.log = gathering.NewChooser(), forwardrun.NewGatherLog(d.log)
+	d.gate = d.newGate()
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
 	d.admission = admissionrun.New(admission.Config{Concurrency: d.settings.MaxQueries, QueueLength: d.settings.QueueLength}, d.log)
@@ -201,7 +205,7 @@
 	d.queries = entryrun.NewQueries(d.loop, d.driver, d.groups, d.admission, d.inFlight, d.metrics, d.timeouts())
 	d.orderRuns = ordersrun.New(ledger{d}, d.settings.Host, d.incarnation)
 	d.orders = entryrun.NewOrders(d.loop, d.orderRuns, client, d.groups, d.inFlight, d.metrics, d.timeouts(), d.log)
-	d.servers = make(map[string]*http.Server)
+	d.servers, d.served = make(map[string]*http.Server), make(map[string]net.Listener)
 	for name := range d.listeners {
 		d.servers[name] = &http.Server{
 			Handler: d.router(name), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: d.log.Standard(eventHTTPServer),
@@ -211,6 +215,10 @@
 		caller.ConnState = newIdleCloser(d.callerIdleTimeout).changed
 		caller.ConnContext = withCallerConn
 	}
+	for name, server := range d.servers {
+		d.served[name] = d.listeners[name]
+		d.limitIntake(name, server)
+	}
 	return nil
 }
 
@@ -363,7 +371,7 @@
 }
 
 func (d *Daemon) serve(name string) {
-	if err := d.servers[name].Serve(d.listeners[name]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := d.servers[name].Serve(d.served[name]); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.fail(errors.Wrapf(err, "serve the %s interface", name))
 	}
 }
--- a/internal/entry/entryhttp/http.go
+++ b/internal/entry/entryhttp/http.go
@@ -15,6 +15,8 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/admission"
 	"github.com/hawthornlock/hawthornlock/internal/entry"
+	"github.com/hawthornlock/hawthornlock/internal/intake"
+	"github.com/hawthornlock/hawthornlock/internal/intake/intakerun"
 	"github.com/hawthornlock/hawthornlock/internal/orders"
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrun"
 	"github.com/hawthornlock/hawthornlock/internal/query"
@@ -234,11 +236,15 @@
 }
 
 func decode(w http.ResponseWriter, r *http.Request, v any) error {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := intakerun.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return verdict.New(verdict.NotRun, codeBodyTooLarge, "the body is longer than %d bytes", maxBodyBytes)
 	}
+	var refused *verdict.Error // by a limit on clients
+	if errors.As(err, &refused) {
+		return refused
+	}
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "read the body")
 	}
@@ -278,6 +284,7 @@
 	entry.CodeMissingRequestID:     http.StatusBadRequest,
 	entry.CodeImpossibleTimeout:    http.StatusBadRequest,
 	codeBodyTooLarge:               http.StatusRequestEntityTooLarge,
+	intake.CodeStalled:             http.StatusRequestTimeout,
 	routing.CodeUnknownGroup:       http.StatusNotFound,
 	routing.CodeNoSelector:         http.StatusForbidden,
 	verdict.CodeDeadlineExceeded:   http.StatusGatewayTimeout,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -155,6 +155,7 @@
 	if s.MaxQueries < 1 || s.QueueLength < 1 {
 		c.add("-max-queries and -queue-length must be at least 1")
 	}
+	s.Intake.check(c)
 	if s.HedgePermille < 0 || s.HedgePermille > maxPermille || s.RetryPermille < 0 || s.RetryPermille > maxPermille {
 		c.add("-hedge-permille and -retry-permille are outside 0..%d", maxPermille)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,7 @@
 	RetryWindow   time.Duration // with ServePlan
 	MemoryLimit   uint64        // of the process in bytes; 0 for none
 	Capacity      uint          // for work on behalf of other hosts, relative to theirs
+	Intake        Intake
 	// RevocationBound is the longest time for which a revoked key may still be accepted
 	// on any host; 0 for no bound.
 	RevocationBound time.Duration
@@ -137,6 +138,7 @@
 	fs.IntVar(&r.QueueLength, "queue-length", 512, "maximum number of queries of one group that wait at this host")
 	fs.IntVar(&r.HedgePermille, "hedge-permille", 30, "extra sub-requests by hedging, per thousand")
 	fs.IntVar(&r.RetryPermille, "retry-permille", 100, "extra sub-requests by retries, per thousand")
+	r.Intake.flags(fs)
 	fs.Uint64Var(&r.Seed, "seed", 0, "seed of random decisions; 0 derives one from the clock")
 	return fs
 }
--- a/internal/targets/targethttp/announce.go
+++ b/internal/targets/targethttp/announce.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hawthornlock/hawthornlock/internal/intake"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -71,6 +72,10 @@
 	if limited.N <= 0 {
 		return targets.Announcement{}, verdict.New(verdict.NotRun, CodeTooLarge, "announcement is larger than %d bytes", MaxAnnouncementBytes)
 	}
+	var refused *verdict.Error // by a limit on clients
+	if errors.As(err, &refused) {
+		return targets.Announcement{}, refused
+	}
 	if err != nil {
 		return targets.Announcement{}, verdict.Wrap(err, verdict.NotRun, targets.CodeInvalid, "decode announcement")
 	}
@@ -126,7 +131,9 @@
 		return http.StatusBadRequest
 	case targets.CodeStale, targets.CodeLayoutChanged, targets.CodeAddressTaken:
 		return http.StatusConflict
-	case verdict.CodeUnavailable:
+	case intake.CodeStalled:
+		return http.StatusRequestTimeout
+	case verdict.CodeUnavailable, intake.CodeMemory:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusInternalServerError
