--- a/internal/intake/intaketest/process_test.go
+++ b/internal/intake/intaketest/process_test.go
@@ -42,12 +42,16 @@
 	maxBodyBytes   = 262144
 )
 
+// binaryDir is set once the daemon is being built.
+var binaryDir atomic.Pointer[string]
+
 // binary is the daemon under test, built once.
 var binary = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "intaketest")
 	if err != nil {
 		return "", err
 	}
+	binaryDir.Store(&dir)
 	path := filepath.Join(dir, "hawthornlockd")
 	out, err := exec.Command("go", "build", "-o", path, "../../../cmd/hawthornlockd").CombinedOutput()
 	if err != nil {
@@ -60,8 +64,8 @@
 	code := m.Run()
 	platforms.close()
 	products.close()
-	if path, err := binary(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path))
+	if dir := binaryDir.Load(); dir != nil {
+		_ = os.RemoveAll(*dir)
 	}
 	os.Exit(code)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -40,6 +40,13 @@
 		"-max-clock-drift NaN":         {"-max-clock-drift", "NaN"},
 		"unexpected argument":          {"stray"},
 		"must name the IP address":     {"-peer-listen", "0.0.0.0:7404"},
+		"-intake-memory 5":             {"-intake-memory", "5"},
+		"-caller-connections 7":        {"-caller-connections", "7"},
+		"-control-connections -1":      {"-control-connections", "-1"},
+		"-address-memory-permille":     {"-address-memory-permille", "1001"},
+		"-address-connections-permi":   {"-address-connections-permille", "99"},
+		"-head-timeout 0s":             {"-head-timeout", "0"},
+		"-body-stall 1h0m0s":           {"-body-stall", "1h"},
 	} {
 		_, err := Parse(voterArgs(extra...), io.Discard)
 		require.ErrorContains(t, err, name)
