Supervise bodies that no handler reads, and set more memory aside

Cause: the server reads the rest of a small body that its handler did not read, without a bound in time. TestProductLargeBodies reached 57.6 MB of 64 MB on a busy machine, with 24 MB set aside besides the collector's limit. Change: a body is supervised until the server is done with the request; 28 MB are set aside; product processes of the tests start together with the others.

--- a/cmd/hawthornlockd/main.go
+++ b/cmd/hawthornlockd/main.go
@@ -66,9 +66,10 @@
 const collectorShare = 0.8
 
 // programBytes is set aside for what does not grow with the memory limit: the pages of the
-// program, about 14 MB, and what the heap grows by during a collection. With 0.8 of 64 MB
-// alone, a process that clients send large bodies to grew to 62 MB and over.
-const programBytes = 24 << 20
+// program, 16 MB, and what the process grows by during a collection. With 0.8 of 64 MB
+// alone, a process that clients sent large bodies to grew to 62 MB, and with 24 MB set
+// aside to 58 MB.
+const programBytes = 28 << 20
 
 func collectorLimit(limit uint64) int64 {
 	return min(int64(collectorShare*float64(limit)), int64(limit)-programBytes)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -333,7 +333,7 @@
 
 // EndPeriod ends a period in which a body must have made progress, and reports whether it
 // has stalled instead. A stalled request is removed.
-func (l *Ledger) EndPeriod(id ID, since, now time.Time) (stalled bool) {
+func (l *Ledger) EndPeriod(id ID, since time.Time) (stalled bool) {
 	c := l.connections[id]
 	if c == nil || c.phase != Body {
 		return false
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -185,11 +185,11 @@
 		now := at(1000 * (period + 1))
 		_, ok := l.Receive(slow, minProgress, 0, now)
 		require.True(t, ok)
-		require.False(t, l.EndPeriod(slow, at(1000*period), now), "slow but progressing")
-		require.False(t, l.EndPeriod(answered, at(1000*period), now), "waiting for an answer")
+		require.False(t, l.EndPeriod(slow, at(1000*period)), "slow but progressing")
+		require.False(t, l.EndPeriod(answered, at(1000*period)), "waiting for an answer")
 	}
 	_, _ = l.Receive(stalled, minProgress-1, 0, at(900))
-	require.True(t, l.EndPeriod(stalled, at(0), at(1000)))
+	require.True(t, l.EndPeriod(stalled, at(0)))
 	_, ok := l.Receive(stalled, 1, 1, at(1001))
 	require.False(t, ok)
 }
--- a/internal/intake/intakerun/conn.go
+++ b/internal/intake/intakerun/conn.go
@@ -23,6 +23,7 @@
 	refused *verdict.Error // nil unless the request was refused
 	quiet   bool           // refused without a response
 	leaving bool           // counted in Gate.leaving
+	body    *body          // of the request in progress, nil if it has none or was read
 }
 
 // Read implements net.Conn. The bytes of a head are charged here, those of a body in the
@@ -85,6 +86,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.gate.closed(c)
+	c.endBody()
 	c.mu.Lock()
 	if c.leaving {
 		c.leaving = false
@@ -150,7 +152,20 @@
 	return c.quiet
 }
 
-// body is the body of a request that charges what is read.
+// endBody ends the supervision of the body of the request in progress.
+func (c *Conn) endBody() {
+	c.mu.Lock()
+	b := c.body
+	c.body = nil
+	c.mu.Unlock()
+	if b != nil {
+		b.stop()
+	}
+}
+
+// body is the body of a request that charges what is read. It is supervised until it was
+// read, or until the server is done with the request: after a handler that did not read a
+// body, the server reads the rest of a small one before it responds.
 type body struct {
 	io.ReadCloser
 	conn  *Conn
@@ -167,6 +182,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.timer = time.AfterFunc(c.gate.cfg.BodyStall, b.expired)
+	c.mu.Lock()
+	c.body = b
+	c.mu.Unlock()
 	return b
 }
 
@@ -182,7 +200,7 @@
 		}
 	}
 	if err == io.EOF {
-		b.stop()
+		b.conn.endBody()
 		if refusal := b.conn.gate.enter(b.conn, intake.Complete); refusal != nil {
 			return 0, refusal
 		}
@@ -201,7 +219,7 @@
 	b.timer.Reset(b.conn.gate.cfg.BodyStall)
 }
 
-// stop ends the supervision of the body, after its end or after the response.
+// stop ends the supervision of the body.
 func (b *body) stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/intake/intakerun/gate.go
+++ b/internal/intake/intakerun/gate.go
@@ -213,7 +213,7 @@
 // a time.
 func (g *Gate) checkStalled(c *Conn, since time.Time) (stalled bool) {
 	g.mu.Lock()
-	stalled = g.ledger.EndPeriod(c.id, since, time.Now())
+	stalled = g.ledger.EndPeriod(c.id, since)
 	if stalled {
 		delete(g.conns, c.id)
 	}
@@ -239,6 +239,7 @@
 // returned once it was answered.
 func StateChanged(c net.Conn, state http.ConnState) {
 	if own, ok := c.(*Conn); ok && state == http.StateIdle {
+		own.endBody()
 		_ = own.gate.enter(own, intake.Waiting) // the next read of a refused connection fails
 	}
 }
@@ -258,9 +259,7 @@
 				panic(http.ErrAbortHandler) // closed while the end of its head was read
 			}
 		} else {
-			b := newBody(r.Body, c)
-			defer b.stop()
-			r.Body = b
+			r.Body = newBody(r.Body, c)
 		}
 		h.ServeHTTP(w, r)
 		if c.refusal() != nil {
--- a/internal/intake/intakerun/gate_test.go
+++ b/internal/intake/intakerun/gate_test.go
@@ -48,9 +48,13 @@
 	return h
 }
 
-// serve responds with the number of bytes that it read, or with the code and the verdict
-// of the refusal.
+// serve responds to /unread without reading the body, and otherwise with the number of bytes
+// that it read, or with the code and the verdict of the refusal.
 func (h *host) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/unread" {
+		fmt.Fprint(w, "unread")
+		return
+	}
 	body, err := intakerun.ReadAll(r.Body, r.ContentLength)
 	var refused *verdict.Error
 	if errors.As(err, &refused) {
@@ -173,6 +177,24 @@
 	require.Equal(t, "1", complete.answer())
 }
 
+// Guards against a server that waits without end for a body that its handler did not read.
+func TestUnreadBodyThatStalls(t *testing.T) {
+	cfg := limits(1 << 20)
+	cfg.BodyStall = 50 * time.Millisecond
+	h := startHost(t, cfg, manyConnections, nil)
+	c := h.dial()
+	c.send(strings.Replace(post(100, "b"), "POST /", "POST /unread", 1))
+	require.Equal(t, "unread", c.answer())
+	require.Equal(t, "closed", c.answer())
+	require.EqualValues(t, 1, h.gate.Refused(intakerun.Stalled))
+	idle := h.dial()
+	for range 3 {
+		idle.send(strings.Replace(post(1, "b"), "POST /", "POST /unread", 1))
+		require.Equal(t, "unread", idle.answer())
+		time.Sleep(2 * cfg.BodyStall) // an idle connection has no body that could stall
+	}
+}
+
 // Guards against connections that use up the descriptors: the one without progress for the
 // longest time is closed, and the new one is served.
 func TestTooManyConnections(t *testing.T) {
--- a/internal/intake/intaketest/process_test.go
+++ b/internal/intake/intaketest/process_test.go
@@ -139,12 +139,18 @@
 	products  = &supply{start: startProductProcess, ready: make(chan started), done: make(chan struct{})}
 )
 
-func (s *supply) take(t *testing.T) *process {
+// begin starts processes.
+func (s *supply) begin() {
 	s.once.Do(func() {
 		for range startedAhead {
 			s.wg.Go(s.keepStarting)
 		}
 	})
+}
+
+// take returns a process for one test, which ends it.
+func (s *supply) take(t *testing.T) *process {
+	s.begin()
 	got := <-s.ready
 	require.NoError(t, got.err)
 	p := got.process
@@ -185,8 +191,14 @@
 	s.wg.Wait()
 }
 
-func startPlatform(t *testing.T) *process { return platforms.take(t) }
-func startProduct(t *testing.T) *process  { return products.take(t) }
+// startPlatform returns a platform process. The first call also starts the product's
+// processes, whose tests come last and would otherwise wait for them.
+func startPlatform(t *testing.T) *process {
+	products.begin()
+	return platforms.take(t)
+}
+
+func startProduct(t *testing.T) *process { return products.take(t) }
 
 // startPlatformProcess starts a host with a platform settings file, a route plan and a
 // stand-in target.
