Charge a head for its copies, and the body behind it as a body

Cause: TestPlatformLongLines reached 57.3 MB of 64 MB on a busy machine, as the buffer of a long line, its string and its values exist at once. A body that arrived with its head was charged line by line. Change: a byte of a head is charged four times, and only up to the empty line.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,12 +41,16 @@
 	// that are half full, a name, a list and a value. A line has at least three bytes, so
 	// a head can take 128 times its size.
 	lineCost = 384
-	// byteCost is what a byte takes while its buffer grows: the old and the new buffer.
+	// byteCost is what a byte of a body takes while its buffer grows: the old and the new
+	// buffer.
 	byteCost = 2
+	// headByteCost is what a byte of a head takes: the old and the new buffer of a long
+	// line, and its copies as a string and as values.
+	headByteCost = 4
 )
 
 // HeadCost returns the memory that a part of a head takes.
-func HeadCost(bytes, lines int) int64 { return byteCost*int64(bytes) + lineCost*int64(lines) }
+func HeadCost(bytes, lines int) int64 { return headByteCost*int64(bytes) + lineCost*int64(lines) }
 
 // BodyCost returns the memory that a part of a body takes while it is read.
 func BodyCost(bytes int) int64 { return byteCost * int64(bytes) }
--- a/internal/intake/intakerun/conn.go
+++ b/internal/intake/intakerun/conn.go
@@ -37,7 +37,8 @@
 		return 0, refusal
 	}
 	if n > 0 && c.gate.receivingHead(c) {
-		cost := intake.HeadCost(n, bytes.Count(b[:n], []byte{'\n'}))
+		head := headOf(b[:n])
+		cost := intake.HeadCost(len(head), bytes.Count(head, []byte{'\n'}))
 		c.head.Add(cost)
 		if err := c.gate.receive(c, n, cost); err != nil {
 			return 0, err
@@ -46,6 +47,19 @@
 	return n, err
 }
 
+// headOf returns the part of the received bytes up to the empty line that ends a head. The
+// rest is the beginning of a body, which stays in a buffer of the server. An empty line
+// that arrives in two parts is not found, and the bytes after it count as a head.
+func headOf(received []byte) []byte {
+	end := len(received)
+	for _, empty := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(received[:end], []byte(empty)); i >= 0 {
+			end = i + len(empty)
+		}
+	}
+	return received[:end]
+}
+
 // receivingHead reports whether bytes that arrive on a connection belong to a head.
 func (g *Gate) receivingHead(c *Conn) bool {
 	g.mu.Lock()
--- a/internal/intake/intakerun/gate_test.go
+++ b/internal/intake/intakerun/gate_test.go
@@ -161,6 +161,15 @@
 	require.EqualValues(t, 1, h.gate.Refused(intakerun.Memory))
 }
 
+// Guards against charging the bytes of a body, which arrive with the head, like a head:
+// the request would then be refused without a response.
+func TestBodyThatArrivesWithTheHeadIsNoHead(t *testing.T) {
+	h := startHost(t, limits(1<<20), manyConnections, nil)
+	c := h.dial()
+	c.send(post(4000, strings.Repeat("\n", 4000)))
+	require.Equal(t, "4000", c.answer())
+}
+
 // Guards against a body that makes no progress, and against ending a request that waits
 // for its answer for longer than a body may stall.
 func TestStalledBodyIsRefused(t *testing.T) {
