Forget the heads of earlier requests on a connection

Cause: on a connection that had carried many requests, a refused request was closed without a response, since the memory of all their heads was summed up. Change: the sum starts anew with each request. Result: TestRefusalOnAConnectionOfManyRequests passes.

--- a/internal/intake/intakerun/conn.go
+++ b/internal/intake/intakerun/conn.go
@@ -17,7 +17,7 @@
 	net.Conn
 	gate *Gate
 	id   intake.ID
-	head atomic.Int64 // memory that the heads of the connection took, in bytes
+	head atomic.Int64 // memory that the head of the request took, in bytes
 
 	mu      sync.Mutex
 	refused *verdict.Error // nil unless the request was refused
--- a/internal/intake/intakerun/gate.go
+++ b/internal/intake/intakerun/gate.go
@@ -240,6 +240,7 @@
 func StateChanged(c net.Conn, state http.ConnState) {
 	if own, ok := c.(*Conn); ok && state == http.StateIdle {
 		own.endBody()
+		own.head.Store(0)
 		_ = own.gate.enter(own, intake.Waiting) // the next read of a refused connection fails
 	}
 }
--- a/internal/intake/intakerun/gate_test.go
+++ b/internal/intake/intakerun/gate_test.go
@@ -137,6 +137,20 @@
 	}
 }
 
+// Guards against a connection without a response because of the heads of earlier requests.
+func TestRefusalOnAConnectionOfManyRequests(t *testing.T) {
+	cfg := limits(1 << 20)
+	cfg.BodyStall = 50 * time.Millisecond
+	h := startHost(t, cfg, manyConnections, nil)
+	c := h.dial()
+	for range 10 {
+		c.send(strings.Replace(post(1, "b"), "Host: a", "Host: a\r\nX: "+strings.Repeat("x", 2000), 1))
+		require.Equal(t, "1", c.answer())
+	}
+	c.send(post(10, "b"))
+	require.Equal(t, "request_stalled not_run", c.answer())
+}
+
 // Guards against cutting off requests that wait for their answers, in favor of later ones.
 func TestRequestThatWaitsForItsAnswerIsNotRefused(t *testing.T) {
 	hold := make(chan struct{})
