State since when the agreed member list is confirmed

Owners of quotas may act by an agreed member list only while the leader has confirmed lately that it is the newest one.

go test ./internal/control/... passes.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -29,6 +29,7 @@
 	}
 	c.confirmed = follow.Confirmation(e)
 	c.confirmPlan()
+	c.confirmMembers()
 	out := c.membership(now, membership.ConfigApplied{Position: c.position()})
 	return append(out, c.membership(now, membership.LeaderConfirmed{
 		Position: membership.Position{Term: e.Term, Revision: e.Revision}, At: e.At,
@@ -127,6 +128,7 @@
 // connection shares.
 func (c *Core) applyMemberList(now time.Time) []Effect {
 	m := c.store.Members()
+	c.membersApplied(m.Epoch)
 	if m.Epoch == 0 || m.Epoch == c.members.AgreedList().Epoch {
 		return nil
 	}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -106,6 +106,7 @@
 	trafficClosed   bool // no order is open and no connection to a target is left
 	confirmed       follow.Confirmation
 	planConfirmedAt time.Time // when a leader last stated that the plan in force here is the newest
+	agreed          agreedConfirmation
 	leader          consensus.Member
 	encoding        bool // a snapshot is being encoded
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -38,9 +38,13 @@
 	// accepted. It is zero if none has done so since the start of this process.
 	PlanConfirmedAt time.Time
 	AgreedMembers   config.Members // agreed member list
-	Hosts           []Host         // known hosts, by name
-	Voters          []Voter        // on a host with a log, by name and identity
-	Shares          connections.View
+	// MembersConfirmedAt is when a leader last stated that no list newer than
+	// AgreedMembers was accepted. It is zero if none has done so since the start of this
+	// process.
+	MembersConfirmedAt time.Time
+	Hosts              []Host  // known hosts, by name
+	Voters             []Voter // on a host with a log, by name and identity
+	Shares             connections.View
 }
 
 // Host describes a host in a snapshot.
@@ -85,7 +89,7 @@
 	s := &Snapshot{
 		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
 		Plan:  c.plans.Table(),
-		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, PlanConfirmedAt: c.planConfirmedAt, AgreedMembers: c.store.Members(), Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
+		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, PlanConfirmedAt: c.planConfirmedAt, AgreedMembers: c.store.Members(), MembersConfirmedAt: c.agreed.at, Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
 	}
 	if old != nil && !c.dirty.table && old.Targets == view {
 		s.Table, s.Catalogs, s.GroupMembers = old.Table, old.Catalogs, old.GroupMembers
