Start the bucket of a new owner overdrawn and report unused tokens in time

An owner may overdraw its bucket, so its predecessor may have granted more than the burst; a successor that starts at zero and overdraws as well counts that part twice. Tokens that lie at a host to which no further request comes were lost for the account; the host now reports them after two lease periods.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -167,7 +167,7 @@
 		const end = ready + 40*time.Second
 		offered := map[string]int{}
 		for name, l := range simLimits {
-			ref := reference{NewBucket(l, time.Unix(1000, 0))}
+			ref := reference{NewBucket(l, time.Unix(1000, 0), 0)}
 			skew := float64(1 + f.rng.IntN(6))
 			f.at(ready, func() {
 				// The callers send what the reference admits, with bursts up to its size.
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -12,8 +12,10 @@
 	at    time.Time
 }
 
-// NewBucket returns a bucket that was empty at a time.
-func NewBucket(l Limit, emptyAt time.Time) Bucket { return Bucket{limit: l, at: emptyAt} }
+// NewBucket returns a bucket that held a level of tokens at a time.
+func NewBucket(l Limit, at time.Time, level float64) Bucket {
+	return Bucket{limit: l, level: level, at: at}
+}
 
 // SetLimit changes the limit. Tokens beyond the new burst are lost at once.
 func (b *Bucket) SetLimit(now time.Time, l Limit) {
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -227,6 +227,9 @@
 		now := h.clock(f.now)
 		standby := h.authority.List().Owners(account)[0] != name
 		granted, token := holder.Receive(now, sentAt, name, standby, reply, known.Limit, 1)
+		if reply.Lease != 0 {
+			f.on(h, ReportAfter, func() { f.report(h, account) })
+		}
 		switch {
 		case granted == 1:
 			f.spend(h, account, sent, token)
@@ -249,6 +252,16 @@
 	})
 }
 
+// report sends the reports that no request for tokens has carried.
+func (f *fleet) report(h *simHost, account string) {
+	holder := h.holder(account)
+	for _, name := range holder.Due(h.clock(f.now)) {
+		f.messages[account]++
+		r := Request{Account: account, Plan: h.known[account].Plan, Reports: holder.Reports(h.clock(f.now), name)}
+		f.deliver(h, f.byName[name], func(o *simHost) { o.owner.Acquire(o.clock(f.now), r, o.known[account]) })
+	}
+}
+
 // deliver takes a message from a host to another one.
 func (f *fleet) deliver(from, to *simHost, do func(*simHost)) {
 	delay := f.delay()
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxHeldLeases bounds the leases of an account at one host. Tokens of further ones
@@ -142,7 +145,7 @@
 }
 
 // Reports returns and forgets the reports that are due to an owner. A report that is lost
-// costs the account the tokens that it would have returned.
+// costs the account the tokens that it would have returned, since they count as spent.
 func (h *Holder) Reports(now time.Time, owner string) []Report {
 	h.expire(now)
 	var out []Report
@@ -158,6 +161,22 @@
 	return out
 }
 
+// ReportAfter is how long after a lease with extra tokens a host reports on its own, unless
+// a request for tokens has carried the report before.
+const ReportAfter = 2 * LeasePeriod
+
+// Due returns the owners that wait for a report.
+func (h *Holder) Due(now time.Time) []string {
+	h.expire(now)
+	var out []string
+	for _, r := range h.reports {
+		if !slices.Contains(out, r.owner) {
+			out = append(out, r.owner)
+		}
+	}
+	return out
+}
+
 // Receive records the answer of an owner to a request that was sent at a time for needed
 // waiting requests. It returns how many of them have a token, and that token. standby is
 // set if the owner's rank is not the first.
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -50,8 +50,8 @@
 }
 
 const (
-	// reportWait is how long an owner waits for the report of a lease. It covers the
-	// lease and the time until the next request of the account arrives at the host.
+	// reportWait is how long an owner waits for the report of a lease. It is well beyond
+	// ReportAfter. Without a report the tokens count as spent.
 	reportWait = 2 * time.Second
 	// idleAfter is how long the state of a full bucket is kept.
 	idleAfter = time.Minute
@@ -125,11 +125,12 @@
 	return o.grant(now, a, r)
 }
 
-// take returns the state of an account whose role begins. The bucket is empty at the
-// beginning of the role because the predecessor may have granted the burst just before.
+// take returns the state of an account whose role begins. The bucket is overdrawn at the
+// beginning of the role because the predecessor may have granted all that it could just
+// before.
 func (o *Owner) take(r role, l Limit) *ownedAccount {
 	a := &ownedAccount{role: r, limit: l, parts: o.policy.divide(l)}
-	a.bucket = NewBucket(a.parts.bucket, r.since)
+	a.bucket = NewBucket(a.parts.bucket, r.since, -a.parts.debt)
 	a.standby = window{span: o.policy.Window + LeasePeriod, start: r.since}
 	return a
 }
@@ -165,7 +166,7 @@
 func (o *Owner) grant(now time.Time, a *ownedAccount, r Request) Reply {
 	reply := Reply{Outcome: Granted, Tokens: a.bucket.Take(now, r.Needed, a.parts.debt)}
 	if missing := r.Needed - reply.Tokens; missing > 0 {
-		if now.Sub(a.role.since) < a.parts.bucket.refillTime() {
+		if now.Sub(a.role.since) < a.parts.refillTime() {
 			reply.Outcome = Unsure
 			return reply
 		}
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -63,6 +63,8 @@
 	// other hosts, and for the time that requests take to the owner: two requests that a
 	// token bucket admits one after the other may arrive there closer together.
 	debtPart = 0.12
+	// messageTime is how much later a request may arrive at the owner than at its host.
+	messageTime = 50 * time.Millisecond
 )
 
 // division says how the bound of an account is divided among the kinds of grants.
@@ -88,10 +90,16 @@
 		return d
 	}
 	d.standby = [2]float64{firstStandbyPart * spare, secondStandbyPart * spare}
-	d.parked, d.debt = parkedPart*spare, debtPart*spare
+	d.parked = min(parkedPart*spare, l.Rate*LeasePeriod.Seconds())
+	d.debt = min(debtPart*spare, l.Rate*(LeasePeriod+messageTime).Seconds())
 	return d
 }
 
+// refillTime returns how long the bucket takes to become full when it is overdrawn.
+func (d division) refillTime() time.Duration {
+	return seconds((d.bucket.capacity() + d.debt) / d.bucket.Rate)
+}
+
 func seconds(s float64) time.Duration {
 	const most = 1000 * time.Hour // beyond any use; the conversion of a larger number overflows
 	return time.Duration(min(s*float64(time.Second), float64(most)))
--- a/internal/quota/quotarpc/codec.go
+++ b/internal/quota/quotarpc/codec.go
@@ -29,7 +29,7 @@
 
 // EncodeRequest converts a request to its message.
 func EncodeRequest(r quota.Request) *AcquireRequest {
-	m := &AcquireRequest{Account: []byte(r.Account), Plan: r.Plan, Needed: toUint32(r.Needed), Extra: toUint32(r.Extra)}
+	m := &AcquireRequest{Account: []byte(r.Account), Plan: r.Plan, Needed: toUint32(r.Needed), Extra: toUint32(r.Extra), Denied: toUint32(r.Denied)}
 	for _, p := range r.Reports {
 		m.Reports = append(m.Reports, &Report{Lease: p.Lease, Unused: toUint32(p.Unused)})
 	}
@@ -38,7 +38,7 @@
 
 // DecodeRequest converts a message to a request.
 func DecodeRequest(m *AcquireRequest) quota.Request {
-	r := quota.Request{Account: string(m.GetAccount()), Plan: m.GetPlan(), Needed: fromUint32(m.GetNeeded()), Extra: fromUint32(m.GetExtra())}
+	r := quota.Request{Account: string(m.GetAccount()), Plan: m.GetPlan(), Needed: fromUint32(m.GetNeeded()), Extra: fromUint32(m.GetExtra()), Denied: fromUint32(m.GetDenied())}
 	for _, p := range m.GetReports()[:min(len(m.GetReports()), maxReports)] {
 		r.Reports = append(r.Reports, quota.Report{Lease: p.GetLease(), Unused: fromUint32(p.GetUnused())})
 	}
