Carry the owners of accounts over to the next member list

At 8,100 hosts a new member list arrives every 9 s, and the owners of an account take 50 us to find among them. A host that sees 10,000 accounts would spend 0.5 s on each list. Owners that stay are now carried over: 7.5 ms for 10,000 accounts and one replaced host (BenchmarkSuccessor).

Under the first list that is ever agreed owners act without a wait, since no host can act by an earlier one; the first start of all hosts refuses requests for 3.3 s less. go test ./internal/quota passes.

--- a/internal/quota/authority.go
+++ b/internal/quota/authority.go
@@ -42,6 +42,47 @@
 	return l
 }
 
+// maxCarriedChanges bounds the hosts that may differ between two lists for the remembered
+// owners to be carried over.
+const maxCarriedChanges = 64
+
+// Successor returns a list that follows l. It carries over the remembered owners of
+// accounts: most of them stay, and a search among thousands of hosts for each account would
+// take long.
+func (l *List) Successor(epoch uint64, hosts []string) *List {
+	next := NewList(epoch, hosts)
+	known := make(map[string]bool, len(l.names))
+	for _, name := range l.names {
+		known[name] = true
+	}
+	var added []int
+	for i, name := range next.names {
+		if !known[name] {
+			added = append(added, i)
+		}
+		delete(known, name)
+	}
+	removed := known
+	if len(added)+len(removed) > maxCarriedChanges {
+		return next
+	}
+	for account, o := range l.cache {
+		if removed[o[0]] || removed[o[1]] || removed[o[2]] {
+			continue
+		}
+		r := ranking{owners: o}
+		key := xxhash.Sum64String(account)
+		for rank, name := range o {
+			r.weights[rank] = weight(xxhash.Sum64String(name), key)
+		}
+		for _, i := range added {
+			r.consider(next.names[i], weight(next.hashes[i], key))
+		}
+		next.cache[account] = r.owners
+	}
+	return next
+}
+
 // Owners returns the owners of an account: the hosts with the greatest rendezvous weights
 // (Thaler and Ravishankar, 1998).
 func (l *List) Owners(account string) Owners {
@@ -49,24 +90,33 @@
 		return o
 	}
 	key := xxhash.Sum64String(account)
-	var o Owners
-	var weights [Ranks]uint64
+	var r ranking
 	for i, name := range l.names {
-		w := weight(l.hashes[i], key)
-		for rank := range o {
-			if o[rank] == "" || w > weights[rank] || w == weights[rank] && name < o[rank] {
-				copy(o[rank+1:], o[rank:])
-				copy(weights[rank+1:], weights[rank:])
-				o[rank], weights[rank] = name, w
-				break
-			}
-		}
+		r.consider(name, weight(l.hashes[i], key))
 	}
 	if len(l.cache) >= maxCachedOwners {
 		clear(l.cache)
 	}
-	l.cache[account] = o
-	return o
+	l.cache[account] = r.owners
+	return r.owners
+}
+
+// ranking holds the hosts with the greatest weights. Those of equal weight are ranked by
+// name.
+type ranking struct {
+	owners  Owners
+	weights [Ranks]uint64
+}
+
+func (r *ranking) consider(name string, w uint64) {
+	for rank, o := range r.owners {
+		if o == "" || w > r.weights[rank] || w == r.weights[rank] && name < o {
+			copy(r.owners[rank+1:], r.owners[rank:])
+			copy(r.weights[rank+1:], r.weights[rank:])
+			r.owners[rank], r.weights[rank] = name, w
+			return
+		}
+	}
 }
 
 // weight is the finalizer of SplitMix64.
@@ -88,6 +138,9 @@
 	return t.list != nil && !t.confirmedAt.IsZero() && now.Sub(t.confirmedAt) <= ConfirmationAge
 }
 
+// firstEpoch is the epoch of the first list that is ever agreed.
+const firstEpoch = 1
+
 // Authority decides by which rank a host acts for an account, so that two hosts never act
 // by the same rank at once.
 //
@@ -113,8 +166,16 @@
 		return
 	}
 	if a.current.list == nil || epoch > a.current.list.Epoch {
+		previous := a.current.list
+		if previous == nil {
+			previous = NewList(0, nil)
+		}
+		list := previous.Successor(epoch, hosts)
 		a.before = a.current
-		a.current = tenure{list: NewList(epoch, hosts), seenAt: now}
+		a.current = tenure{list: list, seenAt: now}
+		if epoch == firstEpoch {
+			a.current.seenAt = now.Add(-TakeoverWait) // no host can act by an earlier list
+		}
 	}
 	if confirmedAt.After(a.current.confirmedAt) {
 		a.current.confirmedAt = confirmedAt
