--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -23,6 +23,11 @@
 	// are confirmed.
 	minRevocation = time.Second
 	maxRevocation = time.Hour
+	// minQuotaWindow is four lease periods of tokens, which may shift requests from one
+	// window into the next.
+	minQuotaWindow = time.Second
+	maxQuotaWindow = time.Minute
+	maxQuotaSlack  = 1_000_000
 	// maxLossTolerance is a minority of five voters, the most that a log has.
 	maxLossTolerance = 2
 	maxCapacity      = 1_000_000_000
@@ -134,6 +139,7 @@
 	if s.RevocationBound != 0 && (s.RevocationBound < minRevocation || s.RevocationBound > maxRevocation) {
 		c.add("-revocation-bound %s is neither 0 nor within %s..%s", s.RevocationBound, minRevocation, maxRevocation)
 	}
+	c.problems = append(c.problems, s.QuotaProblems()...)
 	if s.LeasePeriod < minLease || s.LeasePeriod > maxLease {
 		c.add("-lease-period %s is outside %s..%s", s.LeasePeriod, minLease, maxLease)
 	}
@@ -160,6 +166,21 @@
 	}
 }
 
+// QuotaProblems lists what is wrong with the bound on the requests of an account.
+func (s *Settings) QuotaProblems() Problems {
+	var c checker
+	if s.QuotaWindow < minQuotaWindow || s.QuotaWindow > maxQuotaWindow {
+		c.add("-quota-window %s is outside %s..%s", s.QuotaWindow, minQuotaWindow, maxQuotaWindow)
+	}
+	if !(s.QuotaOverage >= 0 && s.QuotaOverage <= 1) {
+		c.add("-quota-overage %v is outside 0..1", s.QuotaOverage)
+	}
+	if !(s.QuotaSlack >= 0 && s.QuotaSlack <= maxQuotaSlack) {
+		c.add("-quota-slack %v is outside 0..%d", s.QuotaSlack, maxQuotaSlack)
+	}
+	return c.problems
+}
+
 func splitList(text string) []string {
 	var out []string
 	for _, part := range strings.Split(text, ",") {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,11 @@
 	// RevocationBound is the longest time for which a revoked key may still be accepted
 	// on any host; 0 for no bound.
 	RevocationBound time.Duration
+	// All hosts together forward at most (rate x QuotaWindow + burst) x (1 + QuotaOverage)
+	// + QuotaSlack requests of an account in any QuotaWindow.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64 // requests
 
 	AdminTokenFile   string
 	LogLevel         zerolog.Level
@@ -124,6 +129,9 @@
 	fs.Uint64Var(&r.MemoryLimit, "memory-limit", 0, "bytes of memory that the process may use; 0 for no limit, otherwise at least 67108864")
 	fs.UintVar(&r.Capacity, "capacity", 1, "capacity of this host for work on behalf of other hosts, relative to theirs, 1 to 1000000000")
 	fs.DurationVar(&r.RevocationBound, "revocation-bound", 0, "with -serve-plan: how long after the acknowledgement of a plan without a key requests with it may still run, on any host, in touch or not, 1s to 1h; 0 for no bound")
+	fs.DurationVar(&r.QuotaWindow, "quota-window", 5*time.Second, "with -serve-plan: time window of the bound on an account's requests, 1s to 1m: all hosts together forward at most (rate x window + burst) x (1 + -quota-overage) + -quota-slack of them in any window")
+	fs.Float64Var(&r.QuotaOverage, "quota-overage", 0.1, "with -serve-plan: share by which an account's requests may exceed its rate and burst in any -quota-window, 0 to 1")
+	fs.Float64Var(&r.QuotaSlack, "quota-slack", 20, "with -serve-plan: requests by which an account may exceed that in addition, 0 to 1000000")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "minimum level of the events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves an unconfirmed configuration, 1s to 4s")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,9 @@
 		"above -max-timeout":           {"-max-timeout", "1s"},
 		"-config-staleness 10s":        {"-config-staleness", "10s"},
 		"-max-clock-drift NaN":         {"-max-clock-drift", "NaN"},
+		"-quota-window 2m0s":           {"-quota-window", "2m"},
+		"-quota-overage NaN":           {"-quota-overage", "NaN"},
+		"-quota-slack -1":              {"-quota-slack", "-1"},
 		"unexpected argument":          {"stray"},
 		"must name the IP address":     {"-peer-listen", "0.0.0.0:7404"},
 	} {
