--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -88,6 +88,7 @@
 	}
 	if d.engine != nil {
 		d.directory.setLive(peersOf(s))
+		d.quotas.Observe()
 		d.applySearchers(a, s)
 		a.targets, a.view = s.Targets, s.Shares
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
+	"github.com/hawthornlock/hawthornlock/internal/quota/quotarun"
 	"github.com/hawthornlock/hawthornlock/internal/settings"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 	"github.com/hawthornlock/hawthornlock/internal/targets/targethttp"
@@ -99,6 +100,7 @@
 	startedAt   time.Time
 	gather      gatherState
 	engine      *forwardrun.Engine // nil unless the host serves a route plan
+	quotas      *quotarun.Quotas   // nil unless the host serves a route plan
 	listeners   Listeners
 	servers     map[string]*http.Server
 	workers     sync.WaitGroup
@@ -191,6 +193,7 @@
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
 	d.engine = d.newEngine()
+	d.quotas = d.newQuotas()
 	d.gather.chooser, d.gather.log = gathering.NewChooser(), forwardrun.NewGatherLog(d.log)
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
@@ -412,6 +415,7 @@
 	_ = d.closeLog()
 	if d.engine != nil {
 		d.engine.Close()
+		d.quotas.Close()
 	}
 	d.links.Close()
 	d.workers.Wait()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -108,6 +108,7 @@
 	m.missing = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "forward_missing_shards_total", Help: "Shards left out of gathered answers."})
 	m.registry.MustRegister(m.forwarded, m.forwardTime, m.missing)
 	m.registry.MustRegister(engineStats(d)...)
+	m.registry.MustRegister(quotaStats(d)...)
 	m.registry.MustRegister(m.latency, m.coverage, m.subRequests, m.requestErrors, m.orders,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), &stateCollector{d})
 	return m
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -18,6 +18,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/orders/ordersrpc"
 	"github.com/hawthornlock/hawthornlock/internal/proposals"
 	"github.com/hawthornlock/hawthornlock/internal/proposals/proposalsrpc"
+	"github.com/hawthornlock/hawthornlock/internal/quota/quotarpc"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan/planrpc"
 	"github.com/hawthornlock/hawthornlock/internal/spread/spreadrpc"
 	"github.com/hawthornlock/hawthornlock/internal/targets/targetsrpc"
@@ -44,6 +45,7 @@
 		ordersrpc.NewOrdersServer(&ordersService{d}),
 		configrpc.NewConfigServer(&configService{d}),
 		planrpc.NewPlansServer(&planService{d}),
+		quotarpc.NewQuotaServer(&quotaService{d}),
 	} {
 		r.PathPrefix(s.PathPrefix()).Handler(s)
 	}
