--- a/internal/daemon/quotas_test.go
+++ b/internal/daemon/quotas_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -67,6 +68,25 @@
 	return resp.StatusCode, resp.Header.Get("Retry-After")
 }
 
+// counted returns the value of a counter without labels.
+func counted(t *testing.T, d *daemon.Daemon, name string) float64 {
+	t.Helper()
+	resp, err := http.Get("http://" + d.Address("admin").String() + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "hawthornlock_"+name+" "); ok {
+			n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			require.NoError(t, err)
+			return n
+		}
+	}
+	require.Fail(t, "no counter "+name)
+	return 0
+}
+
 // Guards against hosts that admit an account's requests each by themselves, so that the sum
 // exceeds its limit, against a rejection that may have run or that names no time, and
 // against accounts without a limit that are rejected.
@@ -76,6 +96,10 @@
 		_, err := hosts[0].SubmitPlan(t.Context(), fmt.Appendf(nil, quotaPlan, 1, 10))
 		return err == nil
 	}, waitTimeout, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		status, _ := askWithKey(t, hosts[0], "key-1")
+		return status == http.StatusServiceUnavailable && counted(t, hosts[0], "quota_returned_total") > 0
+	}, waitTimeout, 20*time.Millisecond, "without a searcher no request runs, and its token is returned")
 	var ran atomic.Int64
 	startSearcherWith(t, hosts[0], "s1", func(w http.ResponseWriter) {
 		ran.Add(1)
@@ -132,6 +156,11 @@
 	require.Positive(t, admitted.Load())
 	require.Positive(t, denied.Load())
 	require.Equal(t, admitted.Load(), ran.Load()-before, "no rejected request ran")
+	leased := 0.0
+	for _, d := range hosts {
+		leased += counted(t, d, "quota_leased_total")
+	}
+	require.GreaterOrEqual(t, leased, float64(admitted.Load()))
 	for _, d := range hosts {
 		status, _ := askWithKey(t, d, "key-2")
 		require.Equal(t, http.StatusOK, status)
