End denials when the limit of an account changes

A host remembered that an account was over its limit for up to the time of one token, also after a plan had raised the limit.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -300,6 +300,17 @@
 	}
 }
 
+// Guards against a host that goes on denying requests after the limit was raised.
+func TestRaisedLimitEndsDenials(t *testing.T) {
+	h, l := NewHolder(), Limit{Rate: 0.01, Burst: 1}
+	h.Receive(start, start, "o", false, Reply{Outcome: OverLimit, RetryAfter: 100 * time.Second}, l, 1)
+	decision, _, after := h.Arrive(start.Add(time.Second), l)
+	require.Equal(t, Deny, decision)
+	require.Equal(t, 99*time.Second, after)
+	decision, _, _ = h.Arrive(start.Add(time.Second), Limit{Rate: 10, Burst: 1})
+	require.Equal(t, Ask, decision)
+}
+
 // Guards against tokens that outlive their owner or their holder: what a lost owner granted
 // ends with the lease, and a restarted holder has none.
 func TestTokensEndWithTheirLease(t *testing.T) {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -74,6 +74,7 @@
 	arrived, before int
 
 	deniedUntil time.Time
+	deniedBy    Limit // another limit ends the denial
 	// retryAt is when the next caller that is denied here without a message may get a
 	// token.
 	retryAt time.Time
@@ -94,7 +95,7 @@
 			return Spend, Token{expires: t.expires}, 0
 		}
 	}
-	if now.Before(h.deniedUntil) {
+	if now.Before(h.deniedUntil) && l == h.deniedBy {
 		h.denied++
 		return Deny, Token{}, h.spread(now, l)
 	}
@@ -211,7 +212,7 @@
 // denied request may get a token, but in time before the bucket overflows with tokens
 // that nobody asks for.
 func (h *Holder) deny(now time.Time, after time.Duration, l Limit, denied int) {
-	h.deniedUntil = now.Add(min(after, max(l.refillTime()/2, l.Interval())))
+	h.deniedUntil, h.deniedBy = now.Add(min(after, max(l.refillTime()/2, l.Interval()))), l
 	h.retryAt = now.Add(after + time.Duration(denied)*l.Interval())
 }
 
