Give no retry hint of 0 to a denied request

TestQuotaHoldsOverAllHosts failed in 4 of about 60 runs, most of them at a load of 29 on 7 cores: a request that was denied in the last half millisecond of a denial got the hint 0.000. Hints are now at least a millisecond.

TestHintIsNeverZero fails without the change and passes with it; go test ./internal/quota passes.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -311,6 +311,17 @@
 	require.Equal(t, Ask, decision)
 }
 
+// Guards against a retry hint of 0 to a request that is denied just before the denial ends.
+func TestHintIsNeverZero(t *testing.T) {
+	h, l := NewHolder(), Limit{Rate: 10, Burst: 10}
+	h.Receive(start, start, "o", false, Reply{Outcome: OverLimit, RetryAfter: 100 * time.Millisecond}, l, 1)
+	for range 100 {
+		decision, _, after := h.Arrive(start.Add(100*time.Millisecond-time.Microsecond), l)
+		require.Equal(t, Deny, decision)
+		require.GreaterOrEqual(t, after, MinRetryAfter)
+	}
+}
+
 // Guards against tokens that outlive their owner or their holder: what a lost owner granted
 // ends with the lease, and a restarted holder has none.
 func TestTokensEndWithTheirLease(t *testing.T) {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -222,7 +222,7 @@
 	if h.retryAt.Sub(now) > max(MaxRetryAfter, h.deniedUntil.Sub(now)) || h.retryAt.Before(h.deniedUntil) {
 		h.retryAt = h.deniedUntil
 	}
-	after := h.retryAt.Sub(now)
+	after := max(h.retryAt.Sub(now), MinRetryAfter)
 	h.retryAt = h.retryAt.Add(l.Interval())
 	return after
 }
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -202,7 +202,7 @@
 // don't wait longer.
 func (a *ownedAccount) promise(now time.Time, n, elsewhere int) time.Duration {
 	interval := a.parts.bucket.Interval()
-	next := now.Add(max(a.bucket.Wait(now, a.parts.debt), time.Millisecond))
+	next := now.Add(max(a.bucket.Wait(now, a.parts.debt), MinRetryAfter))
 	horizon := now.Add(max(MaxRetryAfter, next.Sub(now)))
 	first := a.promised.Add(interval)
 	if first.Before(next) || first.After(horizon) {
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -24,6 +24,9 @@
 	// token takes longer. Callers wait for a third of their remaining time at most, which
 	// is up to 6 s.
 	MaxRetryAfter = 2 * time.Second
+	// MinRetryAfter is the least retry hint. Front ends write hints in milliseconds, and one
+	// that is rounded to 0 tells a caller nothing.
+	MinRetryAfter = time.Millisecond
 )
 
 // Limit is the limit of an account over all hosts.
