--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/peerlink"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
+	"github.com/hawthornlock/hawthornlock/internal/quota/quotarun"
 	"github.com/hawthornlock/hawthornlock/internal/settings"
 	"github.com/hawthornlock/hawthornlock/internal/targets"
 	"github.com/hawthornlock/hawthornlock/internal/targets/targethttp"
@@ -101,9 +102,10 @@
 	gather      gatherState
 	engine      *forwardrun.Engine // nil unless the host serves a route plan
 	gate        *searcherGate      // nil like engine
+	quotas      *quotarun.Quotas   // nil unless the host serves a route plan
 	listeners   Listeners
 	servers     map[string]*http.Server
-	gate        *intakerun.Gate         // limits on clients
+	intake      *intakerun.Gate         // limits on clients
 	served      map[string]net.Listener // what the servers accept from
 	workers     sync.WaitGroup
 }
@@ -195,8 +197,9 @@
 	d.pools = poolrun.NewPools(poolrun.Config{}, d.log)
 	client := targethttp.NewClient(targethttp.ClientConfig{NetworkAllowance: d.settings.NetworkAllowance}, d.pools, d.log)
 	d.engine = d.newEngine()
+	d.quotas = d.newQuotas()
 	d.gather.chooser, d.gather.log = gathering.NewChooser(), forwardrun.NewGatherLog(d.log)
-	d.gate = d.newGate()
+	d.intake = d.newIntake()
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
 	d.groups.SetWithdrawn(func(domain string) bool { return d.loop.Snapshot().Withdrawals.Withdrawn(domain) })
@@ -422,6 +425,7 @@
 	_ = d.closeLog()
 	if d.engine != nil {
 		d.engine.Close()
+		d.quotas.Close()
 	}
 	d.links.Close()
 	d.workers.Wait()
--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -20,7 +20,7 @@
 	return intake.Settings{MemoryLimit: d.settings.MemoryLimit, Memory: s.Memory, MemoryPermille: s.MemoryPermille, AddressPermille: s.AddressPermille}
 }
 
-func (d *Daemon) newGate() *intakerun.Gate {
+func (d *Daemon) newIntake() *intakerun.Gate {
 	return intakerun.New(intakerun.Config{Limits: intake.LimitsOf(d.intakeSettings()), BodyStall: d.settings.Intake.BodyStall}, d.log)
 }
 
@@ -38,7 +38,7 @@
 	if name == "caller" {
 		s.Connections, divisor = d.settings.Intake.CallerConnections, 1
 	}
-	d.served[name] = d.gate.Listener(name, d.listeners[name], intake.ConnectionsOf(s, divisor))
+	d.served[name] = d.intake.Listener(name, d.listeners[name], intake.ConnectionsOf(s, divisor))
 	server.Handler = intakerun.Handler(server.Handler)
 	server.ReadHeaderTimeout = d.settings.Intake.HeadTimeout
 	changed, connContext := server.ConnState, server.ConnContext
@@ -59,20 +59,20 @@
 // intakeStats returns collectors of what clients use and of the refusals.
 func intakeStats(d *Daemon) []prometheus.Collector {
 	out := []prometheus.Collector{
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "intake_memory_bytes", Help: "Memory that requests of clients in progress are charged."}, func() float64 { return float64(d.gate.Memory()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "intake_memory_bytes", Help: "Memory that requests of clients in progress are charged."}, func() float64 { return float64(d.intake.Memory()) }),
 	}
 	for _, k := range intakerun.Kinds() {
 		out = append(out, prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: namespace, Name: "intake_refused_total", Help: "Requests and connections of clients that were refused before they ran, by kind: memory, stalled or connections.",
 			ConstLabels: prometheus.Labels{labelKind: k.String()},
-		}, func() float64 { return float64(d.gate.Refused(k)) }))
+		}, func() float64 { return float64(d.intake.Refused(k)) }))
 	}
 	for name := range d.listeners {
 		if facesClients(name) {
 			out = append(out, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 				Namespace: namespace, Name: "intake_connections", Help: "Connections of clients, by listener.",
 				ConstLabels: prometheus.Labels{"listener": name},
-			}, func() float64 { return float64(d.gate.Connections(name)) }))
+			}, func() float64 { return float64(d.intake.Connections(name)) }))
 		}
 	}
 	return out
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -118,6 +118,7 @@
 	m.registry.MustRegister(m.forwarded, m.forwardTime, m.missing)
 	m.registry.MustRegister(engineStats(d)...)
 	m.registry.MustRegister(intakeStats(d)...)
+	m.registry.MustRegister(quotaStats(d)...)
 	m.registry.MustRegister(m.latency, m.coverage, m.subRequests, m.requestErrors, m.orders,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), &stateCollector{d})
 	return m
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,6 +78,11 @@
 	// WarmupSlack more, requests a second, over all hosts.
 	WarmupOverage float64
 	WarmupSlack   float64
+	// All hosts together forward at most (rate x QuotaWindow + burst) x (1 + QuotaOverage)
+	// + QuotaSlack requests of an account in any QuotaWindow.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64 // requests
 
 	AdminTokenFile   string
 	LogLevel         zerolog.Level
@@ -136,6 +141,9 @@
 	fs.DurationVar(&r.RevocationBound, "revocation-bound", 0, "with -serve-plan: how long after the acknowledgement of a plan without a key requests with it may still run, on any host, in touch or not, 1s to 1h; 0 for no bound")
 	fs.Float64Var(&r.WarmupOverage, "warmup-overage", 1.5, "with -serve-plan: factor by which the requests a second to a cold target, over all hosts, may exceed the rate that the route plan states, 0 to 100")
 	fs.Float64Var(&r.WarmupSlack, "warmup-slack", 5, "with -serve-plan: requests a second that a cold target may get in addition, over all hosts, 0 to 1000000")
+	fs.DurationVar(&r.QuotaWindow, "quota-window", 5*time.Second, "with -serve-plan: time window of the bound on an account's requests, 1s to 1m: all hosts together forward at most (rate x window + burst) x (1 + -quota-overage) + -quota-slack of them in any window")
+	fs.Float64Var(&r.QuotaOverage, "quota-overage", 0.1, "with -serve-plan: share by which an account's requests may exceed its rate and burst in any -quota-window, 0 to 1")
+	fs.Float64Var(&r.QuotaSlack, "quota-slack", 20, "with -serve-plan: requests by which an account may exceed that in addition, 0 to 1000000")
 	fs.StringVar(&r.AdminTokenFile, "admin-token-file", "", "file with a team and its token, separated by space, on each line, not accessible to everyone; without it the admin listener must be on loopback")
 	fs.StringVar(&r.logLevel, "log-level", "info", "minimum level of the events to log: debug, info, warn, error")
 	fs.DurationVar(&r.ConfigStaleness, "config-staleness", 3*time.Second, "how long a host serves an unconfirmed configuration, 1s to 4s")
