Choose searchers by the estimated work that they have left

Cause: the time of an attempt was estimated as the searcher's slowness times the median of the route times the requests in flight per slot. A cheap request behind two expensive ones looked as fast as behind two cheap ones, a searcher that worked on an expensive request counted as stalled for a cheap one, and what searchers report about their load was ignored.

Change: package workload holds the decisions. Costs estimates the work of a request by route, size of the body and account. Tracker estimates the wait at a searcher from this host's unfinished attempts by kind, its pace from the rest of the response times, and weighs its reports (X-Server-Load) by age and by how well they predicted responses so far. Group.Choose and Group.Expected use it, and with them hedges, late shards and the time limit of hedges; the hedge delay follows the cost of the request.

Tests of forward, forwardrun, platform and archtest pass.

--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -10,6 +10,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Call is a caller's request, read in full.
@@ -41,6 +42,15 @@
 // priority returns the rank of the call, 0 for the most urgent.
 func (c *Call) priority() int { return c.Account.PriorityOr(c.Route.Priority) }
 
+// features returns what the cost of the call is estimated by.
+func (c *Call) features() workload.Features {
+	f := workload.Features{Route: c.Route.Name, Body: len(c.Body)}
+	if c.Account != nil {
+		f.Account = c.Account.Name
+	}
+	return f
+}
+
 // began returns the time from which the latency objective counts here: an answer
 // that leaves this host within the objective after it reaches the caller in time.
 func (c *Call) began() time.Time { return c.Arrived.Add(-c.Delay) }
@@ -62,6 +72,7 @@
 	Signature string
 	NotRun    bool // the searcher states that the request did not run
 	Notice    forward.Notice
+	Load      workload.Report // of the searcher when it replied
 }
 
 // Wire encodes requests to searchers and parses the headers of their replies.
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Config configures an Engine.
@@ -52,6 +53,7 @@
 
 	routesMu sync.Mutex
 	routes   map[string]*routeState
+	costs    *workload.Costs
 	stats    Stats
 
 	ending atomic.Pointer[ending]
@@ -80,7 +82,7 @@
 
 // New returns an engine without searchers.
 func New(config Config) *Engine {
-	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), sharers: Sharers{Hosts: 1}}
+	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), costs: workload.NewCosts(), sharers: Sharers{Hosts: 1}}
 	e.ending.Store(&ending{replaced: make(chan struct{})})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -259,7 +261,8 @@
 type event struct {
 	exchange *exchange // ended; nil if capacity was freed
 	result   forward.Result
-	freed    int // index of the sub-request whose service may have capacity
+	net      time.Duration // see forward.Group.End
+	freed    int           // index of the sub-request whose service may have capacity
 }
 
 // runner drives one run. Its Environment methods are called on its goroutine.
@@ -272,6 +275,8 @@
 	replies     map[*forward.Attempt]*Reply
 	rng         *rand.Rand
 	subRequests int
+	cost        workload.Cost
+	hedgeDelay  time.Duration
 	leaving     []forward.Identity
 	endsSeen    map[string]uint64 // by service found busy: attempts that had ended there
 	ended       atomic.Bool       // the run needs no more events
@@ -280,7 +285,6 @@
 	mu      sync.Mutex
 	closed  bool  // the answer no longer needs the replies
 	charged int64 // bytes of the memory for replies that the run holds
-	timing  struct{ median, hedgeDelay time.Duration }
 }
 
 // maxEventsPerSubRequest bounds the events of a sub-request (results of
@@ -321,7 +325,8 @@
 		left = e.service(services[0]).budgetLeft(now)
 	}
 	e.routesMu.Lock()
-	r.timing.median, r.timing.hedgeDelay = state.timing.MedianTime(), state.timing.HedgeDelay(call.Route.Objective, left)
+	r.cost = e.costs.Estimate(now, call.features())
+	r.hedgeDelay = state.timing.HedgeDelay(call.Route.Objective, left, r.cost.Relation)
 	e.routesMu.Unlock()
 	run := forward.NewRun(r, call.Route, services, call.began(), call.Deadline)
 	if call.Shards != nil {
@@ -432,6 +437,7 @@
 	if ev.result == forward.Good {
 		r.engine.routesMu.Lock()
 		r.route.timing.Observe(now.Sub(ev.exchange.Began), r.subRequests)
+		r.cost.Kind.Observe(now, ev.net, r.subRequests)
 		r.engine.routesMu.Unlock()
 	}
 	return run.Ended(now, ev.exchange.Attempt, ev.result)
@@ -458,7 +464,7 @@
 	x := &exchange{Attempt: a, call: r.call, deadline: r.engine.Limit(r.call.Deadline)}
 	r.open = append(r.open, x)
 	svc := r.engine.service(a.Service)
-	median := r.timing.median
+	work := r.cost.Work
 	x.done = func(x *exchange, result forward.Result) {
 		switch result {
 		case forward.Lost:
@@ -467,8 +473,8 @@
 			st.Rejected.Add(1)
 		}
 		r.holdReply(x.reply)
-		svc.ended(x, median, result)
-		r.events <- event{exchange: x, result: result}
+		net := svc.ended(x, work, result)
+		r.events <- event{exchange: x, result: result, net: net}
 	}
 	if a.Number > 0 {
 		st.Retries.Add(1)
@@ -526,8 +532,8 @@
 func (r *runner) IntN(n int) int { return r.rng.IntN(n) }
 
 func (r *runner) criteria() forward.Criteria {
-	return forward.Criteria{FailureDomain: r.engine.config.FailureDomain, MedianTime: r.timing.median, Objective: r.call.Route.Objective}
+	return forward.Criteria{FailureDomain: r.engine.config.FailureDomain, MedianTime: r.cost.Work, Objective: r.call.Route.Objective}
 }
 
 // HedgeDelay implements forward.Environment.
-func (r *runner) HedgeDelay() time.Duration { return r.timing.hedgeDelay }
+func (r *runner) HedgeDelay() time.Duration { return r.hedgeDelay }
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -275,12 +275,16 @@
 	return slices.ContainsFunc(s.group.Searchers(), func(searcher *forward.Searcher) bool { return searcher.Identity == id })
 }
 
-// ended records the result of an attempt and notifies a waiting run.
-func (s *service) ended(x *exchange, median time.Duration, result forward.Result) {
+// ended records the result of an attempt of the given work and notifies a waiting run.
+// It returns the same time as forward.Group.End.
+func (s *service) ended(x *exchange, work time.Duration, result forward.Result) (net time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
 	s.ends++
-	s.group.End(now, x.Began, x.Searcher, median, result)
+	net = s.group.End(now, x.Began, x.Searcher, work, result)
+	if x.reply != nil {
+		s.group.Report(now, x.Searcher, x.reply.meta.Load)
+	}
 	s.group.Note(now, x.Searcher.Identity, x.notice)
 	var idle []*conn
 	if result == forward.Lost && x.timedOut {
@@ -302,6 +306,7 @@
 	if waiting {
 		next.notify()
 	}
+	return net
 }
 
 func (s *service) reportLeaving(id forward.Identity) {
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Group holds the searchers of one service and its budget of extra attempts.
@@ -64,7 +66,7 @@
 // Criteria holds what Choose takes into account besides the searchers.
 type Criteria struct {
 	FailureDomain string        // of this host
-	MedianTime    time.Duration // median time of an attempt on the route
+	MedianTime    time.Duration // estimated work of the request: median time of an attempt of its kind
 	Objective     time.Duration // of the route
 	Tried         []*Searcher   // by earlier attempts
 	AllowTried    bool          // a searcher in Tried may be chosen again
@@ -86,9 +88,6 @@
 	crossDomainShare = 0.08
 	// failurePenalty is the time that a failed attempt costs.
 	failurePenalty = 60 * time.Millisecond
-	// stallFactor is how many times its usual work time a searcher may leave an
-	// attempt unanswered before it counts as stalled.
-	stallFactor = 3
 )
 
 // Choose returns the searcher with the least expected time, or nil. If it is
@@ -108,7 +107,7 @@
 		if !s.usable() || s.pausedAt(now) {
 			continue
 		}
-		if s.inFlight >= s.capacity {
+		if s.load.InFlight() >= s.capacity {
 			busy = true
 			continue
 		}
@@ -139,15 +138,10 @@
 
 // expected returns the time that an attempt is expected to take.
 func (s *Searcher) expected(now time.Time, c Criteria) time.Duration {
-	median := max(c.MedianTime, time.Millisecond)
-	work := time.Duration(s.slownessAt(now) * float64(median))
-	t := work + work*time.Duration(s.inFlight)/time.Duration(s.Slots)
+	t := s.load.Expected(now, c.MedianTime, s.Slots, s.basePace())
 	if s.FailureDomain != c.FailureDomain {
 		t += max(crossDomainLatency, time.Duration(crossDomainShare*float64(c.Objective)))
 	}
-	if wait := s.longestWait(now); wait > stallFactor*work {
-		t += wait
-	}
 	return t + time.Duration(decay(s.failureRate, 0, s.failureRateTime, now)*float64(failurePenalty))
 }
 
@@ -188,11 +182,16 @@
 	if s == nil || opts.Extra && !g.budget.Spend(now) {
 		return nil, busy
 	}
-	s.begin(now)
+	s.begin(now, c.MedianTime)
 	return s, false
 }
 
-// End records the result of an attempt that began at the given time.
-func (g *Group) End(now, began time.Time, s *Searcher, median time.Duration, r Result) {
-	s.observe(now, began, median, r)
+// End records the result of an attempt that began at the given time, with the given
+// MedianTime of its Criteria. It returns the time from which the cost of its kind is
+// estimated (see workload.Tracker.Observe), or 0 if the result says nothing about that.
+func (g *Group) End(now, began time.Time, s *Searcher, median time.Duration, r Result) time.Duration {
+	return s.observe(now, began, median, r)
 }
+
+// Report records what a searcher stated about its load in a reply.
+func (g *Group) Report(now time.Time, s *Searcher, r workload.Report) { s.load.Report(now, r) }
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -19,13 +19,23 @@
 		t.Run(name, func(t *testing.T) {
 			env, services := newTestEnvironment(1, 2)
 			first, second := env.groups["a"].searchers[0], env.groups["a"].searchers[1]
-			first.slowness, first.slownessTime = 5, start
-			second.slowness, second.slownessTime = 9, start
+			setPace(first, start, env.median, 5)
+			setPace(second, start, env.median, 9)
 			run := NewRun(env, gatherRoute(services, 1), services, start, start.Add(time.Second))
 			require.Len(t, sends(run.Start(start)), 1)
 			late := start.Add(110 * time.Millisecond)
-			second.slowness, second.slownessTime = c.slowness, late
+			setPace(second, late, env.median, c.slowness)
 			require.Equal(t, c.hedged, len(sends(run.Tick(late))) == 1)
 		})
 	}
 }
+
+// setPace makes attempts at a searcher that show the given pace at the given time. A pace
+// above the bound of the estimate sets it to the bound.
+func setPace(s *Searcher, now time.Time, median time.Duration, pace float64) {
+	took := time.Duration(pace * float64(median))
+	for range 60 {
+		s.begin(now.Add(-took), median)
+		s.observe(now, now.Add(-took), median, Good)
+	}
+}
--- a/internal/forward/policy_test.go
+++ b/internal/forward/policy_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Guards against more extra attempts at a service than all hosts together may
@@ -82,7 +83,7 @@
 	slow, fast := g.Searchers()[0], g.Searchers()[1]
 	for i := range 5 {
 		began := start.Add(time.Duration(i) * time.Millisecond)
-		slow.begin(began)
+		slow.begin(began, env.median)
 		g.End(began.Add(100*time.Millisecond), began, slow, env.median, Good)
 	}
 	now := start.Add(110 * time.Millisecond)
@@ -90,12 +91,12 @@
 		s, _ := g.Choose(now, Criteria{MedianTime: env.median}, env.rng)
 		require.Same(t, fast, s)
 	}
-	later := now.Add(10 * estimateHalfLife)
+	later := now.Add(10 * workload.PaceHalfLife)
 	var seen []*Searcher
 	for range 50 {
 		s, _ := g.Choose(later, Criteria{MedianTime: env.median}, env.rng)
 		seen = append(seen, s)
-		s.begin(later)
+		s.begin(later, env.median)
 		later = later.Add(env.median)
 		g.End(later, later.Add(-env.median), s, env.median, Good)
 	}
@@ -248,7 +249,7 @@
 	for range 3000 {
 		timing.Observe(time.Duration(8+rng.IntN(6))*time.Millisecond, 1)
 	}
-	wait := timing.HedgeDelay(200*time.Millisecond, 0)
+	wait := timing.HedgeDelay(200*time.Millisecond, 0, 1)
 	require.Greater(t, wait, 13*time.Millisecond)
 	require.Less(t, wait, 30*time.Millisecond)
 }
@@ -257,21 +258,25 @@
 // busy. Guards against a hedge delay that rises with each of its ninety
 // sub-requests, so that the next gathers are hedged too late.
 func TestOneSlowGatherBarelyRaisesTheHedgeDelay(t *testing.T) {
-	timing := NewTiming()
+	timing, costs := NewTiming(), workload.NewCosts()
+	cost := func() workload.Cost { return costs.Estimate(start, workload.Features{Route: "g"}) }
 	rng := rand.New(rand.NewPCG(9, 10))
 	gather := func(factor int) {
+		kind := cost().Kind
 		for range 90 {
-			timing.Observe(time.Duration(factor*(20+rng.IntN(20)))*time.Millisecond, 90)
+			took := time.Duration(factor*(20+rng.IntN(20))) * time.Millisecond
+			timing.Observe(took, 90)
+			kind.Observe(start, took, 90)
 		}
 	}
 	for range 30 {
 		gather(1)
 	}
-	steady := timing.HedgeDelay(time.Second, 0)
+	steady := timing.HedgeDelay(time.Second, 0, 1)
 	require.Less(t, steady, 80*time.Millisecond)
 	gather(5)
-	require.Less(t, timing.HedgeDelay(time.Second, 0), steady*5/4)
-	require.Less(t, timing.MedianTime(), 60*time.Millisecond)
+	require.Less(t, timing.HedgeDelay(time.Second, 0, 1), steady*5/4)
+	require.Less(t, cost().Work, 60*time.Millisecond)
 }
 
 // Simulates a gatherer of 90 shards that has a fifth of a budget of 214 extra
@@ -292,7 +297,7 @@
 				timing.Observe(time.Duration(20+rng.IntN(20))*time.Millisecond, 90)
 			}
 		}
-		return timing.HedgeDelay(200*time.Millisecond, b.LeftPerRequest(now))
+		return timing.HedgeDelay(200*time.Millisecond, b.LeftPerRequest(now), 1)
 	}
 	limits := BudgetLimits{Ratio: 0.2, Extra: 214, Window: 10 * time.Second}
 	require.Less(t, wait(limits, 5, 10), 40*time.Millisecond)
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -274,7 +274,7 @@
 	first := sends(run.Start(start))
 	for _, s := range env.groups["a"].Searchers() {
 		if s != first[0].Searcher {
-			s.slowness, s.slownessTime = maxSlowness, start
+			setPace(s, start, env.median, 12)
 		}
 	}
 	require.Empty(t, sends(run.Tick(start.Add(env.hedgeDelay))))
--- a/internal/forward/timing.go
+++ b/internal/forward/timing.go
@@ -44,9 +44,8 @@
 
 // Timing estimates how long the attempts of one route take.
 type Timing struct {
-	median quantile
-	early  quantile
-	high   quantile
+	early quantile
+	high  quantile
 }
 
 // Parameters of the hedge delay.
@@ -62,23 +61,16 @@
 
 // NewTiming returns the timing of a route without observations.
 func NewTiming() *Timing {
-	return &Timing{median: quantile{q: 0.5}, early: quantile{q: earlyQuantile}, high: quantile{q: highQuantile}}
+	return &Timing{early: quantile{q: earlyQuantile}, high: quantile{q: highQuantile}}
 }
 
 // Observe records the time of a successful attempt of a request with the given
 // number of sub-requests.
 func (t *Timing) Observe(took time.Duration, subRequests int) {
-	t.median.observe(took.Seconds(), subRequests)
 	t.early.observe(took.Seconds(), subRequests)
 	t.high.observe(took.Seconds(), subRequests)
 }
 
-// MedianTime returns the estimated median time of an attempt, or 0 if none was
-// observed.
-func (t *Timing) MedianTime() time.Duration {
-	return time.Duration(t.median.value * float64(time.Second))
-}
-
 // Bounds of the hedge delay as shares of the route's objective. An attempt that
 // has not answered after maxHedgeShare leaves too little time for another one.
 const (
@@ -92,8 +84,9 @@
 // the request as well. Hedges cover searchers that pause for longer than the
 // objective allows: with 20 shards a pause affects more than half of the
 // queries. left is the number of extra attempts that the budget has left per
-// request.
-func (t *Timing) HedgeDelay(objective time.Duration, left float64) time.Duration {
+// request. relation is the cost of the request in relation to the route's usual one: an
+// expensive request is not late when a usual one would be.
+func (t *Timing) HedgeDelay(objective time.Duration, left, relation float64) time.Duration {
 	share := func(s float64) time.Duration { return time.Duration(s * float64(objective)) }
 	if t.high.seen < minRequests {
 		return share(defaultHedgeShare)
@@ -102,5 +95,6 @@
 	if left >= earlyMinLeft {
 		wait = time.Duration(t.early.value * float64(time.Second))
 	}
+	wait = time.Duration(relation * float64(wait))
 	return min(max(wait, share(minHedgeShare)), share(maxHedgeShare))
 }
