Test the estimates of work, reports of load and the spread of requests

Cause: the estimates had only the simulations of the choice as tests.

Change: tests and properties of packages workload and forward. They found that a searcher that claims to be busy was distrusted far less than one that claims to be idle, since the error of a prediction was relative to the prediction; the error is now the logarithm of the relation.

--- /dev/null
+++ b/internal/forward/forwardrun/load_test.go
@@ -0,0 +1,56 @@
+package forwardrun
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/routeplan"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
+)
+
+// loadWire reports a load in every reply.
+type loadWire struct {
+	testWire
+	load workload.Report
+}
+
+func (w loadWire) ParseHeader(status int, h http.Header) ReplyMeta {
+	meta := w.testWire.ParseHeader(status, h)
+	meta.Load = w.load
+	return meta
+}
+
+// Guards against replies whose response time and reported load do not reach the estimates
+// that the next request is sent by.
+func TestRepliesFeedTheEstimates(t *testing.T) {
+	s := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, record("a"))) })
+	report := workload.Report{Stated: true, Running: 1, Waiting: 2, Slots: 2, Pace: 1.5}
+	e := New(Config{Wire: loadWire{load: report}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}})
+	e.SetSearchers(map[string][]forward.SearcherSpec{"a": {s.spec("a")}})
+	t.Cleanup(e.Close)
+	route := &routeplan.Route{Name: "g", Idempotent: true, MaxAttempts: 2, Timeout: testTimeout, Objective: testTimeout, Gather: &routeplan.Gather{Services: []string{"a"}, TopK: 3, MinRatio: 1}}
+	for n := range 3 {
+		now := time.Now()
+		_, err := e.Do(context.Background(), &Call{ID: fmt.Sprint(n), Method: http.MethodGet, URI: "/", Route: route, Arrived: now, Deadline: now.Add(testTimeout)})
+		require.Nil(t, err)
+	}
+	e.routesMu.Lock()
+	work := e.costs.Estimate(time.Now(), workload.Features{Route: "g"}).Work
+	e.routesMu.Unlock()
+	require.Positive(t, work)
+	svc := e.service("a")
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	searcher := svc.group.Searchers()[0]
+	got, at := searcher.Load().LastReport()
+	require.Equal(t, report, got)
+	require.False(t, at.IsZero())
+	require.Zero(t, searcher.Load().InFlight())
+}
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -195,3 +195,7 @@
 
 // Report records what a searcher stated about its load in a reply.
 func (g *Group) Report(now time.Time, s *Searcher, r workload.Report) { s.load.Report(now, r) }
+
+// Load returns what is known about the work at the searcher. The caller must not modify
+// it.
+func (s *Searcher) Load() *workload.Tracker { return &s.load }
--- a/internal/forward/loadsim_test.go
+++ b/internal/forward/loadsim_test.go
@@ -37,6 +37,8 @@
 	heavyShare, heavyFactor               float64
 	farLatency                            time.Duration // one way to another failure domain
 	seconds                               float64
+	// countFrom is when requests begin to count; 0 means warmUp.
+	countFrom time.Duration
 	// pace returns how many times longer than usual a searcher takes at a time.
 	pace func(searcher int, at time.Duration) float64
 	// pauseEvery and pause are the period and the length of pauses of each searcher.
@@ -275,7 +277,7 @@
 	})
 }
 
-// warmUp is the part of a simulation that does not count.
+// warmUp is the least part of a simulation that does not count.
 const warmUp = 2 * time.Second
 
 // simRun is a request in progress. It implements Environment.
@@ -296,7 +298,7 @@
 func (s *loadSim) request(h *simHost, kind int) {
 	k := s.kinds[kind]
 	now := s.time()
-	r := &simRun{host: h, kind: kind, began: s.now, counts: s.now >= warmUp, factor: 1, body: k.body}
+	r := &simRun{host: h, kind: kind, began: s.now, counts: s.now >= max(s.countFrom, warmUp), factor: 1, body: k.body}
 	if k.mixed > 0 && s.arriving.Float64() < k.mixed {
 		r.factor, r.body = k.mixedFactor, 8<<10
 	}
--- a/internal/workload/report.go
+++ b/internal/workload/report.go
@@ -1,6 +1,9 @@
 package workload
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Report is what a searcher states about its load in a reply. The zero value states
 // nothing.
@@ -20,7 +23,7 @@
 	Report
 	at      time.Time
 	others  int        // requests of other hosts that it implies
-	errors  [2]float64 // EWMA of the squared relative error: of the observations, of the reports
+	errors  [2]float64 // EWMA of the squared logarithmic error: of the observations, of the reports
 	errTime time.Time
 }
 
@@ -37,8 +40,10 @@
 	trustHalfLife = 10 * time.Second
 	// priorError is the squared error of predictions before any response.
 	priorError = 0.25
-	// maxError bounds the effect of one pause or one large request.
-	maxError = 4.0
+	// maxError bounds the effect of one pause or one large request, and leastError that
+	// of predictions that were right by chance.
+	maxError   = 4.0
+	leastError = 0.01
 	// maxReported bounds the figures of a report. A greater one is a mistake.
 	maxReported = 10_000
 )
@@ -116,10 +121,10 @@
 	r.errTime = now
 }
 
-// relativeError returns the squared error of a prediction in relation to it, which counts
-// a response that is later than predicted more than one that is as much earlier: callers
-// lose more by it.
+// relativeError returns the squared logarithm of the relation of a response time to its
+// prediction, so that a searcher that claims to be busy is distrusted as much as one that
+// claims to be idle.
 func relativeError(predicted, took float64) float64 {
-	e := took/predicted - 1
-	return min(e*e, maxError) + 0.01
+	e := math.Log(took / predicted)
+	return min(e*e, maxError) + leastError
 }
