Choose replicas of queries by the work that searchers have left

Cause: package balance counts sub-requests in flight, so a cheap query goes behind an expensive one, and a searcher that got expensive queries or orders looks slow.

Change: balance estimates the cost of queries and orders with workload.Costs, relates the latencies of a searcher to the estimated work, and weighs the unfinished work of each searcher with workload.Outstanding, which package forward uses as well. With one cost for all sub-requests the choice is the same as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/concurrency"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Key identifies a searcher of a target.
@@ -29,6 +30,8 @@
 	Slots         int
 	Cold          bool // the target announced itself as cold
 	Hint          Hint
+	// Cost is that of the sub-request. The zero value is the same cost for all.
+	Cost workload.Cost
 }
 
 // Kind says how a sub-request ended.
@@ -48,6 +51,7 @@
 type Outcome struct {
 	Kind    Kind
 	Latency time.Duration
+	Cost    workload.Cost // as at Begin
 }
 
 // Defaults of Config.
@@ -102,6 +106,7 @@
 // sub-requests. It is not safe for concurrent use.
 type State struct {
 	cfg     Config
+	costs   *workload.Costs
 	start   time.Time // instants count from here
 	records map[Key]*record
 	targets map[string]*target
@@ -134,6 +139,7 @@
 	key         Key
 	target      *target
 	inFlight    int
+	open        workload.Outstanding
 	slots       int
 	cold        bool
 	slowStartAt instant // when the slow start of a cold target began; zero if there was none
@@ -145,13 +151,30 @@
 
 // New returns a state without records.
 func New(cfg Config) *State {
-	return &State{cfg: cfg.withDefaults(), records: map[Key]*record{}, targets: map[string]*target{}}
+	return &State{cfg: cfg.withDefaults(), costs: workload.NewCosts(), records: map[Key]*record{}, targets: map[string]*target{}}
 }
 
 // SetHosts changes how many hosts share each searcher's slots. It affects the
 // first limit of searchers seen later.
 func (s *State) SetHosts(n int) { s.cfg.Hosts = max(n, 1) }
 
+// Estimate returns the cost of a sub-request, for Replica.Cost.
+func (s *State) Estimate(now time.Time, f workload.Features) workload.Cost {
+	cost := s.costs.Estimate(now, f)
+	if cost.Work <= 0 {
+		cost.Work = unknownWork
+	}
+	return cost
+}
+
+const (
+	// unknownWork is assumed before the first response.
+	unknownWork = 10 * time.Millisecond
+	// typicalShards is the number of sub-requests of a query that are assumed to be slow
+	// together. The groups of the present deployments have 20 to 30 shards.
+	typicalShards = 20
+)
+
 // Begin counts a sub-request that is about to be sent, even above the limit.
 func (s *State) Begin(now time.Time, r Replica) {
 	at := s.instant(now)
@@ -161,6 +184,7 @@
 	}
 	s.refresh(at, rec, r)
 	rec.inFlight++
+	rec.open.Add(now, r.Cost.Work)
 	rec.target.inFlight++
 	rec.lastUse = at
 }
@@ -239,8 +263,12 @@
 	at := s.instant(now)
 	inFlight := rec.inFlight
 	rec.inFlight--
+	rec.open.RemoveOldest(out.Cost.Work)
 	rec.target.inFlight--
 	rec.lastUse = at
+	if out.Kind == OK && out.Cost.Kind != nil {
+		out.Cost.Kind.Observe(now, out.Latency, typicalShards)
+	}
 	rec.load.observe(at, s.cfg.HalfLife, out)
 	switch out.Kind {
 	case OK:
--- a/internal/balance/balancerun/balancer.go
+++ b/internal/balance/balancerun/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/balance"
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Codes of the errors of this package. All carry the verdict not_run.
@@ -59,6 +60,13 @@
 	}
 }
 
+// Estimate returns the cost of a sub-request, for balance.Replica.Cost.
+func (b *Balancer) Estimate(f workload.Features) workload.Cost {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Estimate(time.Now(), f)
+}
+
 // TryAcquire picks a replica. If the result is balance.Picked, it counts the
 // sub-request as begun, and the caller must call Release.
 func (b *Balancer) TryAcquire(candidates []balance.Replica, opts balance.PickOptions) (balance.Replica, balance.PickResult) {
@@ -167,6 +175,7 @@
 // Release records the outcome and grants free slots to waiting sub-requests.
 func (b *Balancer) Release(r balance.Replica, out balance.Outcome) {
 	now := time.Now()
+	out.Cost = r.Cost
 	b.mu.Lock()
 	result := b.state.End(now, r.Key, out)
 	b.grantFreeSlotsLocked(now, r.Key)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -64,7 +64,7 @@
 	at := s.instant(now)
 	choices := s.scratch[:0]
 	ejected := 0
-	var latency, timed float64
+	var latency, work float64
 	for i := range candidates {
 		r := &candidates[i]
 		if contains(opts.Avoid, r.Key) {
@@ -77,7 +77,7 @@
 		}
 		if c.rec != nil {
 			latency += c.factor * c.rec.load.latency
-			timed += c.factor * c.rec.load.timed
+			work += c.factor * c.rec.load.work
 		}
 		choices = append(choices, c)
 	}
@@ -88,10 +88,10 @@
 	capEjections(choices, ejected, len(candidates), opts.MaxEjectedPercent)
 
 	prior := 1.0
-	if timed > 0 {
-		prior = latency / timed
+	if work > 0 {
+		prior = latency / work
 	}
-	best := pickTwo(choices, rng, func(c *choice) float64 { return s.cost(c, &candidates[c.index], prior) })
+	best := pickTwo(choices, rng, func(c *choice) float64 { return s.cost(now, c, &candidates[c.index], prior) })
 	if best.class&atLimit != 0 {
 		return candidates[best.index], AtLimit
 	}
@@ -228,17 +228,18 @@
 	return nil
 }
 
-// cost estimates the latency of one more request. As observations decay, the
-// estimate returns to the mean over the candidates, so a searcher that was slow
-// once is tried again.
-func (s *State) cost(c *choice, r *Replica, prior float64) float64 {
+// cost estimates the latency of one more request, from the searcher's pace and the work
+// that it has. As observations decay, the pace returns to the mean over the candidates, so
+// a searcher that was slow once is tried again.
+func (s *State) cost(now time.Time, c *choice, r *Replica, prior float64) float64 {
+	work := workSeconds(r.Cost)
 	if c.rec == nil {
-		return prior * hintFactor(r.Hint)
+		return prior * work * hintFactor(r.Hint)
 	}
 	d := &c.rec.load
-	latency := (c.factor*d.latency + priorWeight*prior) / (c.factor*d.timed + priorWeight)
+	pace := (c.factor*d.latency + priorWeight*prior*work) / (c.factor*d.work + priorWeight*work)
 	failureRate := c.factor * (d.failed + d.shed) / (c.factor*d.total + priorWeight)
-	cost := float64(c.rec.inFlight+1) * latency * (1 + failureWeight*failureRate)
+	cost := (pace*work + c.rec.open.Ahead(now, r.Cost.Work, pace)) * (1 + failureWeight*failureRate)
 	if c.factor*d.total < hintSamples {
 		cost *= hintFactor(r.Hint)
 	}
--- a/internal/balance/record.go
+++ b/internal/balance/record.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // decayed holds sums over outcomes that decay exponentially with age.
@@ -11,6 +13,7 @@
 	at      instant // time to which the sums are decayed
 	latency float64 // seconds
 	timed   float64 // outcomes that count in latency
+	work    float64 // their estimated work, in seconds
 	total   float64 // all outcomes but Canceled
 	failed  float64
 	shed    float64
@@ -40,6 +43,7 @@
 	f := d.factor(now, halfLife)
 	d.latency *= f
 	d.timed *= f
+	d.work *= f
 	d.total *= f
 	d.failed *= f
 	d.shed *= f
@@ -47,7 +51,7 @@
 	seconds := out.Latency.Seconds()
 	switch out.Kind {
 	case OK:
-		d.addLatency(seconds)
+		d.addLatency(seconds, out.Cost)
 		d.total++
 	case Shed:
 		d.total++
@@ -57,22 +61,33 @@
 		d.total++
 		d.failed++
 	case Timeout:
-		d.addLatency(seconds)
+		d.addLatency(seconds, out.Cost)
 		d.total++
 		d.failed++
 	case Canceled:
 		// A lower bound below the mean carries no information.
-		if seconds > d.mean() {
-			d.addLatency(seconds)
+		if seconds > d.pace()*workSeconds(out.Cost) {
+			d.addLatency(seconds, out.Cost)
 		}
 	}
 }
 
-func (d *decayed) addLatency(seconds float64) {
+func (d *decayed) addLatency(seconds float64, cost workload.Cost) {
 	d.latency += seconds
+	d.work += workSeconds(cost)
 	d.timed++
 }
 
+// pace returns the latency in relation to the estimated work, or 0 if none was observed.
+func (d *decayed) pace() float64 {
+	if d.timed == 0 {
+		return 0
+	}
+	return d.latency / d.work
+}
+
+func workSeconds(c workload.Cost) float64 { return max(c.Work, time.Millisecond).Seconds() }
+
 func (d *decayed) mean() float64 {
 	if d.timed == 0 {
 		return 0
--- a/internal/entry/entryrun/chooser.go
+++ b/internal/entry/entryrun/chooser.go
@@ -7,6 +7,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/balance"
 	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // chooser picks the replicas of one query through the balancer of its group.
@@ -15,6 +16,7 @@
 // each other would concentrate on the same searchers.
 type chooser struct {
 	group   *group
+	cost    workload.Cost // of a sub-request of the query
 	scratch []balance.Replica
 	avoid   [1]balance.Replica
 
@@ -26,7 +28,7 @@
 func (c *chooser) Pick(_ time.Time, candidates []query.Replica, avoidDomain string) (int, bool) {
 	c.scratch = c.scratch[:0]
 	for _, r := range candidates {
-		c.scratch = append(c.scratch, balanceReplica(r))
+		c.scratch = append(c.scratch, c.replica(r))
 	}
 	opts := balance.PickOptions{MaxEjectedPercent: c.group.limits.MaxEjectedPercent}
 	if avoidDomain != "" {
@@ -48,6 +50,12 @@
 	return 0, false
 }
 
+func (c *chooser) replica(r query.Replica) balance.Replica {
+	out := balanceReplica(r)
+	out.Cost = c.cost
+	return out
+}
+
 func (c *chooser) reserve(r balance.Replica) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/entryrun/orders.go
+++ b/internal/entry/entryrun/orders.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/targets/targethttp"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // maxOrderTargets is the number of targets that an order is tried at.
@@ -129,10 +130,12 @@
 
 func (s *Orders) send(ctx context.Context, group routing.Group, candidates []query.Replica, o entry.OrderRequest) (string, orders.TargetReplied) {
 	b := s.groups.get(group).balancer
+	cost := b.Estimate(workload.Features{Route: "order", Body: len(o.Body)})
 	choices := make([]balance.Replica, len(candidates))
 	addresses := make(map[balance.Key]query.Replica, len(candidates))
 	for i, r := range candidates {
 		choices[i] = balanceReplica(r)
+		choices[i].Cost = cost
 		addresses[choices[i].Key] = r
 	}
 	replica, err := b.Acquire(ctx, choices, balance.PickOptions{})
--- a/internal/entry/entryrun/queries.go
+++ b/internal/entry/entryrun/queries.go
@@ -12,6 +12,7 @@
 	"github.com/hawthornlock/hawthornlock/internal/query/queryrun"
 	"github.com/hawthornlock/hawthornlock/internal/routing"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Snapshots returns the latest control snapshot.
@@ -75,7 +76,7 @@
 		return "", nil, err
 	}
 	g := s.groups.get(group)
-	c := &chooser{group: g}
+	c := &chooser{group: g, cost: g.balancer.Estimate(queryFeatures(q))}
 	defer c.releaseUnused()
 	answer, err := s.driver.Do(withChooser(ctx, c), query.Query{
 		RequestID: q.RequestID, Group: group.Name, Terms: q.Terms, K: q.K, Deadline: deadline, MinCoverage: q.MinCoverage,
@@ -84,6 +85,12 @@
 	return group.Name, answer, err
 }
 
+// queryFeatures returns what the cost of a sub-request is estimated by: the work of a
+// searcher grows with the terms and with the hits that it ranks.
+func queryFeatures(q entry.QueryRequest) workload.Features {
+	return workload.Features{Route: "query", Body: len(q.Terms) + q.K}
+}
+
 // admissionResult returns what the outcome of a query tells admission control
 // about the load on the targets of its group.
 func admissionResult(ctx context.Context, a *query.Answer, err error) admission.Result {
--- a/internal/entry/entryrun/transport.go
+++ b/internal/entry/entryrun/transport.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	c := ctx.Value(chooserKey{}).(*chooser)
-	replica, err := c.acquire(ctx, balanceReplica(req.Replica))
+	replica, err := c.acquire(ctx, c.replica(req.Replica))
 	if err != nil {
 		return query.Reply{Attempt: req.Attempt, Err: translate(err)}
 	}
--- a/internal/workload/report.go
+++ b/internal/workload/report.go
@@ -61,7 +61,7 @@
 		return
 	}
 	t.report.Report, t.report.at = r, now
-	t.report.others = max(r.Running+r.Waiting-len(t.open), 0)
+	t.report.others = max(r.Running+r.Waiting-t.open.Len(), 0)
 }
 
 // LastReport returns the last report and its time, which is zero if there was none.
@@ -88,7 +88,7 @@
 	total = pace*work + own
 	// Requests of others delay this one once the slots are in use. Those of this host
 	// count in own, with the requests that it does not see.
-	if queue := r.others + len(t.open) + 1 - slots; queue > 0 {
+	if queue := r.others + t.open.Len() + 1 - slots; queue > 0 {
 		total += pace * t.meanWork * float64(queue) / float64(max(slots, 1))
 	}
 	return total, decayFactor(age, reportHalfLife) * r.trust(now)
--- a/internal/workload/tracker.go
+++ b/internal/workload/tracker.go
@@ -11,24 +11,13 @@
 // The wait for this host's unfinished attempts is estimated from their kinds. The pace
 // covers the rest: how fast the searcher works, and how long its queue usually is.
 type Tracker struct {
-	open     []openAttempt
+	open     Outstanding
 	meanWork float64 // EWMA of the work of attempts begun, in seconds
 	pace     float64 // geometric EWMA; 1 if attempts take as long as their kind does elsewhere
 	paceTime time.Time
 	report   reported
 }
 
-// openAttempt is an attempt in flight, with the estimates when it began, in seconds.
-type openAttempt struct {
-	began    time.Time
-	id       time.Duration // the work as Begin got it; tells attempts with one start apart
-	work     float64       // at pace 1
-	wait     float64       // for this host's earlier attempts
-	alike    float64       // that wait if those had been of the same work
-	observed float64       // whole time, without the searcher's reports
-	stated   float64       // whole time by the searcher's report; 0 if there was none
-}
-
 // Weights and limits of the estimates.
 const (
 	// paceGain is the weight of an attempt in the pace. The estimate is a geometric
@@ -51,8 +40,6 @@
 	// searchers, 2 gave more answers in time than 3; 1 % of the requests take five
 	// times as long, so that a smaller factor would often be wrong.
 	stallFactor = 2
-	// minWork is the least work that is distinguished, in seconds.
-	minWork = 1e-3
 )
 
 // Estimate is what an attempt at a searcher is expected to take, and why.
@@ -81,16 +68,16 @@
 }
 
 // InFlight returns the number of this host's unfinished attempts.
-func (t *Tracker) InFlight() int { return len(t.open) }
+func (t *Tracker) InFlight() int { return t.open.Len() }
 
 // Expected returns how long an attempt of the given work at pace 1 is expected to take at
 // a searcher with the given slots. baseline is the assumed pace of a searcher without
 // observations.
 func (t *Tracker) Expected(now time.Time, work time.Duration, slots int, baseline float64) time.Duration {
-	w := max(work.Seconds(), minWork)
+	w := workSeconds(work)
 	p := t.PaceAt(now, baseline)
 	total := p * w
-	if len(t.open) > 0 {
+	if t.open.Len() > 0 {
 		total += t.ownWait(now, w, p, slots)
 	}
 	if !t.report.at.IsZero() {
@@ -102,7 +89,7 @@
 
 // Explain returns the estimate of Expected with its parts.
 func (t *Tracker) Explain(now time.Time, work time.Duration, slots int, baseline float64) Estimate {
-	w := max(work.Seconds(), minWork)
+	w := workSeconds(work)
 	p := t.PaceAt(now, baseline)
 	own := t.ownWait(now, w, p, slots)
 	_, trust := t.statedTime(now, w, own, p, slots)
@@ -113,10 +100,10 @@
 
 // Begin records the start of an attempt. It takes the arguments of Expected.
 func (t *Tracker) Begin(now time.Time, work time.Duration, slots int, baseline float64) {
-	w := max(work.Seconds(), minWork)
+	w := workSeconds(work)
 	p := t.PaceAt(now, baseline)
 	a := openAttempt{began: now, id: work, work: w, wait: t.ownWait(now, w, p, slots)}
-	a.alike = p * w * float64(len(t.open)) / float64(max(slots, 1))
+	a.alike = p * w * float64(t.open.Len()) / float64(max(slots, 1))
 	a.observed = p*w + a.wait
 	if stated, weight := t.statedTime(now, w, a.wait, p, slots); weight > 0 {
 		a.stated = stated
@@ -125,23 +112,12 @@
 		t.meanWork = w
 	}
 	t.meanWork += meanWorkGain * (w - t.meanWork)
-	t.open = append(t.open, a)
+	t.open.open = append(t.open.open, a)
 }
 
 // Drop removes an attempt of the given work that began at the given time and says
 // nothing about the searcher's speed.
-func (t *Tracker) Drop(began time.Time, work time.Duration) { t.remove(began, work) }
-
-func (t *Tracker) remove(began time.Time, work time.Duration) (openAttempt, bool) {
-	for i := range t.open {
-		if t.open[i].id == work && t.open[i].began.Equal(began) {
-			a := t.open[i]
-			t.open = append(t.open[:i], t.open[i+1:]...)
-			return a, true
-		}
-	}
-	return openAttempt{}, false
-}
+func (t *Tracker) Drop(began time.Time, work time.Duration) { t.open.remove(began, work) }
 
 // Observe removes an attempt of the given work that began at the given time, and records
 // its response time. It returns the time that the attempt would have taken if this host's
@@ -153,7 +129,7 @@
 // pace: a searcher with a queue gets fewer requests, whoever filled the queue. Without
 // that, hosts that prefer near searchers fill them up at a utilization of 0.6.
 func (t *Tracker) Observe(now, began time.Time, work time.Duration, baseline float64) time.Duration {
-	a, ok := t.remove(began, work)
+	a, ok := t.open.remove(began, work)
 	if !ok {
 		return 0
 	}
@@ -178,31 +154,22 @@
 }
 
 // ownWait returns the wait of a request of the given work for this host's unfinished
-// attempts, in seconds. Each counts with what it has left, and at least with as much as a
-// request of its own work that has just begun: with one kind of requests, the estimate is
-// the work times the requests in flight per slot, which also makes up for other hosts'
-// requests that this host does not see.
+// attempts, in seconds.
 func (t *Tracker) ownWait(now time.Time, work, pace float64, slots int) float64 {
-	if len(t.open) == 0 {
+	if t.open.Len() == 0 {
 		return 0
 	}
-	sum := 0.0
-	for i := range t.open {
-		a := &t.open[i]
-		served := max(now.Sub(a.began).Seconds()-a.wait, 0)
-		sum += max(pace*a.work-served, pace*min(a.work, work))
-	}
-	return sum / float64(max(slots, 1))
+	return t.open.ahead(now, work, pace) / float64(max(slots, 1))
 }
 
 // stall returns for how long the oldest attempt has been unanswered if that is far
 // longer than estimated, and otherwise 0. Each attempt is compared with the estimate
 // for its own kind: a searcher is not stalled because it works on an expensive one.
 func (t *Tracker) stall(now time.Time) float64 {
-	if len(t.open) == 0 {
+	if t.open.Len() == 0 {
 		return 0
 	}
-	if waited := now.Sub(t.open[0].began).Seconds(); waited > stallFactor*t.open[0].observed {
+	if waited := now.Sub(t.open.open[0].began).Seconds(); waited > stallFactor*t.open.open[0].observed {
 		return waited
 	}
 	return 0
