Report the estimates of requests and their outcome as metrics

Cause: nothing showed whether the estimates that choose searchers are right.

Change: the engine compares what attempts were expected to take with what they took, by route, for at most 32 labels; the administration listener serves the sums.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -172,6 +172,11 @@
 	sentTotal        = describe(prometheus.CounterValue, "peer_messages_total", "Messages queued for other hosts.")
 	droppedTotal     = describe(prometheus.CounterValue, "peer_messages_dropped_total", "Messages to other hosts that were dropped because the queue was full.")
 	syncsTotal       = describe(prometheus.CounterValue, "journal_syncs_total", "Syncs of the journal.")
+	kindWorkGauge    = describe(prometheus.GaugeValue, "forward_estimated_work_seconds", "Estimated time of an attempt without waiting, by route. Beyond 31 routes, the others count as one.", labelKind)
+	kindAttempts     = describe(prometheus.CounterValue, "forward_estimated_attempts_total", "Successful attempts whose time was estimated when they began, by route.", labelKind)
+	kindExpected     = describe(prometheus.CounterValue, "forward_expected_seconds_total", "Sum of the times that these attempts were expected to take, by route.", labelKind)
+	kindTook         = describe(prometheus.CounterValue, "forward_took_seconds_total", "Sum of the times that these attempts took, by route.", labelKind)
+	kindMissed       = describe(prometheus.CounterValue, "forward_misestimated_attempts_total", "Attempts that took more than twice or less than half of what was expected, by route.", labelKind)
 	journalTotal     = describe(prometheus.CounterValue, "journal_written_bytes_total", "Bytes written to the journal.")
 )
 
@@ -181,6 +186,7 @@
 		readyGauge, revisionGauge, termGauge, confirmedGauge, leaderGauge, targetsGauge, inFlightGauge, openOrdersGauge,
 		runningGauge, waitingGauge, limitGauge, ejectedGauge, slotWaitGauge, connectionsGauge, shareGauge, dialsTotal,
 		lateTotal, sentTotal, droppedTotal, syncsTotal, journalTotal, suspendedTotal,
+		kindWorkGauge, kindAttempts, kindExpected, kindTook, kindMissed,
 	} {
 		ch <- g.desc
 	}
@@ -194,6 +200,7 @@
 	c.collectControl(send)
 	c.collectTraffic(send)
 	c.collectConnections(send)
+	c.collectEstimates(send)
 	if j := c.d.journal; j != nil {
 		s := j.Stats()
 		send(syncsTotal, float64(s.Syncs))
@@ -254,6 +261,20 @@
 	send(dialsTotal, float64(dialed))
 }
 
+// collectEstimates sends the estimates of the route plan's requests and their outcome.
+func (c *stateCollector) collectEstimates(send sendFunc) {
+	if c.d.engine == nil {
+		return
+	}
+	for _, k := range c.d.engine.Estimates() {
+		send(kindWorkGauge, k.Work.Seconds(), k.Kind)
+		send(kindAttempts, float64(k.Attempts), k.Kind)
+		send(kindExpected, k.Expected.Seconds(), k.Kind)
+		send(kindTook, k.Took.Seconds(), k.Kind)
+		send(kindMissed, float64(k.Missed), k.Kind)
+	}
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -54,6 +54,7 @@
 	routesMu sync.Mutex
 	routes   map[string]*routeState
 	costs    *workload.Costs
+	kinds    map[string]*KindEstimates
 	stats    Stats
 
 	ending atomic.Pointer[ending]
@@ -82,7 +83,7 @@
 
 // New returns an engine without searchers.
 func New(config Config) *Engine {
-	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), costs: workload.NewCosts(), sharers: Sharers{Hosts: 1}}
+	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), costs: workload.NewCosts(), kinds: make(map[string]*KindEstimates), sharers: Sharers{Hosts: 1}}
 	e.ending.Store(&ending{replaced: make(chan struct{})})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -261,8 +262,8 @@
 type event struct {
 	exchange *exchange // ended; nil if capacity was freed
 	result   forward.Result
-	net      time.Duration // see forward.Group.End
-	freed    int           // index of the sub-request whose service may have capacity
+	observed workload.Observation
+	freed    int // index of the sub-request whose service may have capacity
 }
 
 // runner drives one run. Its Environment methods are called on its goroutine.
@@ -276,6 +277,7 @@
 	rng         *rand.Rand
 	subRequests int
 	cost        workload.Cost
+	estimates   *KindEstimates // guarded by Engine.routesMu
 	hedgeDelay  time.Duration
 	leaving     []forward.Identity
 	endsSeen    map[string]uint64 // by service found busy: attempts that had ended there
@@ -326,6 +328,7 @@
 	}
 	e.routesMu.Lock()
 	r.cost = e.costs.Estimate(now, call.features())
+	r.estimates = e.estimatesOf(call.Route.Name)
 	r.hedgeDelay = state.timing.HedgeDelay(call.Route.Objective, left, r.cost.Relation)
 	e.routesMu.Unlock()
 	run := forward.NewRun(r, call.Route, services, call.began(), call.Deadline)
@@ -437,7 +440,8 @@
 	if ev.result == forward.Good {
 		r.engine.routesMu.Lock()
 		r.route.timing.Observe(now.Sub(ev.exchange.Began), r.subRequests)
-		r.cost.Kind.Observe(now, ev.net, r.subRequests)
+		r.cost.Kind.Observe(now, ev.observed.Net, r.subRequests)
+		r.estimates.record(ev.observed)
 		r.engine.routesMu.Unlock()
 	}
 	return run.Ended(now, ev.exchange.Attempt, ev.result)
@@ -473,8 +477,8 @@
 			st.Rejected.Add(1)
 		}
 		r.holdReply(x.reply)
-		net := svc.ended(x, work, result)
-		r.events <- event{exchange: x, result: result, net: net}
+		observed := svc.ended(x, work, result)
+		r.events <- event{exchange: x, result: result, observed: observed}
 	}
 	if a.Number > 0 {
 		st.Retries.Add(1)
--- a/internal/forward/forwardrun/load_test.go
+++ b/internal/forward/forwardrun/load_test.go
@@ -45,6 +45,11 @@
 	work := e.costs.Estimate(time.Now(), workload.Features{Route: "g"}).Work
 	e.routesMu.Unlock()
 	require.Positive(t, work)
+	kinds := e.Estimates()
+	require.Len(t, kinds, 1)
+	require.Equal(t, "g", kinds[0].Kind)
+	require.EqualValues(t, 2, kinds[0].Attempts, "the work of the first one was not known")
+	require.Positive(t, kinds[0].Expected)
 	svc := e.service("a")
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
@@ -54,3 +59,21 @@
 	require.False(t, at.IsZero())
 	require.Zero(t, searcher.Load().InFlight())
 }
+
+// Guards against metrics with a label for each of many routes.
+func TestEstimatesByKindAreBounded(t *testing.T) {
+	e := New(Config{Wire: testWire{}})
+	for i := range 10 * maxKindEstimates {
+		e.routesMu.Lock()
+		e.estimatesOf(fmt.Sprint(i)).record(workload.Observation{Took: 30 * time.Millisecond, Expected: 10 * time.Millisecond})
+		e.routesMu.Unlock()
+	}
+	kinds := e.Estimates()
+	require.Len(t, kinds, maxKindEstimates)
+	var attempts, missed int64
+	for _, k := range kinds {
+		attempts, missed = attempts+k.Attempts, missed+k.Missed
+	}
+	require.EqualValues(t, 10*maxKindEstimates, attempts)
+	require.EqualValues(t, attempts, missed)
+}
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // service holds the searchers of a service and the connections to them.
@@ -277,11 +278,11 @@
 
 // ended records the result of an attempt of the given work and notifies a waiting run.
 // It returns the same time as forward.Group.End.
-func (s *service) ended(x *exchange, work time.Duration, result forward.Result) (net time.Duration) {
+func (s *service) ended(x *exchange, work time.Duration, result forward.Result) (o workload.Observation) {
 	now := time.Now()
 	s.mu.Lock()
 	s.ends++
-	net = s.group.End(now, x.Began, x.Searcher, work, result)
+	o = s.group.End(now, x.Began, x.Searcher, work, result)
 	if x.reply != nil {
 		s.group.Report(now, x.Searcher, x.reply.meta.Load)
 	}
@@ -306,7 +307,7 @@
 	if waiting {
 		next.notify()
 	}
-	return net
+	return o
 }
 
 func (s *service) reportLeaving(id forward.Identity) {
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -187,9 +187,8 @@
 }
 
 // End records the result of an attempt that began at the given time, with the given
-// MedianTime of its Criteria. It returns the time from which the cost of its kind is
-// estimated (see workload.Tracker.Observe), or 0 if the result says nothing about that.
-func (g *Group) End(now, began time.Time, s *Searcher, median time.Duration, r Result) time.Duration {
+// MedianTime of its Criteria. It returns what the result says about the estimates.
+func (g *Group) End(now, began time.Time, s *Searcher, median time.Duration, r Result) workload.Observation {
 	return s.observe(now, began, median, r)
 }
 
--- a/internal/forward/loadsim_test.go
+++ b/internal/forward/loadsim_test.go
@@ -466,7 +466,7 @@
 }
 
 func (e *presentEstimator) ended(now time.Time, g *Group, a *Attempt, work time.Duration, r Result) time.Duration {
-	return g.End(now, a.Began, a.Searcher, work, r)
+	return g.End(now, a.Began, a.Searcher, work, r).Net
 }
 
 func (e *presentEstimator) cost(now time.Time, k simKind, body int) workload.Cost {
--- a/internal/forward/searcher.go
+++ b/internal/forward/searcher.go
@@ -80,12 +80,12 @@
 
 // observe records the result of an attempt of the given work that began at the given
 // time. It returns what Group.End returns.
-func (s *Searcher) observe(now, began time.Time, work time.Duration, r Result) (net time.Duration) {
+func (s *Searcher) observe(now, began time.Time, work time.Duration, r Result) (o workload.Observation) {
 	switch r {
 	case Good, SearcherFailed:
 		s.consecutiveLost, s.down = 0, false
 		s.ejectedUntil = time.Time{}
-		net = s.load.Observe(now, began, work, s.basePace())
+		o = s.load.Observe(now, began, work, s.basePace())
 	case Misdirected:
 		// Each further request would be an extra attempt at the searcher that
 		// has the address now.
@@ -98,7 +98,7 @@
 		s.eject(now)
 	case Abandoned:
 		s.load.Drop(began, work)
-		return 0
+		return o
 	}
 	failed := 0.0
 	if r != Good {
@@ -106,7 +106,7 @@
 	}
 	f := decay(s.failureRate, 0, s.failureRateTime, now)
 	s.failureRate, s.failureRateTime = f+failureGain*(failed-f), now
-	return net
+	return o
 }
 
 // eject excludes the searcher from use for a time after a lost attempt. The
--- a/internal/workload/tracker.go
+++ b/internal/workload/tracker.go
@@ -119,29 +119,36 @@
 // nothing about the searcher's speed.
 func (t *Tracker) Drop(began time.Time, work time.Duration) { t.open.remove(began, work) }
 
+// Observation is what the response time of an attempt says. It is zero if the attempt says
+// nothing.
+type Observation struct {
+	// Net is the time that the attempt would have taken if this host's earlier attempts
+	// had been of the same work. The cost of its kind is estimated from it.
+	Net      time.Duration
+	Took     time.Duration
+	Expected time.Duration // when it began, without the searcher's reports; 0 if its work was not known
+}
+
 // Observe removes an attempt of the given work that began at the given time, and records
-// its response time. It returns the time that the attempt would have taken if this host's
-// earlier attempts had been of the same work, from which the cost of its kind is
-// estimated, or 0 if the attempt is not known. An attempt of unknown work, 0, says
-// nothing about the searcher.
+// its response time. An attempt of unknown work, 0, says nothing about the searcher.
 //
 // Only the effect of the other kinds is taken out. The rest of the wait stays in the
 // pace: a searcher with a queue gets fewer requests, whoever filled the queue. Without
 // that, hosts that prefer near searchers fill them up at a utilization of 0.6.
-func (t *Tracker) Observe(now, began time.Time, work time.Duration, baseline float64) time.Duration {
+func (t *Tracker) Observe(now, began time.Time, work time.Duration, baseline float64) Observation {
 	a, ok := t.open.remove(began, work)
 	if !ok {
-		return 0
+		return Observation{}
 	}
 	took := max(now.Sub(began).Seconds(), 1e-6)
 	net := max(took-a.wait, leastNetShare*took) + a.alike
 	if work <= 0 {
-		return seconds(net)
+		return Observation{Net: seconds(net), Took: now.Sub(began)}
 	}
 	t.recordTrust(now, &a, took)
 	ratio := min(max(net/a.work, minPace), maxPace)
 	t.pace, t.paceTime = math.Exp((1-paceGain)*math.Log(t.PaceAt(now, baseline))+paceGain*math.Log(ratio)), now
-	return seconds(net)
+	return Observation{Net: seconds(net), Took: now.Sub(began), Expected: seconds(a.observed)}
 }
 
 // PaceAt returns how many times longer than elsewhere an attempt of any kind is expected
