--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -128,6 +128,9 @@
 				require.Greater(t, now.worth(), old.worth()-0.01)
 				require.Less(t, now.percentile(.95).Seconds(), 1.05*old.percentile(.95).Seconds()+1e-3)
 				require.Less(t, now.percentile(.5).Seconds(), 1.15*old.percentile(.5).Seconds()+1e-3)
+				if i == 0 { // its replies are the largest
+					require.Less(t, now.farShare(), old.farShare()+0.02, "bytes between failure domains")
+				}
 			}
 			old, now := &previous[c.kind], &present[c.kind]
 			if c.p50 > 0 {
@@ -154,6 +157,9 @@
 	return total
 }
 
+// farShare returns the share of the attempts that go to another failure domain.
+func (r *simResult) farShare() float64 { return float64(r.far) / float64(max(r.attempts, 1)) }
+
 func (r *simResult) add(o *simResult) {
 	r.requests += o.requests
 	r.inTime += o.inTime
