Explain where a request of the route plan would go

Cause: an operator could not see why a searcher gets a request.

Change: hawthornlock route explain, over GET /v1/admin/routes/explain: the route, the version and age of the plan, the account and its limit, why the host would refuse the request, admission's share, and the searchers with their estimates, reports, ages and the reasons against them. It sends nothing and takes no key. An unknown host name, path or account, and a host that starts, are errors of their own; a host without a recent confirmation says that it may be cut off.

Result: a host with two stand-in targets explains its choice as it makes it, and the targets get nothing (race detector). Tests of cli, config, daemon's explanation, forward, workload, routeplan, archtest and platform's explanation pass.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -320,6 +320,7 @@
 			a.group("voter", "Show and remove the hosts that hold the log", voterSpecs(a)...),
 			a.group("host", "Show, drain, resume and forget hosts", hostSpecs(a)...),
 			a.command("", explainSpec(a)),
+			a.group("route", "Explain where requests of the route plan go", routeSpecs(a)...),
 			a.command("", versionSpec(a)),
 		},
 	}
--- a/internal/config/confighttp/server.go
+++ b/internal/config/confighttp/server.go
@@ -48,6 +48,7 @@
 // Options configure the administration API.
 type Options struct {
 	Backend        Backend
+	Routes         Routes  // nil if the host serves no route plan
 	Tokens         *Tokens // nil disables authorization, see CheckBind
 	Log            *eventlog.Logger
 	ProposeTimeout time.Duration // DefaultProposeTimeout if zero
@@ -91,6 +92,7 @@
 	handle(http.MethodPost, "/hosts/{host}/resume", s.resumeHost)
 	handle(http.MethodGet, "/voters", s.voters)
 	handle(http.MethodPost, "/voters/{identity}/remove", s.removeVoter)
+	handle(http.MethodGet, "/routes/explain", s.explainRoute)
 	handle(http.MethodGet, "/state", s.state)
 	return root
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -25,7 +25,7 @@
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", d.readyz).Methods(http.MethodGet)
 	r.HandleFunc("/debug/state", d.debugState).Methods(http.MethodGet)
-	r.PathPrefix("/v1/admin/").Handler(confighttp.New(confighttp.Options{Backend: backend{d}, Tokens: d.tokens, Log: d.log}))
+	r.PathPrefix("/v1/admin/").Handler(confighttp.New(confighttp.Options{Backend: backend{d}, Routes: backend{d}, Tokens: d.tokens, Log: d.log}))
 	return r
 }
 
--- a/internal/forward/forwardrun/admit.go
+++ b/internal/forward/forwardrun/admit.go
@@ -35,9 +35,15 @@
 	e.routesMu.Lock()
 	defer e.routesMu.Unlock()
 	state.priority, state.firstService = call.Route.Priority, call.Route.Gather.Services[0]
+	return e.admittedShareLocked(call, state)
+}
+
+// admittedShareLocked is admittedShare without recording the route. The caller holds
+// routesMu.
+func (e *Engine) admittedShareLocked(call *Call, state *routeState) float64 {
 	share := state.admission.Share()
 	for _, o := range e.routes {
-		if o.firstService == state.firstService && o.priority < state.priority {
+		if o.firstService == call.Route.Gather.Services[0] && o.priority < call.Route.Priority {
 			share = min(share, o.admission.Share())
 		}
 	}
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -138,11 +138,20 @@
 
 // expected returns the time that an attempt is expected to take.
 func (s *Searcher) expected(now time.Time, c Criteria) time.Duration {
-	t := s.load.Expected(now, c.MedianTime, s.Slots, s.basePace())
-	if s.FailureDomain != c.FailureDomain {
-		t += max(crossDomainLatency, time.Duration(crossDomainShare*float64(c.Objective)))
+	return s.load.Expected(now, c.MedianTime, s.Slots, s.basePace()) + s.crossing(c) + s.failureTime(now)
+}
+
+// crossing returns what a searcher in another failure domain must be faster by.
+func (s *Searcher) crossing(c Criteria) time.Duration {
+	if s.FailureDomain == c.FailureDomain {
+		return 0
 	}
-	return t + time.Duration(decay(s.failureRate, 0, s.failureRateTime, now)*float64(failurePenalty))
+	return max(crossDomainLatency, time.Duration(crossDomainShare*float64(c.Objective)))
+}
+
+// failureTime returns the time that failed attempts are expected to cost.
+func (s *Searcher) failureTime(now time.Time) time.Duration {
+	return time.Duration(decay(s.failureRate, 0, s.failureRateTime, now) * float64(failurePenalty))
 }
 
 // Expected returns the least expected time of an attempt, including the rest of
--- a/internal/workload/costs.go
+++ b/internal/workload/costs.go
@@ -84,6 +84,26 @@
 	return cost
 }
 
+// Lookup returns what Estimate would return, without a kind, and the time of the last
+// observation of the narrowest kind that has one, or zero. It changes nothing.
+func (c *Costs) Lookup(now time.Time, f Features) (cost Cost, seen time.Time) {
+	kind := c.all
+	for _, key := range []kindKey{{f.Route, -1, ""}, {f.Route, sizeClass(f.Body), ""}, {f.Route, sizeClass(f.Body), f.Account}} {
+		if k := c.kinds[key]; k != nil {
+			kind = k
+		}
+	}
+	work := kind.estimate(now)
+	cost = Cost{Work: seconds(work), Relation: 1}
+	if route := c.kinds[kindKey{f.Route, -1, ""}]; route != nil && route.median > 0 {
+		cost.Relation = work / route.median
+	}
+	for kind.parent != nil && kind.median == 0 {
+		kind = kind.parent
+	}
+	return cost, kind.at
+}
+
 // Len returns the number of kinds.
 func (c *Costs) Len() int { return len(c.kinds) }
 
--- a/internal/workload/costs_test.go
+++ b/internal/workload/costs_test.go
@@ -112,3 +112,27 @@
 		}
 	})
 }
+
+// Guards against a lookup for operators that differs from the estimate of requests, or that
+// adds kinds.
+func TestLookupIsTheEstimateAndChangesNothing(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 8))
+	c := NewCosts()
+	for _, f := range []Features{{Route: "a"}, {Route: "a", Body: 5000}, {Route: "a", Account: "x"}, {Route: "b", Body: 20, Account: "y"}} {
+		feed(c, start, f, time.Duration(5+rng.IntN(50))*ms, 50, rng)
+	}
+	for _, route := range []string{"a", "b", "c"} {
+		for _, body := range []int{0, 20, 5000, 100_000} {
+			for _, account := range []string{"", "x", "y"} {
+				f := Features{Route: route, Body: body, Account: account}
+				before := c.Len()
+				got, seen := c.Lookup(start.Add(time.Second), f)
+				require.Equal(t, before, c.Len())
+				require.False(t, seen.IsZero())
+				want := c.Estimate(start.Add(time.Second), f)
+				require.Equal(t, want.Work, got.Work, "%+v", f)
+				require.InDelta(t, want.Relation, got.Relation, 1e-9, "%+v", f)
+			}
+		}
+	}
+}
--- a/internal/workload/tracker.go
+++ b/internal/workload/tracker.go
@@ -70,6 +70,9 @@
 // InFlight returns the number of this host's unfinished attempts.
 func (t *Tracker) InFlight() int { return t.open.Len() }
 
+// LastResponse returns the time of the last response, or zero.
+func (t *Tracker) LastResponse() time.Time { return t.paceTime }
+
 // Expected returns how long an attempt of the given work at pace 1 is expected to take at
 // a searcher with the given slots. baseline is the assumed pace of a searcher without
 // observations.
