--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -321,6 +321,7 @@
 			a.group("domain", "Show, withdraw and restore failure domains", domainSpecs(a)...),
 			a.group("host", "Show, drain, resume and forget hosts", hostSpecs(a)...),
 			a.command("", explainSpec(a)),
+			a.group("route", "Explain where requests of the route plan go", routeSpecs(a)...),
 			a.command("", versionSpec(a)),
 		},
 	}
--- a/internal/config/confighttp/server.go
+++ b/internal/config/confighttp/server.go
@@ -49,6 +49,7 @@
 // Options configure the administration API.
 type Options struct {
 	Backend        Backend
+	Routes         Routes  // nil if the host serves no route plan
 	Tokens         *Tokens // nil disables authorization, see CheckBind
 	Log            *eventlog.Logger
 	ProposeTimeout time.Duration // DefaultProposeTimeout if zero
@@ -95,6 +96,7 @@
 	handle(http.MethodGet, "/domains", s.domains)
 	handle(http.MethodPost, "/domains/{domain}/withdraw", s.withdrawDomain)
 	handle(http.MethodPost, "/domains/{domain}/restore", s.restoreDomain)
+	handle(http.MethodGet, "/routes/explain", s.explainRoute)
 	handle(http.MethodGet, "/state", s.state)
 	return root
 }
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Config configures an Engine.
@@ -54,6 +55,8 @@
 
 	routesMu sync.Mutex
 	routes   map[string]*routeState
+	costs    *workload.Costs
+	kinds    map[string]*KindEstimates
 	stats    Stats
 
 	ending atomic.Pointer[ending]
@@ -82,7 +85,7 @@
 
 // New returns an engine without searchers.
 func New(config Config) *Engine {
-	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), sharers: Sharers{Hosts: 1}}
+	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), costs: workload.NewCosts(), kinds: make(map[string]*KindEstimates), sharers: Sharers{Hosts: 1}}
 	e.ending.Store(&ending{replaced: make(chan struct{})})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -261,6 +264,7 @@
 type event struct {
 	exchange *exchange // ended; nil if capacity was freed
 	result   forward.Result
+	observed workload.Observation
 	freed    int // index of the sub-request whose service may have capacity
 }
 
@@ -274,6 +278,9 @@
 	replies     map[*forward.Attempt]*Reply
 	rng         *rand.Rand
 	subRequests int
+	cost        workload.Cost
+	estimates   *KindEstimates // guarded by Engine.routesMu
+	hedgeDelay  time.Duration
 	leaving     []forward.Identity
 	endsSeen    map[string]uint64 // by service found busy: attempts that had ended there
 	ended       atomic.Bool       // the run needs no more events
@@ -282,7 +289,6 @@
 	mu      sync.Mutex
 	closed  bool  // the answer no longer needs the replies
 	charged int64 // bytes of the memory for replies that the run holds
-	timing  struct{ median, hedgeDelay time.Duration }
 }
 
 // maxEventsPerSubRequest bounds the events of a sub-request (results of
@@ -323,7 +329,9 @@
 		left = e.service(services[0]).budgetLeft(now)
 	}
 	e.routesMu.Lock()
-	r.timing.median, r.timing.hedgeDelay = state.timing.MedianTime(), state.timing.HedgeDelay(call.Route.Objective, left)
+	r.cost = e.costs.Estimate(now, call.features())
+	r.estimates = e.estimatesOf(call.Route.Name)
+	r.hedgeDelay = state.timing.HedgeDelay(call.Route.Objective, left, r.cost.Relation)
 	e.routesMu.Unlock()
 	run := forward.NewRun(r, call.Route, services, call.began(), call.Deadline)
 	if call.Shards != nil {
@@ -434,6 +442,8 @@
 	if ev.result == forward.Good {
 		r.engine.routesMu.Lock()
 		r.route.timing.Observe(now.Sub(ev.exchange.Began), r.subRequests)
+		r.cost.Kind.Observe(now, ev.observed.Net, r.subRequests)
+		r.estimates.record(ev.observed)
 		r.engine.routesMu.Unlock()
 	}
 	return run.Ended(now, ev.exchange.Attempt, ev.result)
@@ -460,7 +470,7 @@
 	x := &exchange{Attempt: a, call: r.call, deadline: r.engine.Limit(r.call.Deadline)}
 	r.open = append(r.open, x)
 	svc := r.engine.service(a.Service)
-	median := r.timing.median
+	work := r.cost.Work
 	x.done = func(x *exchange, result forward.Result) {
 		switch result {
 		case forward.Lost:
@@ -469,8 +479,8 @@
 			st.Rejected.Add(1)
 		}
 		r.holdReply(x.reply)
-		svc.ended(x, median, result)
-		r.events <- event{exchange: x, result: result}
+		observed := svc.ended(x, work, result)
+		r.events <- event{exchange: x, result: result, observed: observed}
 	}
 	if a.Number > 0 {
 		st.Retries.Add(1)
@@ -528,8 +538,8 @@
 func (r *runner) IntN(n int) int { return r.rng.IntN(n) }
 
 func (r *runner) criteria() forward.Criteria {
-	return forward.Criteria{FailureDomain: r.engine.config.FailureDomain, MedianTime: r.timing.median, Objective: r.call.Route.Objective}
+	return forward.Criteria{FailureDomain: r.engine.config.FailureDomain, MedianTime: r.cost.Work, Objective: r.call.Route.Objective}
 }
 
 // HedgeDelay implements forward.Environment.
-func (r *runner) HedgeDelay() time.Duration { return r.timing.hedgeDelay }
+func (r *runner) HedgeDelay() time.Duration { return r.hedgeDelay }
