--- a/internal/entry/entryrun/chooser.go
+++ b/internal/entry/entryrun/chooser.go
@@ -7,6 +7,7 @@
 
 	"github.com/hawthornlock/hawthornlock/internal/balance"
 	"github.com/hawthornlock/hawthornlock/internal/query"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // chooser picks the replicas of one query through the balancer of its group.
@@ -15,6 +16,7 @@
 // each other would concentrate on the same searchers.
 type chooser struct {
 	group   *group
+	cost    workload.Cost // of a sub-request of the query
 	scratch []balance.Replica
 	avoid   [1]balance.Replica
 
@@ -27,7 +29,7 @@
 	c.scratch = c.scratch[:0]
 	for _, r := range candidates {
 		if !c.group.withdrawn(r.FailureDomain) { // a query keeps the replicas of its start
-			c.scratch = append(c.scratch, balanceReplica(r))
+			c.scratch = append(c.scratch, c.replica(r))
 		}
 	}
 	if len(c.scratch) == 0 {
@@ -53,6 +55,12 @@
 	return 0, false
 }
 
+func (c *chooser) replica(r query.Replica) balance.Replica {
+	out := balanceReplica(r)
+	out.Cost = c.cost
+	return out
+}
+
 func (c *chooser) reserve(r balance.Replica) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
