--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hawthornlock/hawthornlock/internal/forward"
+	"github.com/hawthornlock/hawthornlock/internal/workload"
 )
 
 // Limits of a connection.
@@ -68,6 +69,8 @@
 	// notice is what the searcher stated about itself. The reader goroutine of the
 	// connection sets it before the exchange ends.
 	notice forward.Notice
+	// observed is what the response time said. It is set when the exchange has ended.
+	observed workload.Observation
 
 	mu        sync.Mutex
 	abandoned bool
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -262,7 +262,6 @@
 type event struct {
 	exchange *exchange // ended; nil if capacity was freed
 	result   forward.Result
-	observed workload.Observation
 	freed    int // index of the sub-request whose service may have capacity
 }
 
@@ -440,8 +439,8 @@
 	if ev.result == forward.Good {
 		r.engine.routesMu.Lock()
 		r.route.timing.Observe(now.Sub(ev.exchange.Began), r.subRequests)
-		r.cost.Kind.Observe(now, ev.observed.Net, r.subRequests)
-		r.estimates.record(ev.observed)
+		r.cost.Kind.Observe(now, ev.exchange.observed.Net, r.subRequests)
+		r.estimates.record(ev.exchange.observed)
 		r.engine.routesMu.Unlock()
 	}
 	return run.Ended(now, ev.exchange.Attempt, ev.result)
@@ -477,8 +476,8 @@
 			st.Rejected.Add(1)
 		}
 		r.holdReply(x.reply)
-		observed := svc.ended(x, work, result)
-		r.events <- event{exchange: x, result: result, observed: observed}
+		x.observed = svc.ended(x, work, result)
+		r.events <- event{exchange: x, result: result}
 	}
 	if a.Number > 0 {
 		st.Retries.Add(1)
--- a/internal/workload/costs.go
+++ b/internal/workload/costs.go
@@ -120,8 +120,11 @@
 }
 
 // Observe records the time that an attempt of a request with the given number of
-// sub-requests took, without the wait for this host's own attempts.
+// sub-requests took (see Observation.Net). 0 says nothing.
 func (k *Kind) Observe(now time.Time, took time.Duration, subRequests int) {
+	if took <= 0 {
+		return // not known
+	}
 	weight := min(1, requestWeight/float64(max(subRequests, 1)))
 	x := max(took.Seconds(), 1e-4)
 	for ; k != nil; k = k.parent {
