Log searchers whose reports of their load are contradicted

Cause: a searcher that misreports was distrusted without anybody being told.

Change: event 8020 names one such searcher and their number, every ten seconds.

--- a/internal/forward/forwardrun/calllog.go
+++ b/internal/forward/forwardrun/calllog.go
@@ -33,6 +33,9 @@
 	eventExtraAttempts = eventlog.Define(8008, zerolog.InfoLevel, "extra attempts",
 		"Searchers got some requests more than once: hedges and retries, within the budget that hosts share.",
 		"None. If many are denied, look for slow or failing searchers of the service. The line counts ten seconds.")
+	eventReportsContradicted = eventlog.Define(8020, zerolog.WarnLevel, "searchers misreport their load",
+		"Response times contradict what these searchers report about their load, so that the reports hardly count in the choice of searchers.",
+		"Look at how the named searcher measures its load. Until then it is judged by its response times. The line is written every ten seconds.")
 )
 
 // Limits of the call log.
--- a/internal/forward/forwardrun/load_test.go
+++ b/internal/forward/forwardrun/load_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/routeplan"
 	"github.com/hawthornlock/hawthornlock/internal/workload"
@@ -77,3 +81,26 @@
 	require.EqualValues(t, 10*maxKindEstimates, attempts)
 	require.EqualValues(t, attempts, missed)
 }
+
+// Guards against searchers that misreport their load without anybody being told.
+func TestMisreportingSearchersAreLogged(t *testing.T) {
+	e := New(Config{Wire: testWire{}})
+	id := forward.Identity{Target: "t", Incarnation: 1}
+	e.SetSearchers(map[string][]forward.SearcherSpec{"a": {{Identity: id, Slots: 2, Capacity: 8, OnDemand: true}}})
+	t.Cleanup(e.Close)
+	require.Zero(t, e.TakeUsage().Contradicted)
+	svc := e.service("a")
+	now, work := time.Now(), 10*time.Millisecond
+	for range 30 {
+		searcher, _, _ := svc.begin(now, forward.Criteria{MedianTime: work}, forward.AttemptOptions{}, rand.New(rand.NewPCG(1, 2)))
+		svc.group.End(now.Add(8*work), now, searcher, work, forward.Good)
+		now = now.Add(8 * work)
+		svc.group.Report(now, searcher, workload.Report{Stated: true, Slots: 2, Pace: 1})
+	}
+	u := e.TakeUsage()
+	require.Equal(t, 1, u.Contradicted)
+	var out strings.Builder
+	u.Log(eventlog.New(&out, zerolog.InfoLevel, "h"))
+	require.Contains(t, out.String(), `"event":8020`)
+	require.Contains(t, out.String(), `"one":"a/t"`)
+}
--- a/internal/forward/forwardrun/usage.go
+++ b/internal/forward/forwardrun/usage.go
@@ -26,9 +26,10 @@
 
 // ServiceUsage is what this host has used of a service since the last record.
 type ServiceUsage struct {
-	Service     string
-	Connections ConnectionCount
-	Extra       forward.ExtraCount
+	Service      string
+	Connections  ConnectionCount
+	Extra        forward.ExtraCount
+	Contradicted []forward.Identity // searchers whose reports their responses contradict
 }
 
 // Usage is what this host has used of all services since the last record.
@@ -41,6 +42,8 @@
 	ExtraServices  int          // with extra attempts
 	LeastSharers   int          // of the budgets of those services
 	LargestSharers int
+	Contradicted   int    // searchers whose reports of their load their responses contradict
+	Misreporting   string // one of them: service/target
 }
 
 // TakeUsage returns the usage since the last call.
@@ -58,6 +61,10 @@
 			u.MostWasted = su
 		}
 		u.Extra = u.Extra.Add(su.Extra)
+		u.Contradicted += len(su.Contradicted)
+		if len(su.Contradicted) > 0 {
+			u.Misreporting = su.Service + "/" + su.Contradicted[0].Target
+		}
 		if su.Extra.Wanted() == 0 {
 			continue
 		}
@@ -78,13 +85,13 @@
 func (s *service) takeUsage() (u ServiceUsage, sharers int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u = ServiceUsage{Service: s.name, Connections: s.used, Extra: s.group.Budget().TakeCount()}
+	u = ServiceUsage{Service: s.name, Connections: s.used, Extra: s.group.Budget().TakeCount(), Contradicted: s.group.Contradicted(time.Now())}
 	s.used = ConnectionCount{}
 	return u, s.group.Budget().Hosts()
 }
 
-// Log writes the usage, in one line for connections that carried no reply and one for
-// extra attempts.
+// Log writes the usage, in one line for connections that carried no reply, one for extra
+// attempts, and one for reports that responses contradict.
 func (u Usage) Log(log *eventlog.Logger) {
 	if u.Connections.wasted() > 0 {
 		c, most := u.Connections, u.MostWasted
@@ -97,4 +104,7 @@
 			Int("least_sharers", u.LeastSharers).Int("most_sharers", u.LargestSharers).
 			Str("most", most.Service).Int("most_requests", most.Extra.Requests).Int("most_made", most.Extra.Made).Int("most_denied", most.Extra.Denied).Send()
 	}
+	if u.Contradicted > 0 {
+		log.Log(eventReportsContradicted).Int("searchers", u.Contradicted).Str("one", u.Misreporting).Send()
+	}
 }
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -204,6 +204,17 @@
 // Report records what a searcher stated about its load in a reply.
 func (g *Group) Report(now time.Time, s *Searcher, r workload.Report) { s.load.Report(now, r) }
 
+// Contradicted returns the searchers whose reports of their load their responses contradict.
+func (g *Group) Contradicted(now time.Time) []Identity {
+	var out []Identity
+	for _, s := range g.searchers {
+		if s.load.Contradicted(now) {
+			out = append(out, s.Identity)
+		}
+	}
+	return out
+}
+
 // Load returns what is known about the work at the searcher. The caller must not modify
 // it.
 func (s *Searcher) Load() *workload.Tracker { return &s.load }
--- a/internal/workload/report.go
+++ b/internal/workload/report.go
@@ -101,6 +101,16 @@
 	return observed / (observed + stated)
 }
 
+// Contradicted reports whether the searcher's reports have hardly any weight because its
+// responses contradict them.
+func (t *Tracker) Contradicted(now time.Time) bool {
+	return !t.report.at.IsZero() && t.report.trust(now) < contradictedTrust
+}
+
+// contradictedTrust is a fifth of the trust in reports that are as good as this host's own
+// observations.
+const contradictedTrust = 0.1
+
 func (r *reported) errorsAt(now time.Time) (observed, stated float64) {
 	if r.errTime.IsZero() {
 		return priorError, priorError
