--- a/internal/accounts/accounts.go
+++ b/internal/accounts/accounts.go
@@ -138,21 +138,22 @@
 
 // Identify returns the account of a request to a route that is public or not, or why
 // the request is refused. keys holds the digest of every key that the request carries.
-// The account is nil if the request needs none.
+// The account is nil if the request needs none. A request with several keys is refused
+// on public routes, too, since it may be meant for another route of a later plan.
 func (d *Directory) Identify(public bool, keys []Key) (*Account, *verdict.Error) {
-	if d == nil || public {
+	switch {
+	case d == nil:
 		return nil, nil
-	}
-	switch len(keys) {
-	case 0:
-		return nil, verdict.New(verdict.NotRun, CodeUnknownKey, "the request carries no key")
-	case 1:
-	default:
+	case len(keys) > 1:
 		return nil, verdict.New(verdict.NotRun, CodeRepeatedKey, "the request carries %d keys", len(keys))
+	case public:
+		return nil, nil
+	case len(keys) == 0:
+		return nil, verdict.New(verdict.NotRun, CodeUnknownKey, "the request carries no key")
 	}
 	a := d.byKey[keys[0]]
 	if a == nil {
-		return nil, verdict.New(verdict.NotRun, CodeUnknownKey, "the key belongs to no account")
+		return nil, verdict.New(verdict.NotRun, CodeUnknownKey, "the key belongs to no account of the plan")
 	}
 	return a, nil
 }
--- a/internal/accounts/revocation.go
+++ b/internal/accounts/revocation.go
@@ -46,3 +46,19 @@
 	return verdict.New(verdict.NotRun, CodeUnconfirmed, "no leader has confirmed the keys within %v", r.MaxAge()).
 		WithRetryAfter(retryAfterUnconfirmed)
 }
+
+// Authorize returns the account of a request that arrives at a host whose plan has the
+// accounts of d, or why the request is refused. confirmedAt is as for Confirmed.
+//
+// While nothing confirms the plan, an unknown key is refused in the same way as a known
+// one: a newer plan may have added it, and the caller may try another host.
+func (r Revocation) Authorize(now, confirmedAt time.Time, d *Directory, public bool, keys []Key) (*Account, *verdict.Error) {
+	a, err := d.Identify(public, keys)
+	switch {
+	case err == nil && a == nil, err != nil && len(keys) != 1:
+		return nil, err
+	case !r.Confirmed(now, confirmedAt):
+		return nil, r.Refusal()
+	}
+	return a, err
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -28,7 +28,9 @@
 		return nil
 	}
 	c.confirmed = follow.Confirmation(e)
-	c.confirmPlan()
+	if c.planConfirmed.Confirmed(e.Plan, e.At, c.plans.Version()) {
+		c.dirty.snapshot = true
+	}
 	out := c.membership(now, membership.ConfigApplied{Position: c.position()})
 	return append(out, c.membership(now, membership.LeaderConfirmed{
 		Position: membership.Position{Term: e.Term, Revision: e.Revision}, At: e.At,
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/accounts"
 	"github.com/hawthornlock/hawthornlock/internal/config"
 	"github.com/hawthornlock/hawthornlock/internal/connections"
 	"github.com/hawthornlock/hawthornlock/internal/consensus"
@@ -105,7 +106,7 @@
 	logBytes        int  // of entries applied since the last snapshot
 	trafficClosed   bool // no order is open and no connection to a target is left
 	confirmed       follow.Confirmation
-	planConfirmedAt time.Time // when a leader last stated that the plan in force here is the newest
+	planConfirmed   accounts.Confirmations
 	leader          consensus.Member
 	encoding        bool // a snapshot is being encoded
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -21,14 +21,6 @@
 	return !c.confirmed.At.IsZero() || now.Sub(c.startedAt) >= planConfirmWait
 }
 
-// confirmPlan records the latest confirmation that covers the plan in force here. One
-// that names a newer plan counts only once this host has it.
-func (c *Core) confirmPlan() {
-	if c.plans.Version() >= c.confirmed.Plan && c.confirmed.At.After(c.planConfirmedAt) {
-		c.planConfirmedAt = c.confirmed.At
-	}
-}
-
 // applyPlan puts a plan in force if it is newer, and passes it on to the hosts
 // that follow this one. Plans come from the log, from feeds and from
 // snapshots; all of them are committed.
@@ -39,7 +31,7 @@
 		return result, nil
 	}
 	c.dirty.snapshot = true
-	c.confirmPlan()
+	c.planConfirmed.InForce(result.Version)
 	out := []Effect{Log{Event: EventPlanInForce, Fields: []Field{{"version", result.Version}, {"replaced", previous}, {"routes", len(d.Plan.Routes)}}}}
 	for _, p := range c.feed.PlanApplied(now, c.confirmed.Term, d) {
 		out = append(out, SendUpdate{To: p.To, Update: p.Update})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -85,7 +85,7 @@
 	s := &Snapshot{
 		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
 		Plan:  c.plans.Table(),
-		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, PlanConfirmedAt: c.planConfirmedAt, AgreedMembers: c.store.Members(), Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
+		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, PlanConfirmedAt: c.planConfirmed.Since(), AgreedMembers: c.store.Members(), Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
 	}
 	if old != nil && !c.dirty.table && old.Targets == view {
 		s.Table, s.Catalogs, s.GroupMembers = old.Table, old.Catalogs, old.GroupMembers
