Pass on the turn of a request that does not use it

Cause: a run that was notified of capacity and did not use it, because its key was revoked or it had ended, left the runs behind it waiting until another attempt ended or until their deadlines. A revoked request could also wait for the end of a pause before it was refused. The admission compared the route's priority although the account's takes precedence.

Change: a run that does not take its turn notifies the next one, and a run that ends leaves the queues. A run whose key is revoked stops sending at once.

--- a/internal/forward/forwardrun/admit.go
+++ b/internal/forward/forwardrun/admit.go
@@ -37,7 +37,7 @@
 	state.priority, state.firstService = call.Route.Priority, call.Route.Gather.Services[0]
 	share := state.admission.Share()
 	for _, o := range e.routes {
-		if o.firstService == state.firstService && o.priority < state.priority {
+		if o.firstService == state.firstService && o.priority < call.priority() {
 			share = min(share, o.admission.Share())
 		}
 	}
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -30,7 +30,8 @@
 	// network to the caller and, at a gatherer, on the way to the host that asked.
 	Delay time.Duration
 	// Account is the client account of the caller, nil if the route needs none. Key is
-	// the digest of the key by which it was found.
+	// the digest of the caller's key, also on a route that needs none; zero if the caller
+	// sent no key.
 	Account *accounts.Account
 	Key     accounts.Key
 	// Permit returns why no further attempt may be made, or nil. It is called on the
@@ -38,6 +39,14 @@
 	Permit func() *verdict.Error
 }
 
+// Permitted returns why no further attempt may be made, or nil.
+func (c *Call) Permitted() *verdict.Error {
+	if c.Permit == nil {
+		return nil
+	}
+	return c.Permit()
+}
+
 // priority returns the rank of the call, 0 for the most urgent.
 func (c *Call) priority() int { return c.Account.PriorityOr(c.Route.Priority) }
 
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -274,6 +274,7 @@
 	subRequests int
 	leaving     []forward.Identity
 	endsSeen    map[string]uint64 // by service found busy: attempts that had ended there
+	awaiting    map[int]*service  // by sub-request that waits for capacity there
 	ended       atomic.Bool       // the run needs no more events
 	denied      *verdict.Error    // why Call.Permit stopped further attempts
 
@@ -314,7 +315,7 @@
 	r := &runner{
 		engine: e, call: call, route: state, events: make(chan event, maxEventsPerSubRequest*len(services)),
 		replies: make(map[*forward.Attempt]*Reply, len(services)),
-		rng:     rng, subRequests: len(services),
+		rng:     rng, subRequests: len(services), awaiting: make(map[int]*service),
 	}
 	left := 0.0
 	if call.Route.Gather != nil { // a request to one service has no slowest shard to wait for
@@ -337,10 +338,11 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	defer r.releaseReplies()
-	defer r.ended.Store(true)
+	defer r.leaveQueues()
 	end := r.engine.ending.Load()
 	limit(run, now, end)
 	effects := run.Start(now)
+	stopped := false // no further attempt is permitted
 	for {
 		if o, done := r.execute(effects); done {
 			answer, err := r.answer(run, o)
@@ -350,6 +352,11 @@
 			return answer, err
 		}
 		now = time.Now()
+		if r.denied != nil && !stopped {
+			stopped = true
+			effects = run.StopSending(now)
+			continue
+		}
 		timer.Reset(max(run.Next(now).Sub(now), 0))
 		select {
 		case <-ctx.Done():
@@ -417,7 +424,7 @@
 func (r *runner) handle(run *forward.Run, ev event) []forward.Effect {
 	now := time.Now()
 	if ev.exchange == nil {
-		return run.CapacityFreed(now, ev.freed)
+		return r.capacityFreed(run, now, ev.freed)
 	}
 	i := slices.Index(r.open, ev.exchange)
 	if i >= 0 {
@@ -437,6 +444,35 @@
 	return run.Ended(now, ev.exchange.Attempt, ev.result)
 }
 
+// capacityFreed has a sub-request take its turn. If it does not, the next run does.
+func (r *runner) capacityFreed(run *forward.Run, now time.Time, subRequest int) []forward.Effect {
+	svc := r.awaiting[subRequest]
+	delete(r.awaiting, subRequest)
+	effects := run.CapacityFreed(now, subRequest)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case forward.Send:
+			if e.Attempt.SubRequest == subRequest {
+				return effects
+			}
+		case forward.AwaitCapacity:
+			return effects
+		}
+	}
+	if svc != nil {
+		svc.passOn()
+	}
+	return effects
+}
+
+// leaveQueues ends the run's waits for capacity.
+func (r *runner) leaveQueues() {
+	r.ended.Store(true)
+	for subRequest, svc := range r.awaiting {
+		svc.leave(r, subRequest)
+	}
+}
+
 // execute carries out effects and returns the outcome once there is one.
 func (r *runner) execute(effects []forward.Effect) (forward.Outcome, bool) {
 	for _, e := range effects {
@@ -497,10 +533,8 @@
 
 // Begin implements forward.Environment.
 func (r *runner) Begin(now time.Time, name string, opts forward.AttemptOptions) (*forward.Searcher, bool) {
-	if r.call.Permit != nil {
-		if r.denied = r.call.Permit(); r.denied != nil {
-			return nil, false
-		}
+	if r.denied = r.call.Permitted(); r.denied != nil {
+		return nil, false
 	}
 	s, busy, ends := r.engine.service(name).begin(now, r.criteria(), opts, r.rng)
 	if busy {
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -117,9 +117,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ends != ends {
+		r.awaiting[subRequest] = s
 		w.notify()
 		return
 	}
+	r.awaiting[subRequest] = s
 	i := len(s.waiters)
 	for i > 0 && w.before(s.waiters[i-1]) {
 		i--
@@ -140,6 +142,30 @@
 	return waiter{}, false
 }
 
+// leave removes a waiting run that has ended. A notice that it has not handled goes to the
+// next one: there may be no other attempt whose end would notify that one.
+func (s *service) leave(r *runner, subRequest int) {
+	s.mu.Lock()
+	i := slices.Index(s.waiters, waiter{runner: r, subRequest: subRequest})
+	if i >= 0 {
+		s.waiters = slices.Delete(s.waiters, i, i+1)
+	}
+	s.mu.Unlock()
+	if i < 0 {
+		s.passOn()
+	}
+}
+
+// passOn notifies the next waiting run of capacity that the notified one does not use.
+func (s *service) passOn() {
+	s.mu.Lock()
+	next, waiting := s.nextWaiter()
+	s.mu.Unlock()
+	if waiting {
+		next.notify()
+	}
+}
+
 func (s *service) poolOf(id forward.Identity) *pool {
 	p := s.pools[id]
 	if p == nil {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -339,6 +339,21 @@
 	return late
 }
 
+// StopSending makes the run begin no further attempt, because the request may no longer
+// run. Attempts in flight go on.
+func (r *Run) StopSending(now time.Time) []Effect {
+	r.effects = nil
+	if r.finished {
+		return nil
+	}
+	for _, sub := range r.subs {
+		if sub.good == nil {
+			r.giveUp(sub)
+		}
+	}
+	return r.settle(now)
+}
+
 // Tick does what is due at a time: retries, hedges, and the end of the run.
 func (r *Run) Tick(now time.Time) []Effect {
 	r.effects = nil
