--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -235,6 +235,10 @@
 		if g.Name == d.settings.Host {
 			return d.engine.Do(ctx, call)
 		}
+		// The next gatherer may have an older plan than this host has got meanwhile.
+		if err := call.Permitted(); err != nil {
+			return &forwardrun.Answer{}, err
+		}
 		answer, err := d.gatherAt(ctx, g.Name, call, request)
 		if err == nil || answer != nil {
 			return answer, err
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -157,6 +157,8 @@
 	confirmedGauge   = describe(prometheus.GaugeValue, "config_age_seconds", "Age of the latest confirmation of the configuration.")
 	suspendedTotal   = describe(prometheus.CounterValue, "suspended_seconds_total", "Time for which the machine was suspended since the process started, where a clock shows it.")
 	leaderGauge      = describe(prometheus.GaugeValue, "leader", "1 if this host leads the replicated log.")
+	accountsGauge    = describe(prometheus.GaugeValue, "accounts", "Client accounts of the route plan in force.")
+	keysAgeGauge     = describe(prometheus.GaugeValue, "keys_confirmed_age_seconds", "Age of the latest confirmation that no newer route plan revokes a key.")
 	targetsGauge     = describe(prometheus.GaugeValue, "targets", "Targets that are alive or draining.")
 	inFlightGauge    = describe(prometheus.GaugeValue, "requests_in_progress", "Callers' requests in progress at this host.")
 	openOrdersGauge  = describe(prometheus.GaugeValue, "orders_open", "Orders whose claim is not settled yet.")
@@ -180,7 +182,7 @@
 	for _, g := range []gauge{
 		readyGauge, revisionGauge, termGauge, confirmedGauge, leaderGauge, targetsGauge, inFlightGauge, openOrdersGauge,
 		runningGauge, waitingGauge, limitGauge, ejectedGauge, slotWaitGauge, connectionsGauge, shareGauge, dialsTotal,
-		lateTotal, sentTotal, droppedTotal, syncsTotal, journalTotal, suspendedTotal,
+		lateTotal, sentTotal, droppedTotal, syncsTotal, journalTotal, suspendedTotal, accountsGauge, keysAgeGauge,
 	} {
 		ch <- g.desc
 	}
@@ -205,7 +207,7 @@
 
 func (c *stateCollector) collectControl(send sendFunc) {
 	s := c.d.loop.Snapshot()
-	send(readyGauge, boolValue(s.Ready))
+	send(readyGauge, boolValue(c.d.Ready()))
 	send(revisionGauge, float64(s.Revision))
 	send(termGauge, float64(s.Term))
 	send(leaderGauge, boolValue(s.Leader.Name == c.d.settings.Host))
@@ -213,6 +215,12 @@
 	if !s.ConfirmedAt.IsZero() {
 		send(confirmedGauge, c.d.loop.Now().Sub(s.ConfirmedAt).Seconds())
 	}
+	if s.Plan != nil {
+		send(accountsGauge, float64(s.Plan.Accounts.Len()))
+	}
+	if !s.PlanConfirmedAt.IsZero() {
+		send(keysAgeGauge, c.d.loop.Now().Sub(s.PlanConfirmedAt).Seconds())
+	}
 	send(suspendedTotal, bootclock.Suspended().Seconds())
 	links := c.d.links.Stats()
 	send(sentTotal, float64(links.Sent))
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -22,7 +22,7 @@
 		From: from, Plan: version, RequestId: []byte(c.ID), Method: []byte(c.Method), Uri: []byte(c.URI), Host: []byte(c.Host),
 		Headers: encodeHeader(c.Header), Body: c.Body, Path: []byte(path),
 	}
-	if c.Account != nil {
+	if c.Key != (accounts.Key{}) {
 		m.Key = c.Key[:]
 	}
 	if c.Shards != nil {
--- a/internal/routeplan/plan.go
+++ b/internal/routeplan/plan.go
@@ -35,6 +35,9 @@
 	Limits   CallerLimits
 	// Accounts are the client accounts. If it is nil, requests need no key.
 	Accounts []accounts.Account
+	// Unreadable says which part of the operator's text could not be read and is left
+	// out, or is nil. A new plan must have none.
+	Unreadable error
 }
 
 // Route says how requests to a host name and path prefix are handled.
@@ -156,6 +159,9 @@
 // Routes whose host names differ only in case, port or a trailing dot match the same
 // requests, so one of them would never be used.
 func (p *Plan) ValidateNew() error {
+	if p.Unreadable != nil {
+		return verdict.Wrap(p.Unreadable, verdict.NotRun, CodeInvalidPlan, "read the plan")
+	}
 	first := make(map[routeKey]string, len(p.Routes))
 	for i := range p.Routes {
 		r := &p.Routes[i]
