--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -83,32 +83,32 @@
 
 // Core owns the control state of a host.
 type Core struct {
-	opts            Options
-	registry        *targets.Registry
-	store           *config.Store
-	node            *consensus.Node
-	ledger          *orders.Ledger // used only on a host with a log
-	reads           map[string]Read
-	tracker         *proposals.Tracker
-	follower        *follow.Follower
-	feed            *follow.Feed
-	members         *membership.State
-	spread          *spread.State
-	shares          *connections.Shares
-	revisions       map[string]uint64    // in force at other hosts
-	heardAt         map[string]time.Time // when another host was last heard from
-	knownHosts      []Host               // for the snapshot
-	knownHostsAt    time.Time            // when knownHosts was built
-	life            *lifecycle.State
-	plans           *routeplan.Store
-	startedAt       time.Time
-	founding        founding
-	logBytes        int  // of entries applied since the last snapshot
-	trafficClosed   bool // no order is open and no connection to a target is left
-	confirmed       follow.Confirmation
-	planConfirmed   accounts.Confirmations
-	leader          consensus.Member
-	encoding        bool // a snapshot is being encoded
+	opts          Options
+	registry      *targets.Registry
+	store         *config.Store
+	node          *consensus.Node
+	ledger        *orders.Ledger // used only on a host with a log
+	reads         map[string]Read
+	tracker       *proposals.Tracker
+	follower      *follow.Follower
+	feed          *follow.Feed
+	members       *membership.State
+	spread        *spread.State
+	shares        *connections.Shares
+	revisions     map[string]uint64    // in force at other hosts
+	heardAt       map[string]time.Time // when another host was last heard from
+	knownHosts    []Host               // for the snapshot
+	knownHostsAt  time.Time            // when knownHosts was built
+	life          *lifecycle.State
+	plans         *routeplan.Store
+	startedAt     time.Time
+	founding      founding
+	logBytes      int  // of entries applied since the last snapshot
+	trafficClosed bool // no order is open and no connection to a target is left
+	confirmed     follow.Confirmation
+	planConfirmed accounts.Confirmations
+	leader        consensus.Member
+	encoding      bool // a snapshot is being encoded
 
 	unseen   []unseenChange
 	catalogs *catalogs
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -321,6 +321,9 @@
 	if d.engine != nil {
 		d.start(func() { d.engine.Maintain(d.ctx) })
 		d.start(d.logUsage)
+		if d.settings.RevocationBound > 0 {
+			d.start(d.watchKeys)
+		}
 	}
 	for name := range d.servers {
 		d.start(func() { d.serve(name) })
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -32,6 +32,12 @@
 	eventGatherersChanged = eventlog.Define(1108, zerolog.InfoLevel, "gatherers changed",
 		"Hosts joined or left, or the route plan changed, and with it the choice of the hosts that gather answers from shards.",
 		"None. If the list is empty, every host gathers for itself. If unknown is true, this host has not found the other hosts yet and accepts no gather requests.")
+	eventKeysUnconfirmed = eventlog.Define(1109, zerolog.WarnLevel, "keyed requests are refused: no leader has confirmed the keys lately",
+		"This host has lost the leader for nearly as long as a revoked key may be used, or it was suspended.",
+		"Look at the leader and at the links to the hosts with a disk. The host serves again with the next confirmation.")
+	eventKeysConfirmed = eventlog.Define(1110, zerolog.InfoLevel, "keyed requests are served again",
+		"A leader has confirmed the keys of the route plan.",
+		"None.")
 	eventBadPeerMessage = eventlog.Define(1103, zerolog.WarnLevel, "message from a peer could not be decoded",
 		"The peer runs a newer version, or the message was damaged.",
 		"Update this host.")
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -480,7 +480,9 @@
 		case forward.Send:
 			r.send(e.Attempt)
 		case forward.AwaitCapacity:
-			r.engine.service(e.Service).await(r, e.SubRequest, r.endsSeen[e.Service])
+			svc := r.engine.service(e.Service)
+			r.awaiting[e.SubRequest] = svc
+			svc.await(r, e.SubRequest, r.endsSeen[e.Service])
 		case forward.Finish:
 			return e.Outcome, true
 		}
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -117,11 +117,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ends != ends {
-		r.awaiting[subRequest] = s
 		w.notify()
 		return
 	}
-	r.awaiting[subRequest] = s
 	i := len(s.waiters)
 	for i > 0 && w.before(s.waiters[i-1]) {
 		i--
