Share turns at a service fairly among accounts and spread retry hints

Cause: requests that wait for a searcher were ordered by priority and deadline, so an account that sends seven times its usual took most turns. Requests took a turn although they could not be answered in time any more. Constant retry hints brought back at once all callers that were refused together.

Change: forward.Queue orders by priority, virtual time of the account, deadline and arrival; without accounts the order is as before. A single-service request whose turn would come too late is refused at once, and one that can't be answered in time any more takes no turn. forward.FairShares takes the shedding of gathers from the accounts above their weight. forward.RetryHint spreads hints over the time after the work has drained, within a third of the time left.

--- a/internal/daemon/accounts_test.go
+++ b/internal/daemon/accounts_test.go
@@ -47,13 +47,13 @@
 func TestKeysAtAGatherer(t *testing.T) {
 	const with, without = `[{"name":"a","api_keys":["k1"]}]`, `[{"name":"a","api_keys":["k2"]}]`
 	for name, c := range map[string]struct {
-		version             int
+		version              int
 		atSender, atGatherer string
-		status              int
+		status               int
 	}{
-		"both have the key":            {8, with, with, http.StatusOK},
-		"a newer plan dropped it":      {8, with, without, http.StatusUnauthorized},
-		"an older plan still has it":   {6, with, with, http.StatusServiceUnavailable},
+		"both have the key":              {8, with, with, http.StatusOK},
+		"a newer plan dropped it":        {8, with, without, http.StatusUnauthorized},
+		"an older plan still has it":     {6, with, with, http.StatusServiceUnavailable},
 		"only a newer plan asks for one": {8, "", with, http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -55,9 +55,8 @@
 // parts then go on in the background: their searchers are at work, and breaking them
 // off would only waste what they have done.
 func (d *Daemon) gatherParts(ctx context.Context, call *forwardrun.Call, h handOver, parts []gathering.Part) (*forwardrun.Answer, *verdict.Error) {
-	if share := d.leastShare(call.Route); !forwardrun.Admits(call.ID, share) {
-		d.engine.Stats().Shed.Add(1)
-		return &forwardrun.Answer{}, forwardrun.NotAdmitted(share)
+	if err := d.engine.Admit(call, d.leastShare(call.Route)); err != nil {
+		return &forwardrun.Answer{}, err
 	}
 	// The handler's context ends with the response, the parts' only if the caller leaves.
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/forward/forwardrun/admit.go
+++ b/internal/forward/forwardrun/admit.go
@@ -1,6 +1,7 @@
 package forwardrun
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,10 +10,6 @@
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
-// retryAfterShed is the retry hint for a request that was not admitted. It lets
-// the searchers' queues drain and is within the time that callers wait.
-const retryAfterShed = 300 * time.Millisecond
-
 // shareOf returns a number from 0 to 1 for a request ID.
 func shareOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
@@ -20,10 +17,25 @@
 // admitted.
 func Admits(id string, share float64) bool { return shareOf(id) < share }
 
-// NotAdmitted returns the error of a request that is not admitted.
-func NotAdmitted(share float64) *verdict.Error {
+// Admit decides whether a gathered request is admitted if the given share of the route's
+// requests is, and returns why not. It counts the request towards the demand of its
+// account, so it must be called once for a request.
+func (e *Engine) Admit(call *Call, share float64) *verdict.Error {
+	now := time.Now()
+	if call.Account != nil && call.Route.Gather != nil {
+		state := e.route(call.Route.Name)
+		e.routesMu.Lock()
+		state.fair.Record(now, call.Account.Name, call.weight())
+		share = state.fair.Share(now, call.Account.Name, share)
+		e.routesMu.Unlock()
+	}
+	if Admits(call.ID, share) {
+		return nil
+	}
+	e.stats.Shed.Add(1)
+	hint := forward.RetryHint(call.Deadline.Sub(now), forward.RecoverIn(share), rand.Float64())
 	return verdict.New(verdict.NotRun, forward.CodeOverloaded, "the shards can't answer in time; %.0f %% of the requests are admitted", 100*share).
-		WithRetryAfter(retryAfterShed)
+		WithRetryAfter(hint)
 }
 
 // admittedShare returns the share of the requests of a gathered route that this host
@@ -65,9 +77,10 @@
 // so the gatherers of all parts come to the same decision.
 func (e *Engine) allowance(call *Call) (forward.Allowance, *verdict.Error) {
 	g := call.Route.Gather
-	a, ok := forward.PartAllowance(e.unanswerable(time.Now(), g.Services), call.Shards, g.MaxMissing())
+	now := time.Now()
+	a, ok := forward.PartAllowance(e.unanswerable(now, g.Services), call.Shards, g.MaxMissing())
 	if !ok {
-		return a, forward.RefusePart(len(g.Services))
+		return a, forward.RefusePart(len(g.Services), call.Deadline.Sub(now), rand.Float64())
 	}
 	return a, nil
 }
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -50,6 +50,19 @@
 // priority returns the rank of the call, 0 for the most urgent.
 func (c *Call) priority() int { return c.Account.PriorityOr(c.Route.Priority) }
 
+// nominalWeight is the weight of an account without a limit, and of requests of none. It
+// is about the rate of a usual account.
+const nominalWeight = 10
+
+// weight returns the share of the call's account where accounts compete: its limit, which
+// is in proportion to what it usually sends.
+func (c *Call) weight() float64 {
+	if c.Account == nil || c.Account.Rate <= 0 {
+		return nominalWeight
+	}
+	return c.Account.Rate
+}
+
 // began returns the time from which the latency objective counts here: an answer
 // that leaves this host within the objective after it reaches the caller in time.
 func (c *Call) began() time.Time { return c.Arrived.Add(-c.Delay) }
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -74,6 +74,7 @@
 	timing       *forward.Timing
 	splitter     forward.Splitter
 	admission    forward.Admission
+	fair         forward.FairShares
 	priority     int
 	firstService string // identifies routes over the same shards
 }
@@ -255,11 +256,14 @@
 	}
 }
 
-// event is an input of a run: an ended exchange, or freed capacity.
+// event is an input of a run: an ended exchange, freed capacity, or a turn that would come
+// too late.
 type event struct {
-	exchange *exchange // ended; nil if capacity was freed
+	exchange *exchange // ended; nil if capacity was freed or a turn refused
 	result   forward.Result
-	freed    int // index of the sub-request whose service may have capacity
+	freed    int           // index of the sub-request whose service may have capacity
+	refused  bool          // the turn of the sub-request would come too late
+	wait     time.Duration // until that turn
 }
 
 // runner drives one run. Its Environment methods are called on its goroutine.
@@ -298,9 +302,10 @@
 	rng := rand.New(rand.NewPCG(e.config.Seed, uint64(e.stats.Calls.Load())))
 	share := e.admittedShare(call, state)
 	// Whether a divided gather is admitted is decided before its parts are sent.
-	if call.Shards == nil && !Admits(call.ID, share) {
-		e.stats.Shed.Add(1)
-		return &Answer{}, NotAdmitted(share)
+	if call.Shards == nil {
+		if err := e.Admit(call, share); err != nil {
+			return &Answer{}, err
+		}
 	}
 	var allowance forward.Allowance
 	if call.Shards != nil {
@@ -423,7 +428,11 @@
 // handle passes an event to the run.
 func (r *runner) handle(run *forward.Run, ev event) []forward.Effect {
 	now := time.Now()
-	if ev.exchange == nil {
+	switch {
+	case ev.exchange == nil && ev.refused:
+		delete(r.awaiting, ev.freed)
+		return run.TurnRefused(now, ev.freed, ev.wait)
+	case ev.exchange == nil:
 		return r.capacityFreed(run, now, ev.freed)
 	}
 	i := slices.Index(r.open, ev.exchange)
--- a/internal/forward/forwardrun/permit_test.go
+++ b/internal/forward/forwardrun/permit_test.go
@@ -31,7 +31,7 @@
 	s := e.service(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.waiters)
+	return s.queue.Len()
 }
 
 // Guards against a key that is dropped while its request waits for a searcher and that
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -17,7 +17,8 @@
 	mu      sync.Mutex
 	group   *forward.Group
 	pools   map[forward.Identity]*pool
-	waiters []waiter
+	queue   forward.Queue[waiter]
+	stretch forward.Stretch
 	ends    uint64          // attempts that have ended
 	used    ConnectionCount // since the last record
 }
@@ -72,8 +73,7 @@
 			p.idle = nil
 		}
 	}
-	waiters := s.waiters
-	s.waiters = nil
+	waiters := s.queue.Clear()
 	s.mu.Unlock()
 	for _, c := range idle {
 		c.close()
@@ -91,13 +91,24 @@
 	}
 }
 
-// before orders waiting runs by their priority, then by deadline.
-func (w waiter) before(o waiter) bool {
-	a, b := w.runner.call, o.runner.call
-	if pa, pb := a.priority(), b.priority(); pa != pb {
-		return pa < pb
+// refuse tells a run that its turn would come too late.
+func (w waiter) refuse(wait time.Duration) {
+	select {
+	case w.runner.events <- event{freed: w.subRequest, refused: true, wait: wait}:
+	default: // cannot happen while the run still handles its events
+	}
+}
+
+// cost returns the time that the run's attempts are estimated to take.
+func (w waiter) cost() time.Duration { return w.runner.timing.median }
+
+func (w waiter) turn() forward.Turn {
+	c := w.runner.call
+	t := forward.Turn{Priority: c.priority(), Weight: c.weight(), Deadline: c.Deadline, Cost: w.cost()}
+	if c.Account != nil {
+		t.Account = c.Account.Name
 	}
-	return a.Deadline.Before(b.Deadline)
+	return t
 }
 
 // begin chooses a searcher for an attempt. ends is the number of attempts that have
@@ -109,7 +120,8 @@
 	return searcher, busy, s.ends
 }
 
-// await queues a run that is notified when a searcher may have capacity. If an attempt
+// await queues a run that is notified when a searcher may have capacity, or refuses it if
+// that will be too late. If an attempt
 // has ended since the run found the searchers busy, it is notified at once: the end
 // notified nobody, and there may be no other attempt whose end would.
 func (s *service) await(r *runner, subRequest int, ends uint64) {
@@ -120,36 +132,39 @@
 		w.notify()
 		return
 	}
-	i := len(s.waiters)
-	for i > 0 && w.before(s.waiters[i-1]) {
-		i--
+	t := w.turn()
+	now := time.Now()
+	wait := s.stretch.Wait(s.queue.Ahead(t), s.group.Room(now))
+	// A gather may do without a shard that has no room, but not be refused any more once
+	// other shards have got it.
+	if r.subRequests == 1 && !forward.Servable(now, t.Deadline, wait, t.Cost) {
+		w.refuse(wait)
+		return
 	}
-	s.waiters = slices.Insert(s.waiters, i, w)
+	s.queue.Push(t, w)
 }
 
-// nextWaiter removes and returns the first waiting run that has not ended. The
-// caller holds the lock.
+// nextWaiter removes and returns the run whose turn it is. Runs that can't be answered in
+// time any more are refused. The caller holds the lock.
 func (s *service) nextWaiter() (waiter, bool) {
-	for len(s.waiters) > 0 {
-		w := s.waiters[0]
-		s.waiters = s.waiters[1:]
-		if !w.runner.ended.Load() {
-			return w, true
+	for {
+		w, ok, late := s.queue.Next(time.Now(), waiter.cost)
+		for _, l := range late {
+			l.refuse(0)
+		}
+		if !ok || !w.runner.ended.Load() {
+			return w, ok
 		}
 	}
-	return waiter{}, false
 }
 
 // leave removes a waiting run that has ended. A notice that it has not handled goes to the
 // next one: there may be no other attempt whose end would notify that one.
 func (s *service) leave(r *runner, subRequest int) {
 	s.mu.Lock()
-	i := slices.Index(s.waiters, waiter{runner: r, subRequest: subRequest})
-	if i >= 0 {
-		s.waiters = slices.Delete(s.waiters, i, i+1)
-	}
+	removed := s.queue.Remove(waiter{runner: r, subRequest: subRequest})
 	s.mu.Unlock()
-	if i < 0 {
+	if !removed {
 		s.passOn()
 	}
 }
@@ -305,6 +320,9 @@
 	s.mu.Lock()
 	s.ends++
 	s.group.End(now, x.Began, x.Searcher, median, result)
+	if result == forward.Good || result == forward.SearcherFailed {
+		s.stretch.Observe(now.Sub(x.Began), median)
+	}
 	s.group.Note(now, x.Searcher.Identity, x.notice)
 	var idle []*conn
 	if result == forward.Lost && x.timedOut {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -91,20 +91,11 @@
 	return o
 }
 
-// retryAfterOutage is the retry hint for a request that no working searcher
-// could serve. A crashed searcher needs seconds to return, and after a start of
-// this host its targets announce themselves within about a second.
-const retryAfterOutage = time.Second
-
 // RetryAfterStop is the retry hint for a request that this host can't serve because it
 // stops. It is short because the load balancer sends the next connection to another
 // host.
 const RetryAfterStop = 20 * time.Millisecond
 
-// retryAfterOverload is the retry hint for a request that searchers rejected or
-// did not answer in time. Their queues hold about a dozen requests.
-const retryAfterOverload = 150 * time.Millisecond
-
 // resumeAt returns when enough searchers end the pauses that they asked for that
 // the request could be served, or the zero time if no pause is the reason.
 func (r *Run) resumeAt() time.Time {
@@ -127,8 +118,9 @@
 
 // failure returns the error of a run without a usable answer.
 func (r *Run) failure(now time.Time, subject string) *verdict.Error {
-	v, rejected := verdict.NotRun, false
+	v, rejected, crowded := verdict.NotRun, false, false
 	for _, sub := range r.subs {
+		crowded = crowded || sub.crowded
 		for _, a := range sub.attempts {
 			av := a.Result.Verdict()
 			if a.Open {
@@ -147,11 +139,13 @@
 	case v == verdict.NotRun && resume.After(now):
 		return verdict.New(v, CodePaused, "%s asked for no requests until after the deadline", subject).WithRetryAfter(resume.Sub(now))
 	case !now.Before(r.deadline):
-		return verdict.New(v, verdict.CodeDeadlineExceeded, "%s did not answer in time", subject).WithRetryAfter(retryAfterOverload)
+		return verdict.New(v, verdict.CodeDeadlineExceeded, "%s did not answer in time", subject).WithRetryAfter(r.retryHint(now, r.drainTime()))
 	case v == verdict.NotRun && rejected:
-		return verdict.New(v, CodeOverloaded, "%s rejected the request", subject).WithRetryAfter(retryAfterOverload)
+		return verdict.New(v, CodeOverloaded, "%s rejected the request", subject).WithRetryAfter(r.retryHint(now, r.drainTime()))
+	case v == verdict.NotRun && crowded:
+		return verdict.New(v, CodeOverloaded, "%s has no room before the deadline", subject).WithRetryAfter(r.retryHint(now, r.drainTime()))
 	case v == verdict.NotRun:
-		return verdict.New(v, CodeNoSearcher, "%s can't be reached", subject).WithRetryAfter(retryAfterOutage)
+		return verdict.New(v, CodeNoSearcher, "%s can't be reached", subject).WithRetryAfter(r.retryHint(now, drainOutage))
 	case r.route.Gather != nil:
 		return verdict.New(v, CodeFewShards, "%d of %d shards answered, at least %d are needed", r.good, len(r.subs), r.minShards)
 	default:
--- a/internal/forward/part.go
+++ b/internal/forward/part.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
@@ -39,7 +41,8 @@
 	return Allowance{Early: min(own+share, len(part)), Settled: min(maxMissing-down+own, len(part))}, true
 }
 
-// RefusePart returns the error for a part of a divided gather that has no allowance.
-func RefusePart(shards int) *verdict.Error {
-	return verdict.New(verdict.NotRun, CodeNoSearcher, "too many of the %d shards can't be reached", shards).WithRetryAfter(retryAfterOutage)
+// RefusePart returns the error for a part of a divided gather that has no allowance. left
+// and u are as for RetryHint.
+func RefusePart(shards int, left time.Duration, u float64) *verdict.Error {
+	return verdict.New(verdict.NotRun, CodeNoSearcher, "too many of the %d shards can't be reached", shards).WithRetryAfter(RetryHint(left, drainOutage, u))
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -67,12 +67,14 @@
 	service   string
 	attempts  []*Attempt
 	good      *Attempt
-	failed    *Attempt  // ended with SearcherFailed; its reply goes to callers of a single service
-	notBefore time.Time // earliest retry at a searcher that rejected the request
-	nextHedge time.Time // earliest next hedge, after one was not possible
-	resume    time.Time // end of the pauses that all of its searchers asked for; zero for none
-	waiting   bool      // for capacity at a searcher
-	givenUp   bool      // no further attempt is made
+	failed    *Attempt      // ended with SearcherFailed; its reply goes to callers of a single service
+	notBefore time.Time     // earliest retry at a searcher that rejected the request
+	nextHedge time.Time     // earliest next hedge, after one was not possible
+	resume    time.Time     // end of the pauses that all of its searchers asked for; zero for none
+	waiting   bool          // for capacity at a searcher
+	crowded   bool          // given up because its turn would come too late
+	wait      time.Duration // expected until its turn when it was given up for that
+	givenUp   bool          // no further attempt is made
 }
 
 // maxAttemptsPerSubRequest bounds the attempts of a sub-request, including
@@ -298,6 +300,19 @@
 	return r.settle(now)
 }
 
+// TurnRefused handles that a sub-request that waits for capacity is not expected to be
+// answered in time. wait is how long its turn would have taken to come.
+func (r *Run) TurnRefused(now time.Time, index int, wait time.Duration) []Effect {
+	r.effects = nil
+	sub := r.subs[index]
+	if r.finished || !sub.waiting {
+		return nil
+	}
+	sub.waiting, sub.crowded, sub.wait = false, true, wait
+	r.giveUp(sub)
+	return r.settle(now)
+}
+
 // EndBy makes the run end by a time before its deadline, because this host stops. From
 // then on it begins no attempt that is not expected to end in time: another host can
 // still serve the request. It may be called before Start.
