Refuse requests whose turn comes too late when searchers slow down

Cause: a request whose wait had become too long while it waited was refused only when its turn came, or at its deadline.

Change: each attempt that ends has the waiting single-service requests checked against the pace of the service (forward.Queue.Hopeless). The tests simulate the loads and compare with the order before.

--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -135,10 +135,8 @@
 	t := w.turn()
 	now := time.Now()
 	wait := s.stretch.Wait(s.queue.Ahead(t), s.group.Room(now))
-	// A gather may do without a shard that has no room, but not be refused any more once
-	// other shards have got it.
-	if r.subRequests == 1 && !forward.Servable(now, t.Deadline, wait, t.Cost) {
-		w.refuse(wait)
+	if w.mayRefuse() && !forward.Servable(now, t.Deadline, wait, t.Cost) {
+		w.refuse(s.drain(now))
 		return
 	}
 	s.queue.Push(t, w)
@@ -150,7 +148,7 @@
 	for {
 		w, ok, late := s.queue.Next(time.Now(), waiter.cost)
 		for _, l := range late {
-			l.refuse(0)
+			l.refuse(s.drain(time.Now()))
 		}
 		if !ok || !w.runner.ended.Load() {
 			return w, ok
@@ -158,6 +156,27 @@
 	}
 }
 
+// refuseHopeless refuses the waiting requests to this service alone whose turns will come
+// too late. The caller holds the lock.
+func (s *service) refuseHopeless(now time.Time) {
+	room := s.group.Room(now)
+	wait := func(work time.Duration) time.Duration { return s.stretch.Wait(work, room) }
+	for _, w := range s.queue.Hopeless(now, wait, waiter.mayRefuse) {
+		w.refuse(s.drain(now))
+	}
+}
+
+// drain returns the time in which the waiting runs take their turns. The caller holds the
+// lock.
+func (s *service) drain(now time.Time) time.Duration {
+	return s.stretch.Wait(s.queue.Work(), s.group.Room(now))
+}
+
+// mayRefuse reports whether a run may be refused because its turn will come too late. A
+// gather may do without a shard that has no room, but not be refused any more once other
+// shards have got it.
+func (w waiter) mayRefuse() bool { return w.runner.subRequests == 1 }
+
 // leave removes a waiting run that has ended. A notice that it has not handled goes to the
 // next one: there may be no other attempt whose end would notify that one.
 func (s *service) leave(r *runner, subRequest int) {
@@ -331,6 +350,7 @@
 		idle, p.idle = p.idle, nil
 	}
 	next, waiting := s.nextWaiter()
+	s.refuseHopeless(now)
 	s.mu.Unlock()
 	if result == forward.Misdirected && s.engine.config.OnMisdirected != nil {
 		s.engine.config.OnMisdirected(x.Searcher.Target, x.Searcher.Incarnation)
--- a/internal/forward/queue.go
+++ b/internal/forward/queue.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -62,6 +63,14 @@
 // Len returns the number of requests that wait.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
+// Work returns the cost of all requests that wait.
+func (q *Queue[T]) Work() (work time.Duration) {
+	for _, e := range q.items {
+		work += e.cost()
+	}
+	return work
+}
+
 // Push adds a request.
 func (q *Queue[T]) Push(t Turn, v T) {
 	i := len(q.items)
@@ -179,6 +188,50 @@
 	return own + ahead
 }
 
+// Hopeless removes and returns the requests whose turns come too late for their deadlines if
+// the queue moves on as it does now. wait returns how long work of a given cost takes.
+// Requests for which mayRefuse is false stay.
+func (q *Queue[T]) Hopeless(now time.Time, wait func(time.Duration) time.Duration, mayRefuse func(T) bool) (out []T) {
+	if q.allServable(now, wait) {
+		return nil
+	}
+	var work time.Duration
+	order := q.clone()
+	for i := order.first(); i >= 0; i = order.first() {
+		e := order.items[i]
+		order.items = slices.Delete(order.items, i, i+1)
+		if mayRefuse(e.value) && !Servable(now, e.Deadline, wait(work), e.Cost) {
+			out = append(out, e.value)
+			continue
+		}
+		order.charge(e.Turn)
+		work += e.cost()
+	}
+	for _, v := range out {
+		q.Remove(v)
+	}
+	return out
+}
+
+// allServable reports whether all requests can be answered in whatever order. It spares
+// Hopeless most of its work while the queue is short.
+func (q *Queue[T]) allServable(now time.Time, wait func(time.Duration) time.Duration) bool {
+	var longest time.Duration
+	for _, e := range q.items {
+		longest = max(longest, e.Cost)
+	}
+	last := wait(q.Work())
+	return !slices.ContainsFunc(q.items, func(e queued[T]) bool { return !Servable(now, e.Deadline, last, longest) })
+}
+
+func (q *Queue[T]) clone() *Queue[T] {
+	out := &Queue[T]{items: slices.Clone(q.items), classes: make(map[int]*class, len(q.classes))}
+	for p, c := range q.classes {
+		out.classes[p] = &class{now: c.now, virtual: maps.Clone(c.virtual)}
+	}
+	return out
+}
+
 // Remove removes a request and reports whether it was waiting.
 func (q *Queue[T]) Remove(v T) bool {
 	i := slices.IndexFunc(q.items, func(e queued[T]) bool { return e.value == v })
