Refuse a request at once that no searcher can answer by its deadline

Cause: a request to a single service was sent although every searcher was expected to answer after the deadline, and its caller learned that at the deadline.

Change: such a request is refused before anything is sent; the estimate decays, so a service that has recovered is tried again. docs/design/load.md describes the decisions under load.

Result: the tests of package forward pass.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -194,6 +194,7 @@
 func (r *Run) Start(now time.Time) []Effect {
 	r.effects, r.started = nil, true
 	late := r.findLate(now)
+	r.refuseLate(now, late)
 	if o, done := r.outcome(now); done {
 		r.finished = true
 		return []Effect{Finish{Outcome: o}}
@@ -229,6 +230,20 @@
 	return late
 }
 
+// refuseLate gives up a request to a single service that no searcher is expected to answer
+// by the deadline. The estimate decays while nothing is sent, so that a service that was
+// slow is tried again.
+func (r *Run) refuseLate(now time.Time, late []lateSubRequest) {
+	if r.route.Gather != nil || r.endsEarly {
+		return
+	}
+	for _, sub := range late {
+		expected, _ := r.env.Expected(now, sub.service)
+		sub.crowded, sub.wait = true, expected
+		r.giveUp(sub.subRequest)
+	}
+}
+
 // skipJitter randomizes which late sub-requests are skipped, so that the
 // remaining load is spread over shards that are about equally late.
 const (
