Model that answers to polls reach only the process that polled

In the model, the answer to a poll of a host's earlier process reached the restarted one, whose polls have the same numbers, and an old confirmation was dated by the new poll. In the product the answer is that of the poll's own RPC, on a connection of the process that polled, so this can't happen.

Change: the model loses answers to an earlier process.

--- a/internal/accounts/fleet_test.go
+++ b/internal/accounts/fleet_test.go
@@ -37,6 +37,7 @@
 	covered   accounts.Confirmations
 	plan      uint64
 	suspended bool
+	process   int // number of starts
 }
 
 // fleet runs voters, relays and hosts on virtual time. One voter at a time leads, and a
@@ -61,6 +62,9 @@
 	from, to string
 	poll     *follow.Poll
 	update   *follow.Update
+	// process is the process of the host that polls. The answer comes back on its own
+	// connection, so it reaches no later process, whose polls have the same numbers.
+	process int
 }
 
 var (
@@ -84,7 +88,7 @@
 // start starts a host with the plan that it finds on its disk.
 func (f *fleet) start(name string, plan uint64) {
 	n := f.nodes[name]
-	*n = node{name: name, clock: n.clock, follower: follow.NewFollower(name, false), feed: follow.NewFeed(name)}
+	*n = node{name: name, clock: n.clock, process: n.process + 1, follower: follow.NewFollower(name, false), feed: follow.NewFeed(name)}
 	f.step(n, follow.FeedsChanged{Feeds: feedsOf(name)})
 	f.applyPlan(n, plan)
 }
@@ -106,7 +110,7 @@
 	for _, e := range n.follower.Step(n.clock.at(f.now), ev) {
 		switch e := e.(type) {
 		case follow.SendPoll:
-			f.send(message{from: n.name, to: e.To, poll: &e.Poll})
+			f.send(message{from: n.name, to: e.To, poll: &e.Poll, process: n.process})
 		case follow.ApplyPlan:
 			f.applyPlan(n, e.Document.Version)
 		case follow.Confirmed:
@@ -157,11 +161,12 @@
 		case f.cut[[2]string{m.from, m.to}] || f.cut[[2]string{m.to, m.from}]:
 		case m.at > f.now || n.suspended:
 			f.queue = append(f.queue, m) // a suspended host handles it when it resumes
+		case m.update != nil && m.update.Seq != 0 && m.process != n.process:
 		case m.update != nil:
 			f.step(n, follow.UpdateReceived{Update: *m.update})
 		default:
 			u := n.feed.Answer(n.clock.at(f.now), *m.poll, n.confirmed, 0, func() config.State { return config.State{} })
-			f.send(message{from: m.to, to: m.poll.From, update: &u})
+			f.send(message{from: m.to, to: m.poll.From, update: &u, process: m.process})
 		}
 	}
 }
