Spare the check of waiting requests where none may be refused

Cause: Hopeless simulated all turns after each attempt at an overloaded shard although requests of gathers are never refused there.

Change: it returns at once if no request that may be refused is late.

Result: TestHopelessRequests and the tests of forward and forwardrun pass.

--- a/internal/forward/queue.go
+++ b/internal/forward/queue.go
@@ -192,7 +192,7 @@
 // the queue moves on as it does now. wait returns how long work of a given cost takes.
 // Requests for which mayRefuse is false stay.
 func (q *Queue[T]) Hopeless(now time.Time, wait func(time.Duration) time.Duration, mayRefuse func(T) bool) (out []T) {
-	if q.allServable(now, wait) {
+	if q.allServable(now, wait, mayRefuse) {
 		return nil
 	}
 	var work time.Duration
@@ -213,15 +213,17 @@
 	return out
 }
 
-// allServable reports whether all requests can be answered in whatever order. It spares
-// Hopeless most of its work while the queue is short.
-func (q *Queue[T]) allServable(now time.Time, wait func(time.Duration) time.Duration) bool {
+// allServable reports whether all requests that may be refused can be answered in whatever
+// order. It spares Hopeless most of its work while the queue is short.
+func (q *Queue[T]) allServable(now time.Time, wait func(time.Duration) time.Duration, mayRefuse func(T) bool) bool {
 	var longest time.Duration
 	for _, e := range q.items {
 		longest = max(longest, e.Cost)
 	}
 	last := wait(q.Work())
-	return !slices.ContainsFunc(q.items, func(e queued[T]) bool { return !Servable(now, e.Deadline, last, longest) })
+	return !slices.ContainsFunc(q.items, func(e queued[T]) bool {
+		return mayRefuse(e.value) && !Servable(now, e.Deadline, last, longest)
+	})
 }
 
 func (q *Queue[T]) clone() *Queue[T] {
--- a/internal/forward/queue_test.go
+++ b/internal/forward/queue_test.go
@@ -202,3 +202,28 @@
 		}
 	}
 }
+
+// Guards against a request that stays although its turn comes too late, against one that is
+// refused although its turn comes in time, and against a gather that is refused.
+func TestHopelessRequests(t *testing.T) {
+	const cost = 100 * time.Millisecond
+	wait := func(work time.Duration) time.Duration { return 2 * work } // the searchers are slow
+	fill := func() *Queue[int] {
+		q := &Queue[int]{}
+		for i := range 10 {
+			q.Push(Turn{Account: "busy", Deadline: queueStart.Add(time.Second), Cost: cost}, i)
+		}
+		q.Push(Turn{Account: "other", Deadline: queueStart.Add(time.Second), Cost: cost}, 100)
+		return q
+	}
+	q := fill()
+	// The turns at 0, 200, 400, 600 and 800 ms end in time; the other account has one of them.
+	require.Equal(t, []int{4, 5, 6, 7, 8, 9}, q.Hopeless(queueStart, wait, func(int) bool { return true }))
+	require.Equal(t, 5, q.Len())
+	require.Empty(t, q.Hopeless(queueStart, wait, func(int) bool { return true }))
+	require.Equal(t, []int{0, 100, 1, 2, 3}, takeAll(q))
+	q = fill()
+	require.Empty(t, q.Hopeless(queueStart, wait, func(int) bool { return false }))
+	require.Equal(t, []int{9}, q.Hopeless(queueStart, wait, func(i int) bool { return i == 9 }))
+	require.Equal(t, 10, q.Len())
+}
