--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -31,7 +31,8 @@
 	// network to the caller and, at a gatherer, on the way to the host that asked.
 	Delay time.Duration
 	// Account is the client account of the caller, nil if the route needs none. Key is
-	// the digest of the key by which it was found.
+	// the digest of the caller's key, also on a route that needs none; zero if the caller
+	// sent no key.
 	Account *accounts.Account
 	Key     accounts.Key
 	// Permit returns why no further attempt may be made, or nil. It is called on the
@@ -39,6 +40,14 @@
 	Permit func() *verdict.Error
 }
 
+// Permitted returns why no further attempt may be made, or nil.
+func (c *Call) Permitted() *verdict.Error {
+	if c.Permit == nil {
+		return nil
+	}
+	return c.Permit()
+}
+
 // priority returns the rank of the call, 0 for the most urgent.
 func (c *Call) priority() int { return c.Account.PriorityOr(c.Route.Priority) }
 
@@ -51,6 +60,19 @@
 	return f
 }
 
+// nominalWeight is the weight of an account without a limit, and of requests of none. It
+// is about the rate of a usual account.
+const nominalWeight = 10
+
+// weight returns the share of the call's account where accounts compete: its limit, which
+// is in proportion to what it usually sends.
+func (c *Call) weight() float64 {
+	if c.Account == nil || c.Account.Rate <= 0 {
+		return nominalWeight
+	}
+	return c.Account.Rate
+}
+
 // began returns the time from which the latency objective counts here: an answer
 // that leaves this host within the objective after it reaches the caller in time.
 func (c *Call) began() time.Time { return c.Arrived.Add(-c.Delay) }
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -79,6 +79,7 @@
 	timing       *forward.Timing
 	splitter     forward.Splitter
 	admission    forward.Admission
+	fair         forward.FairShares
 	priority     int
 	firstService string // identifies routes over the same shards
 }
@@ -260,11 +261,14 @@
 	}
 }
 
-// event is an input of a run: an ended exchange, or freed capacity.
+// event is an input of a run: an ended exchange, freed capacity, or a turn that would come
+// too late.
 type event struct {
-	exchange *exchange // ended; nil if capacity was freed
+	exchange *exchange // ended; nil if capacity was freed or a turn refused
 	result   forward.Result
-	freed    int // index of the sub-request whose service may have capacity
+	freed    int           // index of the sub-request whose service may have capacity
+	refused  bool          // the turn of the sub-request would come too late
+	wait     time.Duration // until that turn
 }
 
 // runner drives one run. Its Environment methods are called on its goroutine.
@@ -282,6 +286,7 @@
 	hedgeDelay  time.Duration
 	leaving     []forward.Identity
 	endsSeen    map[string]uint64 // by service found busy: attempts that had ended there
+	awaiting    map[int]*service  // by sub-request that waits for capacity there
 	ended       atomic.Bool       // the run needs no more events
 	denied      *verdict.Error    // why Call.Permit stopped further attempts
 
@@ -304,9 +309,10 @@
 	rng := rand.New(rand.NewPCG(e.config.Seed, uint64(e.stats.Calls.Load())))
 	share := e.admittedShare(call, state)
 	// Whether a divided gather is admitted is decided before its parts are sent.
-	if call.Shards == nil && !Admits(call.ID, share) {
-		e.stats.Shed.Add(1)
-		return &Answer{}, NotAdmitted(share)
+	if call.Shards == nil {
+		if err := e.Admit(call, share); err != nil {
+			return &Answer{}, err
+		}
 	}
 	var allowance forward.Allowance
 	if call.Shards != nil {
@@ -321,7 +327,7 @@
 	r := &runner{
 		engine: e, call: call, route: state, events: make(chan event, maxEventsPerSubRequest*len(services)),
 		replies: make(map[*forward.Attempt]*Reply, len(services)),
-		rng:     rng, subRequests: len(services),
+		rng:     rng, subRequests: len(services), awaiting: make(map[int]*service),
 	}
 	left := 0.0
 	if call.Route.Gather != nil { // a request to one service has no slowest shard to wait for
@@ -346,10 +352,11 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	defer r.releaseReplies()
-	defer r.ended.Store(true)
+	defer r.leaveQueues()
 	end := r.engine.ending.Load()
 	limit(run, now, end)
 	effects := run.Start(now)
+	stopped := false // no further attempt is permitted
 	for {
 		if o, done := r.execute(effects); done {
 			answer, err := r.answer(run, o)
@@ -359,6 +366,11 @@
 			return answer, err
 		}
 		now = time.Now()
+		if r.denied != nil && !stopped {
+			stopped = true
+			effects = run.StopSending(now)
+			continue
+		}
 		timer.Reset(max(run.Next(now).Sub(now), 0))
 		select {
 		case <-ctx.Done():
@@ -425,8 +437,12 @@
 // handle passes an event to the run.
 func (r *runner) handle(run *forward.Run, ev event) []forward.Effect {
 	now := time.Now()
-	if ev.exchange == nil {
-		return run.CapacityFreed(now, ev.freed)
+	switch {
+	case ev.exchange == nil && ev.refused:
+		delete(r.awaiting, ev.freed)
+		return run.TurnRefused(now, ev.freed, ev.wait)
+	case ev.exchange == nil:
+		return r.capacityFreed(run, now, ev.freed)
 	}
 	i := slices.Index(r.open, ev.exchange)
 	if i >= 0 {
@@ -448,6 +464,35 @@
 	return run.Ended(now, ev.exchange.Attempt, ev.result)
 }
 
+// capacityFreed has a sub-request take its turn. If it does not, the next run does.
+func (r *runner) capacityFreed(run *forward.Run, now time.Time, subRequest int) []forward.Effect {
+	svc := r.awaiting[subRequest]
+	delete(r.awaiting, subRequest)
+	effects := run.CapacityFreed(now, subRequest)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case forward.Send:
+			if e.Attempt.SubRequest == subRequest {
+				return effects
+			}
+		case forward.AwaitCapacity:
+			return effects
+		}
+	}
+	if svc != nil {
+		svc.passOn()
+	}
+	return effects
+}
+
+// leaveQueues ends the run's waits for capacity.
+func (r *runner) leaveQueues() {
+	r.ended.Store(true)
+	for subRequest, svc := range r.awaiting {
+		svc.leave(r, subRequest)
+	}
+}
+
 // execute carries out effects and returns the outcome once there is one.
 func (r *runner) execute(effects []forward.Effect) (forward.Outcome, bool) {
 	for _, e := range effects {
@@ -455,7 +500,9 @@
 		case forward.Send:
 			r.send(e.Attempt)
 		case forward.AwaitCapacity:
-			r.engine.service(e.Service).await(r, e.SubRequest, r.endsSeen[e.Service])
+			svc := r.engine.service(e.Service)
+			r.awaiting[e.SubRequest] = svc
+			svc.await(r, e.SubRequest, r.endsSeen[e.Service])
 		case forward.Finish:
 			return e.Outcome, true
 		}
@@ -508,10 +555,8 @@
 
 // Begin implements forward.Environment.
 func (r *runner) Begin(now time.Time, name string, opts forward.AttemptOptions) (*forward.Searcher, bool) {
-	if r.call.Permit != nil {
-		if r.denied = r.call.Permit(); r.denied != nil {
-			return nil, false
-		}
+	if r.denied = r.call.Permitted(); r.denied != nil {
+		return nil, false
 	}
 	s, busy, ends := r.engine.service(name).begin(now, r.criteria(), opts, r.rng)
 	if busy {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -67,12 +67,14 @@
 	service   string
 	attempts  []*Attempt
 	good      *Attempt
-	failed    *Attempt  // ended with SearcherFailed; its reply goes to callers of a single service
-	notBefore time.Time // earliest retry at a searcher that rejected the request
-	nextHedge time.Time // earliest next hedge, after one was not possible
-	resume    time.Time // end of the pauses that all of its searchers asked for; zero for none
-	waiting   bool      // for capacity at a searcher
-	givenUp   bool      // no further attempt is made
+	failed    *Attempt      // ended with SearcherFailed; its reply goes to callers of a single service
+	notBefore time.Time     // earliest retry at a searcher that rejected the request
+	nextHedge time.Time     // earliest next hedge, after one was not possible
+	resume    time.Time     // end of the pauses that all of its searchers asked for; zero for none
+	waiting   bool          // for capacity at a searcher
+	crowded   bool          // given up because its turn would come too late
+	wait      time.Duration // expected until its turn when it was given up for that
+	givenUp   bool          // no further attempt is made
 }
 
 // maxAttemptsPerSubRequest bounds the attempts of a sub-request, including
@@ -192,6 +194,7 @@
 func (r *Run) Start(now time.Time) []Effect {
 	r.effects, r.started = nil, true
 	late := r.findLate(now)
+	r.refuseLate(now, late)
 	if o, done := r.outcome(now); done {
 		r.finished = true
 		return []Effect{Finish{Outcome: o}}
@@ -227,6 +230,20 @@
 	return late
 }
 
+// refuseLate gives up a request to a single service that no searcher is expected to answer
+// by the deadline. The estimate decays while nothing is sent, so that a service that was
+// slow is tried again.
+func (r *Run) refuseLate(now time.Time, late []lateSubRequest) {
+	if r.route.Gather != nil || r.endsEarly {
+		return
+	}
+	for _, sub := range late {
+		expected, _ := r.env.Expected(now, sub.service)
+		sub.crowded, sub.wait = true, expected
+		r.giveUp(sub.subRequest)
+	}
+}
+
 // skipJitter randomizes which late sub-requests are skipped, so that the
 // remaining load is spread over shards that are about equally late.
 const (
@@ -298,6 +315,19 @@
 	return r.settle(now)
 }
 
+// TurnRefused handles that a sub-request that waits for capacity is not expected to be
+// answered in time. wait is how long its turn would have taken to come.
+func (r *Run) TurnRefused(now time.Time, index int, wait time.Duration) []Effect {
+	r.effects = nil
+	sub := r.subs[index]
+	if r.finished || !sub.waiting {
+		return nil
+	}
+	sub.waiting, sub.crowded, sub.wait = false, true, wait
+	r.giveUp(sub)
+	return r.settle(now)
+}
+
 // EndBy makes the run end by a time before its deadline, because this host stops. From
 // then on it begins no attempt that is not expected to end in time: another host can
 // still serve the request. It may be called before Start.
@@ -339,6 +369,21 @@
 	return late
 }
 
+// StopSending makes the run begin no further attempt, because the request may no longer
+// run. Attempts in flight go on.
+func (r *Run) StopSending(now time.Time) []Effect {
+	r.effects = nil
+	if r.finished {
+		return nil
+	}
+	for _, sub := range r.subs {
+		if sub.good == nil {
+			r.giveUp(sub)
+		}
+	}
+	return r.settle(now)
+}
+
 // Tick does what is due at a time: retries, hedges, and the end of the run.
 func (r *Run) Tick(now time.Time) []Effect {
 	r.effects = nil
