Don't submit an order for a failure domain that was given up

Cause: the base of an order is taken when the host handles the call. A host that was stopped or cut off reads an abandoned order late, may know later orders by then, and so undid them.

Change: OrderDomain takes the base, waits 50 ms for the HTTP server to learn of a closed connection, and submits nothing if the context has ended.

--- a/internal/config/confighttp/server_test.go
+++ b/internal/config/confighttp/server_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -39,6 +40,7 @@
 	withdrawn  bool
 	orders     uint64
 	orderErr   error
+	abandoned  chan error // if set, orders wait for the end of their context and report its cause here
 }
 
 func (f *fakeBackend) Propose(_ context.Context, c config.Change) (config.Result, error) {
@@ -99,7 +101,12 @@
 	return DomainOrder{Domain: domain, Withdrawn: withdraw, Revision: f.orders, Capacity: []ServiceCapacity{{Service: "a", Searchers: 1, Slots: 2, Lost: withdraw}}}, nil
 }
 
-func (f *fakeBackend) OrderDomain(_ context.Context, _ string, withdraw bool) (uint64, error) {
+func (f *fakeBackend) OrderDomain(ctx context.Context, _ string, withdraw bool) (uint64, error) {
+	if f.abandoned != nil {
+		<-ctx.Done()
+		f.abandoned <- ctx.Err()
+		return 0, f.orderErr
+	}
 	f.withdrawn = withdraw
 	f.orders++
 	return f.orders, f.orderErr
@@ -145,6 +152,20 @@
 	require.Zero(t, teams.orders)
 }
 
+// Guards against an order that is carried out although its operator has closed the
+// connection, because the backend is not told.
+func TestClosedConnectionEndsTheContextOfADomainOrder(t *testing.T) {
+	f := newFixture(t, "")
+	f.abandoned = make(chan error, 1)
+	f.orderErr = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "given up")
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "POST /v1/admin/domains/fd%2F1/withdraw HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.ErrorIs(t, <-f.abandoned, context.Canceled)
+}
+
 type fixture struct {
 	*fakeBackend
 	client *Client
--- a/internal/daemon/withdrawals.go
+++ b/internal/daemon/withdrawals.go
@@ -17,19 +17,30 @@
 	"github.com/hawthornlock/hawthornlock/internal/withdrawal/withdrawalcodec"
 )
 
+// abandonedOrderWait is the time between the base of an order and its submission. The HTTP
+// server learns of a closed connection by reading from it. A host that was stopped or cut off
+// has read the order before that, and may know later orders already.
+const abandonedOrderWait = 50 * time.Millisecond
+
 // OrderDomain withdraws or restores a failure domain. It returns once the order is on the
 // disks of a majority of the voters. Errors are withdrawal.CodeUnknownDomain, if the
 // settings don't list the failure domain, withdrawal.CodeConflict, if another order
 // overtook this one, and those of the replicated log.
 //
 // All attempts carry the revision that this host knew at first. Copies that arrive after a
-// later order therefore have no effect.
+// later order therefore have no effect. The order is not submitted if ctx ends within
+// abandonedOrderWait, so ctx must end when the operator closes the connection.
 func (d *Daemon) OrderDomain(ctx context.Context, domain string, withdraw bool) (withdrawal.Result, error) {
 	s := d.loop.Snapshot()
 	o := withdrawal.Order{FailureDomain: domain, Withdraw: withdraw, Base: s.Withdrawals.Revision()}
 	if err := d.checkDomain(s, o); err != nil {
 		return withdrawal.Result{}, err
 	}
+	select {
+	case <-ctx.Done():
+		return withdrawal.Result{}, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeUnavailable, "the order was given up")
+	case <-time.After(abandonedOrderWait):
+	}
 	data, err := d.submit(ctx, proposals.KindWithdrawal, controlcodec.EncodeWithdrawal(time.Now(), o), planAttemptTimeout)
 	if err != nil {
 		return withdrawal.Result{}, err
