Give a failure domain a new revision when an order finds it as asked

Cause: an order through a host that lags behind was acknowledged as unchanged, and the record kept its revision. A late copy of a contradicting order that was based on that revision, and given up, was then applied.

Change: such an order changes nothing but the revision. The property test now covers hosts that lag behind and orders that are given up; an order that was decided before is still never applied again.

--- a/internal/withdrawal/store.go
+++ b/internal/withdrawal/store.go
@@ -8,7 +8,7 @@
 	// Applied means that the failure domain now is as the order asked.
 	Applied Outcome = iota + 1
 	// Unchanged means that the failure domain was as the order asked, by an order after
-	// its base.
+	// its base. It gets a new revision nevertheless.
 	Unchanged
 	// Overtaken means that a later order for the failure domain contradicts the order,
 	// which changed nothing.
@@ -41,7 +41,7 @@
 
 // Apply decides an order.
 //
-// An order that finds its failure domain as it asks still gives it a new revision, unless
+// An order that finds its failure domain as it asks still gives it a new revision, also if
 // it is based on an earlier set. Otherwise a contradicting order that was abandoned
 // earlier, and is still on its way, would undo the acknowledged one.
 func (s *Store) Apply(o Order) Result {
@@ -49,14 +49,15 @@
 		return Result{Revision: s.set.Revision(), Outcome: Refused}
 	}
 	d, known := s.set.Domain(o.FailureDomain)
+	outcome := Applied
 	switch {
 	case !known && len(s.set.Domains()) >= MaxDomains:
 		return Result{Revision: s.set.Revision(), Outcome: Refused}
 	case d.Revision > o.Base && d.Withdrawn == o.Withdraw:
-		return Result{Revision: s.set.Revision(), Outcome: Unchanged}
+		outcome = Unchanged
 	case d.Revision > o.Base:
 		return Result{Revision: s.set.Revision(), Outcome: Overtaken}
 	}
 	s.set = s.set.with(o.FailureDomain, o.Withdraw)
-	return Result{Revision: s.set.revision, Outcome: Applied}
+	return Result{Revision: s.set.revision, Outcome: outcome}
 }
--- a/internal/withdrawal/withdrawal_test.go
+++ b/internal/withdrawal/withdrawal_test.go
@@ -15,8 +15,8 @@
 	require.Equal(t, Result{Revision: 1, Outcome: Applied}, first)
 	again := s.Apply(Order{FailureDomain: "a", Withdraw: true})
 	require.True(t, again.Acknowledged())
-	require.Equal(t, Result{Revision: 1, Outcome: Unchanged}, again)
-	require.True(t, s.Apply(Order{FailureDomain: "a", Withdraw: true, Base: 1}).Acknowledged(), "by a host that knows of the first")
+	require.Equal(t, Result{Revision: 2, Outcome: Unchanged}, again)
+	require.True(t, s.Apply(Order{FailureDomain: "a", Withdraw: true, Base: 2}).Acknowledged(), "by a host that knows of the first")
 	require.Equal(t, []string{"a"}, s.Set().Names())
 }
 
@@ -36,33 +36,63 @@
 	require.True(t, never.Apply(Order{FailureDomain: "b", Withdraw: true}).Acknowledged(), "orders for other domains don't conflict")
 }
 
-// Guards against an acknowledged order that is not in force until the next acknowledged
-// one, and against a revision that goes back, for any orders and copies of them.
+// Guards against a late copy that undoes an order which was acknowledged, through a host that
+// lags behind, because the failure domain was as it asked.
+func TestLateCopyDoesNotUndoAnOrderThatFoundItsDomainAsAsked(t *testing.T) {
+	s := NewStore(nil)
+	require.True(t, s.Apply(Order{FailureDomain: "a", Withdraw: true}).Acknowledged())
+	late := Order{FailureDomain: "a", Base: 1} // given up, and a copy is in flight
+	require.Equal(t, Unchanged, s.Apply(Order{FailureDomain: "a", Withdraw: true}).Outcome, "through a host that lags behind")
+	require.Equal(t, Overtaken, s.Apply(late).Outcome)
+	require.True(t, s.Set().Withdrawn("a"))
+}
+
+// Guards against an acknowledged order that is not in force until a later one is decided, and
+// against a revision that goes back, for any orders, hosts that lag behind, and orders that
+// are given up before or after they are decided and arrive late.
 func TestLastAcknowledgedOrderIsInForce(t *testing.T) {
+	type sentOrder struct {
+		Order
+		decided bool
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		s := NewStore(nil)
-		acknowledged := map[string]bool{}
-		var sent []Order
+		acknowledged := map[string]int{} // index in sent of the latest acknowledged order
+		var sent []sentOrder
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			o := Order{FailureDomain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"), Withdraw: rapid.Bool().Draw(t, "withdraw"), Base: s.Set().Revision()}
 			late := len(sent) > 0 && rapid.Bool().Draw(t, "late")
+			i := len(sent)
 			if late {
-				o = sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
+				i = rapid.IntRange(0, len(sent)-1).Draw(t, "which")
+			} else {
+				current := s.Set().Revision()
+				sent = append(sent, sentOrder{Order: Order{
+					FailureDomain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"), Withdraw: rapid.Bool().Draw(t, "withdraw"),
+					Base: current - min(rapid.Uint64Range(0, 3).Draw(t, "lag"), current),
+				}})
+				if rapid.Bool().Draw(t, "given up") {
+					continue
+				}
 			}
-			sent = append(sent, o)
-			before := s.Set().Revision()
-			r := s.Apply(o)
+			o, before := sent[i], s.Set().Revision()
+			r := s.Apply(o.Order)
+			sent[i].decided = true
 			require.GreaterOrEqual(t, r.Revision, before)
 			require.Equal(t, s.Set().Revision(), r.Revision)
-			if !late {
+			latest, ok := acknowledged[o.FailureDomain]
+			switch {
+			case o.decided || late && ok && i < latest:
+				require.NotEqual(t, Applied, r.Outcome, "the order or a later one was decided before")
+			case late && r.Outcome == Applied:
+				delete(acknowledged, o.FailureDomain) // the operator sent it after the acknowledged one
+			case !late && o.Base == before:
 				require.True(t, r.Acknowledged(), "an order that knows the current set is not refused")
-				acknowledged[o.FailureDomain] = o.Withdraw
-			}
-			if late {
-				require.NotEqual(t, Applied, r.Outcome, "the order or a later one was applied before")
+				acknowledged[o.FailureDomain] = i
+			case !late && r.Acknowledged():
+				acknowledged[o.FailureDomain] = i
 			}
-			for domain, withdrawn := range acknowledged {
-				require.Equal(t, withdrawn, s.Set().Withdrawn(domain))
+			for domain, i := range acknowledged {
+				require.Equal(t, sent[i].Withdraw, s.Set().Withdrawn(domain))
 			}
 		}
 	})
