Count only ends of the socket as lost connections

Cause: a connection that this host closed because of its own limits, or of a reply that it does not accept, marked the state of the target as unknown. A failed write did not.

Change: end of file, unexpected end of file, connection reset and broken pipe count, in a read or in a write.

--- a/internal/forward/forwardrun/conn.go
+++ b/internal/forward/forwardrun/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +45,7 @@
 	// until it has released the connection.
 	answered bool
 	// lost reports whether the searcher ended the connection in the middle of a request or
-	// before its idle time. It is owned like answered.
+	// before its idle time, or a write to it failed. It is owned like answered.
 	lost bool
 
 	// writing is held while a request is written that fits the socket's buffer, so
@@ -54,6 +56,7 @@
 	current   *exchange // in flight
 	sent      int       // requests
 	written   bool      // the whole request was written
+	broken    bool      // a write failed
 	closed    bool
 	idleUntil time.Time // when it is no longer used if idle; zero if unknown
 	onRelease func(c *conn, reusable bool)
@@ -181,6 +184,9 @@
 // reader goroutine reports the result.
 func (c *conn) write(request []byte) {
 	if _, err := c.net.Write(request); err != nil {
+		c.mu.Lock()
+		c.broken = !c.closed && endedByPeer(err)
+		c.mu.Unlock()
 		c.close()
 		return
 	}
@@ -246,7 +252,7 @@
 func (c *conn) fail(err error) {
 	c.mu.Lock()
 	x := c.current
-	c.lost = !c.closed && !errors.Is(err, os.ErrDeadlineExceeded) && (x != nil || time.Now().Before(c.idleUntil))
+	c.lost = c.broken || !c.closed && endedByPeer(err) && (x != nil || time.Now().Before(c.idleUntil))
 	c.current = nil
 	c.closed = true
 	c.mu.Unlock()
@@ -261,6 +267,18 @@
 	x.end(forward.Lost, nil)
 }
 
+// endedByPeer reports whether an error of a connection means that the other side ended it.
+// Limits of this host and replies that it does not accept say nothing about the state of the
+// searcher.
+func endedByPeer(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // statusMisdirected means that another searcher has the address.
 const statusMisdirected = http.StatusMisdirectedRequest
 
--- a/internal/forward/forwardrun/gate_test.go
+++ b/internal/forward/forwardrun/gate_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,6 +134,22 @@
 		"in a request":  {func(string, net.Conn) bool { return false }, true},
 		"while idle":    {func(id string, c net.Conn) bool { write(c, keepAlive(id, 60)); return false }, true},
 		"after a reply": {func(id string, c net.Conn) bool { write(c, reply(id, "body")); return false }, false},
+		"in a reply": {func(id string, c net.Conn) bool {
+			return write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 9\r\n\r\nbody", id)) && false
+		}, true},
+		"reset": {func(_ string, c net.Conn) bool { _ = c.(*net.TCPConn).SetLinger(0); return false }, true},
+		"body over the limit": {func(id string, c net.Conn) bool {
+			return write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 999999999999\r\n\r\n", id))
+		}, false},
+		"replies to other requests": {func(_ string, c net.Conn) bool {
+			return write(c, strings.Repeat(reply("other", "body"), maxForeignReplies+1))
+		}, false},
+		"no HTTP": {func(_ string, c net.Conn) bool { return write(c, "no HTTP\r\n\r\n") }, false},
+		"bytes while idle": {func(id string, c net.Conn) bool {
+			write(c, keepAlive(id, 60))
+			time.Sleep(20 * time.Millisecond) // until the reply was taken
+			return write(c, reply("other", "body"))
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ended := make(chan struct{}, 64)
@@ -153,6 +172,17 @@
 			require.Equal(t, c.lost, g.lost.Load() > 0)
 		})
 	}
+	t.Run("in a write", func(t *testing.T) {
+		own, peer := net.Pipe()
+		require.NoError(t, peer.Close())
+		for failure, want := range map[error]bool{syscall.EPIPE: true, os.ErrDeadlineExceeded: false, errMemoryLimited: false} {
+			released := make(chan bool, 1)
+			c := newConn(failingWrites{own, failure}, testWire{}, &replyMemory{}, func(c *conn, _ bool) { released <- c.lost })
+			c.write([]byte("request"))
+			c.read()
+			require.Equal(t, want, <-released, "%v", failure)
+		}
+	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	gone := forward.SearcherSpec{Identity: forward.Identity{Target: "t", Address: ln.Addr().(*net.TCPAddr).AddrPort()}, Slots: 1, Capacity: 1}
@@ -162,6 +192,14 @@
 	require.Eventually(t, func() bool { return g.lost.Load() > 0 }, testTimeout, time.Millisecond)
 }
 
+// failingWrites is a connection whose writes fail.
+type failingWrites struct {
+	net.Conn
+	err error
+}
+
+func (c failingWrites) Write([]byte) (int, error) { return 0, c.err }
+
 func keepAlive(id string, seconds int) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nKeep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n", id, seconds)
 }
