Tell a restore from an order that changes no state

Cause: a restore that was sent again, or of a failure domain that was never withdrawn, marked the state of all its targets as unknown, so they got only the requests of cold targets.

Change: a record also holds the revision of the latest order that changed the state, and RestoredSince compares that one.

Result: the tests of withdrawal, follow and control and of their encodings pass, among them withdrawal.TestOnlyAChangeOfStateCountsAsRestore.

--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -51,6 +51,9 @@
 	Name      string
 	Withdrawn bool
 	Revision  uint64 // of the latest order for it
+	// Changed is the revision of the latest order that changed Withdrawn, 0 if there was
+	// none. An order that is sent again does not move it.
+	Changed uint64
 }
 
 // Set is the record of all failure domains for which there was an order, at a revision.
@@ -66,7 +69,7 @@
 	s := &Set{revision: revision, domains: slices.Clone(domains)}
 	slices.SortFunc(s.domains, func(a, b Domain) int { return cmp.Compare(a.Name, b.Name) })
 	for i, d := range s.domains {
-		if !validName(d.Name) || d.Revision == 0 || d.Revision > revision || i > 0 && s.domains[i-1].Name == d.Name {
+		if !validName(d.Name) || d.Revision == 0 || d.Revision > revision || d.Changed > d.Revision || i > 0 && s.domains[i-1].Name == d.Name {
 			return nil, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "the record of failure domain %q is malformed", d.Name)
 		}
 	}
@@ -122,12 +125,12 @@
 	return out
 }
 
-// RestoredSince returns the failure domains that may have been restored after an earlier
-// set: those that are in use by a later order, sorted.
+// RestoredSince returns the failure domains that were restored after an earlier set, and are
+// still in use, sorted.
 func (s *Set) RestoredSince(earlier *Set) []string {
 	var out []string
 	for _, d := range s.Domains() {
-		if !d.Withdrawn && d.Revision > earlier.Revision() {
+		if !d.Withdrawn && d.Changed > earlier.Revision() {
 			out = append(out, d.Name)
 		}
 	}
@@ -141,11 +144,14 @@
 // with returns the set after an order for a failure domain.
 func (s *Set) with(name string, withdrawn bool) *Set {
 	out := &Set{revision: s.Revision() + 1, domains: slices.Clone(s.Domains())}
-	d := Domain{Name: name, Withdrawn: withdrawn, Revision: out.revision}
-	if i, ok := out.find(name); ok {
-		out.domains[i] = d
-	} else {
-		out.domains = slices.Insert(out.domains, i, d)
+	i, ok := out.find(name)
+	if !ok {
+		out.domains = slices.Insert(out.domains, i, Domain{Name: name})
+	}
+	d := &out.domains[i]
+	d.Revision = out.revision
+	if d.Withdrawn != withdrawn {
+		d.Withdrawn, d.Changed = withdrawn, out.revision
 	}
 	return out
 }
--- a/internal/withdrawal/withdrawal_test.go
+++ b/internal/withdrawal/withdrawal_test.go
@@ -98,6 +98,28 @@
 	})
 }
 
+// Guards against targets whose state is taken as unknown because a restore was sent again or
+// their failure domain was never withdrawn, and against a restore that is overlooked.
+func TestOnlyAChangeOfStateCountsAsRestore(t *testing.T) {
+	s := NewStore(nil)
+	order := func(withdraw bool) {
+		require.True(t, s.Apply(Order{FailureDomain: "a", Withdraw: withdraw, Base: s.Set().Revision()}).Acknowledged())
+	}
+	order(false)
+	require.Empty(t, s.Set().RestoredSince(nil), "it was never withdrawn")
+	order(true)
+	require.Empty(t, s.Set().RestoredSince(nil))
+	withdrawn := s.Set()
+	order(false)
+	restored := s.Set()
+	require.Equal(t, []string{"a"}, restored.RestoredSince(withdrawn))
+	order(false)
+	s.Apply(Order{FailureDomain: "a"})
+	require.Empty(t, s.Set().RestoredSince(restored), "the order was sent again")
+	require.Equal(t, []string{"a"}, s.Set().RestoredSince(withdrawn), "by a host that saw only the last one")
+	require.Equal(t, []string{"a"}, s.Set().RestoredSince(nil), "by a host that has started since")
+}
+
 // Guards against a dry run that overlooks a service that would have no searcher, or that
 // counts searchers of domains that are withdrawn already.
 func TestPreviewCountsWhatIsLeft(t *testing.T) {
--- a/internal/withdrawal/withdrawalcodec/codec.go
+++ b/internal/withdrawal/withdrawalcodec/codec.go
@@ -55,6 +55,7 @@
 	for _, d := range s.Domains() {
 		out = binary.AppendUvarint(out, d.Revision)
 		out = append(out, flag(d.Withdrawn))
+		out = binary.AppendUvarint(out, d.Changed)
 		out = binary.AppendUvarint(out, uint64(len(d.Name)))
 		out = append(out, d.Name...)
 	}
@@ -89,6 +90,10 @@
 	}
 	d := withdrawal.Domain{Revision: revision, Withdrawn: b[n] == 1}
 	b = b[n+1:]
+	if d.Changed, n = binary.Uvarint(b); n <= 0 {
+		return withdrawal.Domain{}, nil, ErrMalformed
+	}
+	b = b[n:]
 	size, n := binary.Uvarint(b)
 	if n <= 0 || size > uint64(len(b)-n) {
 		return withdrawal.Domain{}, nil, ErrMalformed
--- a/internal/withdrawal/withdrawalcodec/codec_test.go
+++ b/internal/withdrawal/withdrawalcodec/codec_test.go
@@ -9,7 +9,7 @@
 )
 
 func testSet(t testing.TB) *withdrawal.Set {
-	s, err := withdrawal.NewSet(7, []withdrawal.Domain{{Name: "b", Withdrawn: true, Revision: 7}, {Name: "a", Revision: 5}})
+	s, err := withdrawal.NewSet(7, []withdrawal.Domain{{Name: "b", Withdrawn: true, Revision: 7, Changed: 6}, {Name: "a", Revision: 5}})
 	require.NoError(t, err)
 	return s
 }
@@ -30,6 +30,9 @@
 	set, err := DecodeSet(EncodeSet(s))
 	require.NoError(t, err)
 	require.Equal(t, s, set)
+	set, err = DecodeSet([]byte{7, 1, 1, 1, 1, 'a'})
+	require.NoError(t, err, "the form that the malformed ones below depart from")
+	require.Equal(t, []withdrawal.Domain{{Name: "a", Withdrawn: true, Revision: 1, Changed: 1}}, set.Domains())
 	none, err := DecodeSet(EncodeSet(nil))
 	require.NoError(t, err)
 	require.Nil(t, none)
@@ -42,7 +45,17 @@
 		_, err = DecodeResult(b)
 		require.Error(t, err, "%v", b)
 	}
-	for _, b := range [][]byte{{0x80}, {7, 8, 1, 1, 'a'}, {7, 1, 2, 1, 'a'}, {7, 1, 1, 9, 'a'}, {7, 1, 1, 1, 'a', 2, 1, 1, 'a'}, {7, 1, 1, 0}} {
+	for _, b := range [][]byte{
+		{0x80},
+		{7, 8, 1, 1, 1, 'a'},
+		{7, 1, 2, 1, 1, 'a'},
+		{7, 1, 1, 1, 9, 'a'},
+		{7, 1, 1, 1, 1, 'a', 2, 1, 1, 1, 'a'},
+		{7, 1, 1, 1, 0},
+		{7, 1, 1},
+		{7, 1, 1, 0x80},
+		{7, 1, 1, 2, 1, 'a'},
+	} {
 		_, err = DecodeSet(b)
 		require.Error(t, err, "%v", b)
 	}
