Keep the time of a restore for targets whose records arrive later

Cause: a host that has just started learns of the withdrawals before it has the records of the targets. It took those of a failure domain that was restored shortly before for warm.

Change: the table keeps the time of the restore by failure domain, and the state of a new target is unknown from then on.

Result: the tests of warmup pass; TestTargetsThatArriveAfterARestoreCountAsCold fails without the change.

--- a/internal/warmup/table.go
+++ b/internal/warmup/table.go
@@ -45,6 +45,10 @@
 	hosts    []string
 	targets  map[string]*state
 	departed map[string]time.Time // targets whose records expired
+	// restored tells when a failure domain was restored, as this host learned, for targets
+	// whose first record arrives later. It has as many entries as there are orders for
+	// different failure domains, at most.
+	restored map[string]time.Time
 }
 
 type state struct {
@@ -58,7 +62,7 @@
 // NewTable returns the table of a host whose process started at the given time. lease is the
 // lease period of targets.
 func NewTable(self string, started time.Time, lease time.Duration) *Table {
-	return &Table{self: self, started: started, lease: lease, targets: make(map[string]*state), departed: make(map[string]time.Time)}
+	return &Table{self: self, started: started, lease: lease, targets: make(map[string]*state), departed: make(map[string]time.Time), restored: make(map[string]time.Time)}
 }
 
 // maxDeparted bounds the targets that are remembered after their records expired.
@@ -76,6 +80,9 @@
 		}
 	}
 	t.epoch, t.hosts = v.Epoch, v.Hosts
+	for _, domain := range v.Restored {
+		t.restored[domain] = now
+	}
 	present := make(map[string]bool, len(v.Targets))
 	for _, x := range v.Targets {
 		present[x.Name] = true
@@ -100,7 +107,7 @@
 func (t *Table) observe(now time.Time, x Target) {
 	s := t.targets[x.Name]
 	if s == nil {
-		s = &state{Target: x}
+		s = &state{Target: x, unknownSince: t.restored[x.FailureDomain]}
 		if _, expired := t.departed[x.Name]; expired {
 			s.unknownSince = now
 			delete(t.departed, x.Name)
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -120,6 +120,28 @@
 	require.True(t, table.Cold(start, "t"))
 }
 
+// Guards against a host that has just started, learns of a restore before it has the records
+// of the targets there, and takes them for warm.
+func TestTargetsThatArriveAfterARestoreCountAsCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable("h0", now, testLease)
+	restored := view()
+	restored.Restored = []string{"d"}
+	table.Update(now, restored)
+	other := target(1, false)
+	other.Name, other.FailureDomain = "other", "e"
+	table.Update(now.Add(time.Second), view(target(1, false), other))
+	require.True(t, table.Cold(now.Add(time.Second), "t"))
+	require.False(t, table.Cold(now.Add(time.Second), "other"))
+	end := now.Add(testLease + spreadTime)
+	require.True(t, table.Cold(end.Add(-1), "t"))
+	require.False(t, table.Cold(end, "t"), "the time counts from the restore")
+	late := target(1, false)
+	late.Name = "late"
+	table.Update(end.Add(time.Second), view(late))
+	require.False(t, table.Cold(end.Add(time.Second), "late"))
+}
+
 // Guards against an attempt that began before the target became cold, or that waited for
 // its connection for long, and is sent beyond the share.
 func TestAttemptMustFitTheShareWhenItIsSent(t *testing.T) {
