Give the engine no searchers until the withdrawals are known

Cause: requests that other hosts hand over don't wait until a gatherer is ready. One that restarted could send them to a withdrawn failure domain before it had the confirmed set.

It stays set, so that a later confirmation does not take searchers away. Connections are opened from then on and no longer with the plan; the effect of this was not measured.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -13,12 +13,15 @@
 const planConfirmWait = 1800 * time.Millisecond
 
 // canServePlan reports whether a starting host that serves the route plan may
-// become ready. It must know the withdrawals that the leader has confirmed, so that it sends
-// nothing to a failure domain that was withdrawn before it started.
+// become ready. It must know the withdrawals, so that it sends nothing to a failure domain
+// that was withdrawn before it started.
 func (c *Core) canServePlan(now time.Time) bool {
-	if c.plans.Document() == nil {
-		return false
-	}
+	return c.plans.Document() != nil && c.withdrawalsKnown(now)
+}
+
+// withdrawalsKnown reports whether a starting host has the withdrawals that the leader has
+// confirmed, or has waited for a confirmation long enough.
+func (c *Core) withdrawalsKnown(now time.Time) bool {
 	if !c.confirmed.At.IsZero() && c.withdrawals.inForce.Revision() >= c.confirmed.Withdrawals {
 		return true
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -30,10 +30,13 @@
 	Targets      *targets.View
 	Plan         *routeplan.Table // nil before the first plan
 	Withdrawals  *withdrawal.Set  // nil before the first order
-	Leader       consensus.Member // zero if unknown
-	Revision     uint64
-	Term         uint64 // of the latest confirmation
-	Phase        lifecycle.Phase
+	// WithdrawalsKnown is set once this host has had the withdrawals that the leader had
+	// confirmed, or has waited for a confirmation long enough. Before, it may lack some.
+	WithdrawalsKnown bool
+	Leader           consensus.Member // zero if unknown
+	Revision         uint64
+	Term             uint64 // of the latest confirmation
+	Phase            lifecycle.Phase
 
 	ConfirmedAt time.Time
 	// PlanConfirmedAt is when a leader last stated that no plan newer than Plan was
@@ -81,12 +84,13 @@
 func (c *Core) Snapshot(now time.Time) *Snapshot {
 	view, gate := c.registry.View(), c.gate(now)
 	old := c.snapshot
-	if old != nil && !c.dirty.snapshot && !c.dirty.table && old.Targets == view && old.Gate == gate {
+	known := old != nil && old.WithdrawalsKnown || c.withdrawalsKnown(now)
+	if old != nil && !c.dirty.snapshot && !c.dirty.table && old.Targets == view && old.Gate == gate && old.WithdrawalsKnown == known {
 		return old
 	}
 	s := &Snapshot{
 		Gate: gate, Ready: c.life.Ready(), Targets: view, Leader: c.leader, Revision: c.store.Revision(), Term: c.confirmed.Term,
-		Plan: c.plans.Table(), Withdrawals: c.withdrawals.inForce,
+		Plan: c.plans.Table(), Withdrawals: c.withdrawals.inForce, WithdrawalsKnown: known,
 		Phase: c.life.Phase(), ConfirmedAt: c.confirmed.At, PlanConfirmedAt: c.planConfirmedAt, AgreedMembers: c.store.Members(), Hosts: c.knownHosts, Shares: c.shares.View(now), Voters: c.voters(),
 	}
 	if old != nil && !c.dirty.table && old.Targets == view {
--- a/internal/control/withdrawals_test.go
+++ b/internal/control/withdrawals_test.go
@@ -37,6 +37,33 @@
 	require.Equal(t, []string{"b"}, c.Snapshot(now).Withdrawals.Names())
 }
 
+// Guards against a host that has just started and sends handed-over requests, which don't
+// wait until it is ready, to a failure domain that was withdrawn meanwhile; against one that
+// never sends anything without a leader; and against one that stops sending because of a
+// later confirmation that arrives before its set.
+func TestSnapshotTellsWhetherTheWithdrawalsAreKnown(t *testing.T) {
+	c, now := benchCore(0)
+	c.startedAt = now
+	require.False(t, c.Snapshot(now).WithdrawalsKnown)
+	c.confirm(now, follow.Confirmed{Term: 1, Withdrawals: 1, At: now})
+	require.False(t, c.Snapshot(now).WithdrawalsKnown)
+	c.applyWithdrawals(now, withdrawn(t, 1, "a"))
+	require.True(t, c.Snapshot(now).WithdrawalsKnown)
+	c.confirm(now, follow.Confirmed{Term: 1, Withdrawals: 2, At: now})
+	c.dirty.snapshot = true
+	require.True(t, c.Snapshot(now).WithdrawalsKnown)
+
+	alone, now := benchCore(0)
+	alone.startedAt = now
+	require.False(t, alone.Snapshot(now.Add(planConfirmWait-1)).WithdrawalsKnown)
+	require.True(t, alone.Snapshot(now.Add(planConfirmWait)).WithdrawalsKnown)
+
+	without, now := benchCore(0)
+	without.startedAt = now
+	without.confirm(now, follow.Confirmed{Term: 1, At: now})
+	require.True(t, without.Snapshot(now).WithdrawalsKnown, "no order was ever given")
+}
+
 // Guards against an older set that replaces a newer one, and against a host that decides an
 // order by a set that its log has not reached, so that its result differs from the others'.
 func TestFollowedWithdrawalsDoNotDecideOrders(t *testing.T) {
--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -137,10 +137,11 @@
 const connectionFraction = 0.5
 
 // searcherSpecs returns the searchers that this host may send requests to, by
-// service, without those in withdrawn failure domains. A service whose requests other hosts carry out for this one has no entry.
+// service, without those in withdrawn failure domains, and none until the withdrawals are
+// known. A service whose requests other hosts carry out for this one has no entry.
 func (d *Daemon) searcherSpecs(s *control.Snapshot, p *placement, hosts int) map[string][]forward.SearcherSpec {
 	out := make(map[string][]forward.SearcherSpec)
-	if s.Plan == nil {
+	if s.Plan == nil || !s.WithdrawalsKnown {
 		return out
 	}
 	gathered := s.Plan.Gathered()
@@ -195,11 +196,11 @@
 		p = newPlacement(s, time.Since(d.startedAt), a.placement)
 	}
 	recomputed := p != a.placement
-	if a.targets != s.Targets || a.withdrawals != s.Withdrawals || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
+	if a.targets != s.Targets || a.withdrawals != s.Withdrawals || a.withdrawalsKnown != s.WithdrawalsKnown || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
 		if !a.placement.same(p) {
 			d.log.Log(eventGatherersChanged).Strs("gatherers", p.names()).Bool("unknown", p.unknown).Int("hosts", hosts).Int("live", liveHosts(s)).Send()
 		}
-		a.plan, a.hosts, a.withdrawals = s.Plan, hosts, s.Withdrawals
+		a.plan, a.hosts, a.withdrawals, a.withdrawalsKnown = s.Plan, hosts, s.Withdrawals, s.WithdrawalsKnown
 		d.gather.placement.Store(p)
 		d.engine.SetSearchers(d.searcherSpecs(s, p, hosts))
 	}
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -21,11 +21,12 @@
 	hosts   int
 	shares  map[netip.AddrPort]int
 
-	plan        *routeplan.Table
-	withdrawals *withdrawal.Set
-	placement   *placement
-	placedHosts []control.Host // from which placement was computed
-	sharers     sharers
+	plan             *routeplan.Table
+	withdrawals      *withdrawal.Set
+	withdrawalsKnown bool
+	placement        *placement
+	placedHosts      []control.Host // from which placement was computed
+	sharers          sharers
 }
 
 // applySnapshots updates the traffic state that outlives single requests from
@@ -74,9 +75,9 @@
 const maxApplyWait = 500 * time.Millisecond
 
 // wait returns how long a snapshot waits for further changes before it is applied. A new
-// route plan does not wait, nor do new withdrawals.
+// route plan does not wait, nor do new withdrawals, nor the first that are known.
 func (a *applied) wait(now time.Time, s *control.Snapshot) time.Duration {
-	if a.at.IsZero() || a.plan != s.Plan || a.withdrawals != s.Withdrawals || s.Plan == nil {
+	if a.at.IsZero() || a.plan != s.Plan || a.withdrawals != s.Withdrawals || a.withdrawalsKnown != s.WithdrawalsKnown || s.Plan == nil {
 		return 0
 	}
 	period := applyPeriod * time.Duration(s.Targets.Len()+len(s.Hosts))
