Acknowledge a restore of an unlisted failure domain again

Cause: once it was restored, a failure domain that the settings no longer list was unknown, so the operator who sent the order again got 404.

Change: a restore is also accepted if there is a record of the failure domain.

Result: daemon.TestRestoreOfAnUnlistedDomainIsAcknowledgedAgain passes, and fails without the change.

--- a/internal/daemon/withdrawals.go
+++ b/internal/daemon/withdrawals.go
@@ -59,9 +59,10 @@
 }
 
 // checkDomain returns an error if the failure domain of an order is unknown. One that is
-// no longer listed can still be restored.
+// no longer listed can still be restored, also again if the acknowledgement was lost.
 func (d *Daemon) checkDomain(s *control.Snapshot, o withdrawal.Order) error {
-	if !slices.Contains(d.knownDomains(s), o.FailureDomain) {
+	_, ordered := s.Withdrawals.Domain(o.FailureDomain)
+	if !slices.Contains(d.knownDomains(s), o.FailureDomain) && (o.Withdraw || !ordered) {
 		return verdict.New(verdict.NotRun, withdrawal.CodeUnknownDomain, "failure domain %q is unknown", o.FailureDomain)
 	}
 	return o.Validate()
