Ask the gate without the lock of the service

Cause: each sub-request took the lock of its service once more to ask the gate, which is safe for concurrent use.

Change: maySend takes no lock, also after a dial.

Result: the tests of forward and forwardrun pass, among them TestGateIsAskedWithoutTheLockOfTheService. The saving was not measured.

--- a/internal/forward/forwardrun/gate_test.go
+++ b/internal/forward/forwardrun/gate_test.go
@@ -204,6 +204,15 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nKeep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n", id, seconds)
 }
 
+// Guards against a lock of the service that each request takes once more for the gate.
+func TestGateIsAskedWithoutTheLockOfTheService(t *testing.T) {
+	e := newGatedEngine(t, &testGate{}, map[string][]forward.SearcherSpec{"a": nil})
+	svc := e.service("a")
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	require.True(t, svc.maySend(forward.Identity{Target: "t"}))
+}
+
 // countingGate lets each attempt through once.
 type countingGate struct {
 	testGate
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -176,10 +176,8 @@
 }
 
 // maySend reports whether a request that was assigned to a searcher may be sent to it
-// now.
+// now. It needs no lock: the gate of the group is set once and safe for concurrent use.
 func (s *service) maySend(id forward.Identity) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	return s.group.MaySend(time.Now(), id)
 }
 
@@ -243,10 +241,10 @@
 	s.used.Opened++
 	s.poolOf(id).probing = false
 	s.group.RecordDial(id, true)
-	mayReceive := s.group.MayReceive(time.Now(), id) && (x == nil || s.group.MaySend(time.Now(), id))
+	mayReceive := s.group.MayReceive(time.Now(), id)
 	s.mu.Unlock()
 	c := newConn(nc, s.engine.config.Wire, &s.engine.memory, func(c *conn, reusable bool) { s.released(id, c, reusable) })
-	if x != nil && mayReceive {
+	if x != nil && mayReceive && s.maySend(id) {
 		go c.read()
 		c.send(x)
 		return
@@ -254,7 +252,7 @@
 	s.released(id, c, true)
 	go c.read()
 	if x != nil {
-		x.end(forward.Unsent, nil) // the searcher refused further requests meanwhile
+		x.end(forward.Unsent, nil) // the searcher or the gate refused further requests meanwhile
 	}
 }
 
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -59,5 +59,6 @@
 // ConnectionLost records that a connection to a searcher was lost or could not be opened.
 func (g *Group) ConnectionLost(now time.Time, id Identity) { g.gate.Lost(now, id) }
 
-// MaySend reports whether the request of an attempt may now be sent to its searcher.
+// MaySend reports whether the request of an attempt may now be sent to its searcher. Unlike
+// the other methods of a Group, it may be called concurrently with any of them but SetGate.
 func (g *Group) MaySend(now time.Time, id Identity) bool { return g.gate.Send(now, id) }
