Don't look at all targets where no service bounds cold ones

Cause: the gate looked at all targets on each changed view, also with a plan that states no bound.

Change: it returns before, unless a bound was in force or an order has arrived, whose time it keeps for a bound that a later plan states.

The saving was not measured.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -89,11 +89,25 @@
 	return f(g.table)
 }
 
-// update passes a snapshot to the table. Calls must not overlap.
+// statesWarmupRate reports whether a service of a plan bounds the requests to cold targets.
+func statesWarmupRate(p *routeplan.Table) bool {
+	for svc := range p.Services() {
+		if svc.WarmupRate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// update passes a snapshot to the table. Calls must not overlap. Where no service states a
+// bound it does not look at the targets of each changed view.
 func (g *searcherGate) update(now time.Time, s *control.Snapshot) {
 	if s.Plan == nil || g.plan == s.Plan && g.targets == s.Targets && g.withdrawals == s.Withdrawals && g.epoch == s.AgreedMembers.Epoch {
 		return
 	}
+	if !g.bounded.Load() && g.withdrawals == s.Withdrawals && !statesWarmupRate(s.Plan) {
+		return // the table needs only the times of restores
+	}
 	v := warmup.View{Epoch: s.AgreedMembers.Epoch, Hosts: s.AgreedMembers.Hosts, Restored: s.Withdrawals.RestoredSince(g.withdrawals)}
 	for r := range s.Targets.Targets() {
 		svc, ok := s.Plan.Service(r.Labels[ServiceLabel])
