State the order of calls of the gate, and name an order's kind

Cause: the gate did not say which of its methods reserve and count, and control applies two kinds of orders.

Change: one sentence on each method; applyOrder is applyWithdrawalOrder.

Result: no change of behaviour; the tests of control and forward pass.

--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -152,7 +152,7 @@
 		result, effects := c.applyPlan(now, cmd.Plan)
 		return result, effects, nil
 	case proposals.KindWithdrawal:
-		result, effects := c.applyOrder(now, cmd.Withdrawal)
+		result, effects := c.applyWithdrawalOrder(now, cmd.Withdrawal)
 		return result, effects, nil
 	}
 	return nil, nil, verdict.New(verdict.Ran, verdict.CodeInternal, "log entry %d has the unknown kind %d", e.Index, cmd.Kind)
--- a/internal/control/withdrawals.go
+++ b/internal/control/withdrawals.go
@@ -14,8 +14,8 @@
 	inForce *withdrawal.Set
 }
 
-// applyOrder decides an order from the replicated log.
-func (c *Core) applyOrder(now time.Time, o withdrawal.Order) (withdrawal.Result, []Effect) {
+// applyWithdrawalOrder decides an order from the replicated log.
+func (c *Core) applyWithdrawalOrder(now time.Time, o withdrawal.Order) (withdrawal.Result, []Effect) {
 	result := c.withdrawals.store.Apply(o)
 	return result, c.applyWithdrawals(now, c.withdrawals.store.Set())
 }
--- a/internal/control/withdrawals_test.go
+++ b/internal/control/withdrawals_test.go
@@ -69,7 +69,7 @@
 func TestFollowedWithdrawalsDoNotDecideOrders(t *testing.T) {
 	c, now := benchCore(0)
 	c.applyWithdrawals(now.Add(time.Second), withdrawn(t, 5, "a"))
-	result, effects := c.applyOrder(now, withdrawal.Order{FailureDomain: "a", Withdraw: true})
+	result, effects := c.applyWithdrawalOrder(now, withdrawal.Order{FailureDomain: "a", Withdraw: true})
 	require.Equal(t, withdrawal.Result{Revision: 1, Outcome: withdrawal.Applied}, result)
 	require.Empty(t, effects, "the set in force is newer")
 	require.Equal(t, uint64(5), c.withdrawals.inForce.Revision())
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -5,15 +5,18 @@
 // Gate keeps requests away from searchers for reasons that the searchers themselves don't
 // state in their replies. It must be safe for concurrent use.
 type Gate interface {
-	// Admits reports whether an attempt may begin at a searcher now.
+	// Admits reports whether an attempt may begin at a searcher now. It reserves nothing and
+	// is called any number of times while a searcher is chosen.
 	Admits(now time.Time, id Identity) bool
 	// Held records that an attempt was kept away from a searcher that Admits did not admit.
 	Held(id Identity)
 	// Begin records that an attempt begins at a searcher that Admits has admitted. It
-	// reports whether the searcher still admits it.
+	// reports whether the searcher still admits it. It reserves room and is called once for
+	// each attempt, after Admits and before Send.
 	Begin(now time.Time, id Identity) bool
 	// Send reports whether the request of an attempt that has begun may now be sent.
-	// The answer can change while the attempt waits for a connection.
+	// The answer can change while the attempt waits for a connection. It counts the request
+	// and is called at most once after Begin, immediately before the request is sent.
 	Send(now time.Time, id Identity) bool
 	// Lost records that a connection to a searcher could not be opened, or that the
 	// searcher ended one in the middle of a request or before its idle time.
