Drop the remaining warm-up time from target records

Cause: records carried for how much longer a target expects to be cold, but no host read it. Whether a target is cold is its phase.

--- a/internal/targets/announcement.go
+++ b/internal/targets/announcement.go
@@ -6,7 +6,6 @@
 
 import (
 	"net/netip"
-	"time"
 	"unicode/utf8"
 
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -83,12 +82,9 @@
 	Labels          map[string]string
 	ConnectionLimit int
 	Phase           Phase
-	// WarmupLeft is for how much longer the target expects to be cold. Other hosts get it
-	// only with a record that differs in something else.
-	WarmupLeft     time.Duration
-	Searchers      []Searcher
-	IndexSnapshots []IndexSnapshot
-	Reported       Reported
+	Searchers       []Searcher
+	IndexSnapshots  []IndexSnapshot
+	Reported        Reported
 }
 
 // Validate checks the announcement and returns the first fault it finds.
--- a/internal/targets/targetsrpc/codec.go
+++ b/internal/targets/targetsrpc/codec.go
@@ -3,9 +3,7 @@
 package targetsrpc
 
 import (
-	"math"
 	"net/netip"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,7 +48,6 @@
 		Healthy:         r.Reported.Healthy,
 		Load:            r.Reported.Load,
 		Leaving:         r.Leaving,
-		ColdForMs:       uint32(min(max(r.WarmupLeft.Milliseconds(), 0), math.MaxUint32)),
 	}
 	position := make(map[string]uint32, len(r.IndexSnapshots))
 	for i, s := range r.IndexSnapshots {
@@ -86,7 +83,6 @@
 			Labels:          msg.GetLabels(),
 			ConnectionLimit: int(msg.GetConnectionLimit()),
 			Phase:           targets.Phase(msg.GetPhase()),
-			WarmupLeft:      time.Duration(msg.GetColdForMs()) * time.Millisecond,
 			Reported:        targets.Reported{Healthy: msg.GetHealthy(), Load: msg.GetLoad()},
 		},
 		Status:  targets.Status(msg.GetStatus()),
