--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -79,7 +79,7 @@
 	return s, nil
 }
 
-// Revision returns the number of orders that were applied, 0 before the first.
+// Revision returns the number of orders that were acknowledged, 0 before the first.
 func (s *Set) Revision() uint64 {
 	if s == nil {
 		return 0
