--- a/internal/daemon/accounts_test.go
+++ b/internal/daemon/accounts_test.go
@@ -27,20 +27,6 @@
 	}, waitTimeout, 10*time.Millisecond)
 }
 
-// askWithKey sends a request with the key k1 and returns the status.
-func askWithKey(t *testing.T, d *daemon.Daemon) int {
-	t.Helper()
-	r, err := http.NewRequest(http.MethodGet, "http://"+d.Address("caller").String()+"/p/q", nil)
-	require.NoError(t, err)
-	r.Host = "x.example"
-	r.Header.Set("X-Request-Id", "q-1")
-	r.Header.Set("X-Credential", "k1")
-	resp, err := http.DefaultClient.Do(r)
-	require.NoError(t, err)
-	require.NoError(t, resp.Body.Close())
-	return resp.StatusCode
-}
-
 // Guards against a gatherer that runs a request for which its newer plan has dropped the
 // key or which an older plan than the sender's would allow, and against one that refuses a
 // key which the sender did not pass on because its own plan asks for none.
@@ -64,7 +50,8 @@
 			t.Cleanup(h.RunHandingOver("g", g.Address("peer"), "s1", "s2"))
 			submitAccounts(t, h, 7, c.atSender)
 			require.Eventually(t, h.Ready, waitTimeout, 10*time.Millisecond)
-			require.Equal(t, c.status, askWithKey(t, h))
+			status, _ := askWithKey(t, h, "k1")
+			require.Equal(t, c.status, status)
 		})
 	}
 }
--- a/internal/forward/refuse_test.go
+++ b/internal/forward/refuse_test.go
@@ -13,7 +13,7 @@
 func slowDown(env *testEnvironment, now time.Time, factor int) {
 	for _, s := range env.groups["a"].Searchers() {
 		for range 40 {
-			s.begin(now.Add(-time.Duration(factor) * env.median))
+			s.begin(now.Add(-time.Duration(factor)*env.median), env.median)
 			env.groups["a"].End(now, now.Add(-time.Duration(factor)*env.median), s, env.median, Good)
 		}
 	}
