Give the event of requests kept from cold targets a number of its own

Cause: two parts that were built side by side used the number 1109, so no process started.

Change: the event of cold targets is 1111.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -41,7 +41,7 @@
 	eventBadPeerMessage = eventlog.Define(1103, zerolog.WarnLevel, "message from a peer could not be decoded",
 		"The peer runs a newer version, or the message was damaged.",
 		"Update this host.")
-	eventColdHeld = eventlog.Define(1109, zerolog.InfoLevel, "attempts kept away from cold targets",
+	eventColdHeld = eventlog.Define(1111, zerolog.InfoLevel, "attempts kept away from cold targets",
 		"In the last ten seconds this host passed over targets that count as cold, because it had no share left of the requests to them.",
 		"None while targets start or a failure domain was restored. If it stays, look at the states of the targets and at their connections.")
 )
