Ask callers to close their connections from the moment at which a stop is set

Cause: TestStopAnswersEveryRequest/two signals failed now and then under the race detector: the requests were ended before the new phase was published, so an answer in between kept the caller's connection open.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -23,6 +23,10 @@
 // with what is known about them, because it is about to exit.
 func (d *Daemon) Ending() context.Context { return d.inFlight.Ending() }
 
+// Stopping reports whether the host has begun to stop, so that callers must not use their
+// connections again.
+func (d *Daemon) Stopping() bool { return d.inFlight.Stopping() }
+
 // closeTraffic settles the open orders and closes the connections to targets.
 func (d *Daemon) closeTraffic() {
 	ctx, cancel := context.WithTimeout(d.ctx, handoverTimeout)
--- a/internal/entry/entryrun/inflight.go
+++ b/internal/entry/entryrun/inflight.go
@@ -16,6 +16,8 @@
 	ending context.Context
 	end    context.CancelFunc
 
+	stopping atomic.Bool // EndBy was called
+
 	mu    sync.Mutex
 	timer *time.Timer // ends the requests; nil until EndBy
 }
@@ -38,6 +40,7 @@
 
 // EndBy sets the time at which Ending ends. An earlier time replaces a later one.
 func (f *InFlight) EndBy(at time.Time) {
+	f.stopping.Store(true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.timer != nil {
@@ -46,6 +49,10 @@
 	f.timer = time.AfterFunc(time.Until(at), f.end)
 }
 
+// Stopping reports whether the end of the requests in progress is set. It is true before the
+// host's phase changes for other goroutines.
+func (f *InFlight) Stopping() bool { return f.stopping.Load() }
+
 // Ending returns a context that ends when requests in progress must be answered with
 // what is known about them, because the host is about to exit.
 func (f *InFlight) Ending() context.Context { return f.ending }
