--- a/internal/forward/forwardrun/queue_test.go
+++ b/internal/forward/forwardrun/queue_test.go
@@ -83,7 +83,7 @@
 	b := startBusyService(t)
 	first := call("first", true)
 	for range 40 { // requests of the route take 100 ms
-		b.route("r").timing.Observe(100*time.Millisecond, 1)
+		b.costs.Estimate(time.Now(), first.features()).Kind.Observe(time.Now(), 100*time.Millisecond, 1)
 	}
 	b.do(t, first, 0)
 	require.Equal(t, "first", <-b.working)
