--- a/internal/accounts/accounts.go
+++ b/internal/accounts/accounts.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"math"
+	"strings"
 
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
@@ -64,6 +65,8 @@
 		switch {
 		case a.Name == "" || len(a.Name) > maxNameBytes:
 			return invalid("account name %q is empty or longer than %d bytes", a.Name, maxNameBytes)
+		case strings.ContainsFunc(a.Name, isControl):
+			return invalid("account name %q holds a control character", a.Name)
 		case names[a.Name]:
 			return invalid("account %q is listed twice", a.Name)
 		case !validAmount(a.Rate):
@@ -85,6 +88,10 @@
 	return nil
 }
 
+// isControl reports whether a character can't be part of a header. Targets get the name in
+// one.
+func isControl(r rune) bool { return r < 0x20 || r == 0x7f }
+
 func validAmount(n float64) bool { return n >= 0 && n <= maxRate && !math.IsNaN(n) }
 
 func invalid(format string, args ...any) error {
--- a/internal/accounts/accounts_test.go
+++ b/internal/accounts/accounts_test.go
@@ -20,6 +20,7 @@
 	for name, spoil := range map[string]func(l []Account){
 		"accounts \"a\" and \"b\" share a key": func(l []Account) { l[1].Keys = append(l[1].Keys, KeyOf("k1")) },
 		"listed twice":                         func(l []Account) { l[1].Name = "a" },
+		"holds a control character":            func(l []Account) { l[0].Name = "a\r\nX-Other: 1" },
 		"name \"\" is empty":                   func(l []Account) { l[0].Name = "" },
 		"has an empty key":                     func(l []Account) { l[0].Keys[0] = KeyOf("") },
 		"has the rate -1":                      func(l []Account) { l[0].Rate = -1 },
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -178,7 +178,9 @@
 // mayRefuse reports whether a run may be refused because its turn will come too late. A
 // gather may do without a shard that has no room, but not be refused any more once other
 // shards have got it.
-func (w waiter) mayRefuse() bool { return w.runner.subRequests == 1 }
+func (w waiter) mayRefuse() bool {
+	return w.runner.subRequests == 1 && w.runner.call.Route.Gather == nil
+}
 
 // leave removes a waiting run that has ended. A notice that it has not handled goes to the
 // next one: there may be no other attempt whose end would notify that one.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -287,6 +287,9 @@
 	if c == nil {
 		return nil, false
 	}
+	if c.phase == Complete {
+		return nil, true // a byte of the next request, read ahead
+	}
 	if c.received += int64(bytes); c.received >= progressStep {
 		c.since, c.received = now, 0
 	}
--- a/internal/intake/intakerun/conn.go
+++ b/internal/intake/intakerun/conn.go
@@ -23,6 +23,7 @@
 	refused *verdict.Error // nil unless the request was refused
 	quiet   bool           // refused without a response
 	leaving bool           // counted in Gate.leaving
+	closed  bool           // Close was called; nothing subtracts from Gate.leaving any more
 	body    *body          // of the request in progress, nil if it has none or was read
 }
 
@@ -102,6 +103,7 @@
 	c.gate.closed(c)
 	c.endBody()
 	c.mu.Lock()
+	c.closed = true
 	if c.leaving {
 		c.leaving = false
 		c.gate.leaving.Add(-1)
@@ -116,7 +118,7 @@
 func (c *Conn) refuse(code verdict.Code) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refused != nil {
+	if c.refused != nil || c.closed {
 		return
 	}
 	c.refused = intake.Refusal(code)
@@ -191,8 +193,10 @@
 }
 
 func newBody(r io.ReadCloser, c *Conn) *body {
-	b := &body{ReadCloser: r, conn: c, since: time.Now()}
 	_ = c.gate.enter(c, intake.Body) // a read fails if the request was refused
+	// The period begins after the phase in the ledger, which would otherwise count as
+	// progress in it.
+	b := &body{ReadCloser: r, conn: c, since: time.Now()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.timer = time.AfterFunc(c.gate.cfg.BodyStall, b.expired)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -125,6 +125,18 @@
 	return o.grant(now, a, r)
 }
 
+// ListChanged carries the roles of known accounts over to a new list. An account that is
+// asked about only under a later one would otherwise seem to have been owned by another
+// host in between.
+func (o *Owner) ListChanged(now time.Time) {
+	for name, a := range o.accounts {
+		r, _ := o.authority.roleOf(now, name, a.role)
+		if r.rank == a.role.rank && r.since.Equal(a.role.since) {
+			a.role = r
+		}
+	}
+}
+
 // take returns the state of an account whose role begins. The bucket is overdrawn at the
 // beginning of the role because the predecessor may have granted all that it could just
 // before.
@@ -226,7 +238,8 @@
 	return reply
 }
 
-// sweep drops accounts whose state is that of a new record.
+// sweep drops accounts whose state is that of a new record, whose role would have begun
+// long enough ago for a full bucket.
 func (o *Owner) sweep(now time.Time) {
 	if now.Sub(o.sweptAt) < idleAfter {
 		return
@@ -234,7 +247,9 @@
 	o.sweptAt = now
 	idle := max(idleAfter, 2*o.policy.Window)
 	for name, a := range o.accounts {
-		if now.Sub(a.usedAt) >= idle && a.bucket.Full(now) {
+		r, _ := o.authority.roleOf(now, name, role{})
+		renewed := now.Sub(r.since) >= max(a.parts.refillTime(), o.policy.Window+LeasePeriod)
+		if now.Sub(a.usedAt) >= idle && a.bucket.Full(now) && renewed {
 			delete(o.accounts, name)
 		}
 	}
--- a/internal/quota/owner_test.go
+++ b/internal/quota/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -250,3 +251,23 @@
 		}
 	}
 }
+
+// Guards against an account that loses its bucket because two lists were agreed while
+// nothing was asked about it: the host owned it all the time.
+func TestQuietAccountKeepsItsBucketUnderNewLists(t *testing.T) {
+	o, a, hosts := ownerOfRank(t, 0)
+	k := known(Limit{Rate: 10, Burst: 100})
+	now := start.Add(time.Minute)
+	a.Observe(now, 2, hosts, now)
+	require.Equal(t, Granted, o.Acquire(now, Request{Account: "a", Plan: 4, Needed: 1}, k).Outcome)
+	owners := NewList(1, hosts).Owners("a")
+	other := slices.IndexFunc(hosts, func(h string) bool { return owners.rank(h) == Ranks })
+	rest := slices.Delete(slices.Clone(hosts), other, other+1)
+	now = now.Add(time.Minute)
+	for epoch, list := range [][]string{rest, hosts} {
+		now = now.Add(5 * time.Second)
+		a.Observe(now, uint64(3+epoch), list, now)
+		o.ListChanged(now)
+	}
+	require.Equal(t, Reply{Outcome: Granted, Tokens: 60}, o.Acquire(now, Request{Account: "a", Plan: 4, Needed: 60}, k))
+}
--- a/internal/quota/quotarun/asking.go
+++ b/internal/quota/quotarun/asking.go
@@ -125,6 +125,11 @@
 	case a := <-answered:
 		return a.reply, a.err
 	case <-timer.C:
+		select {
+		case a := <-answered: // both were ready
+			return a.reply, a.err
+		default:
+		}
 		q.working.Add(1)
 		go q.receiveLate(e, answered)
 		return quota.Reply{}, errNoAnswer
--- a/internal/quota/quotarun/quotas.go
+++ b/internal/quota/quotarun/quotas.go
@@ -129,7 +129,11 @@
 // observe returns the present view and time after taking note of them.
 func (q *Quotas) observe() (View, time.Time) {
 	v, now := q.config.View(), q.config.Now()
+	previous := q.authority.List()
 	q.authority.Observe(now, v.Epoch, v.Members, v.ConfirmedAt)
+	if q.authority.List() != previous {
+		q.owner.ListChanged(now)
+	}
 	if v.Accounts != q.directory {
 		q.directory = v.Accounts
 		for name, a := range q.accounts {
--- a/internal/workload/tracker.go
+++ b/internal/workload/tracker.go
@@ -144,7 +144,9 @@
 		return Observation{}
 	}
 	took := max(now.Sub(began).Seconds(), 1e-6)
-	net := max(took-a.wait, leastNetShare*took) + a.alike
+	// What stands in for the wait for requests of the same kind comes from the estimate
+	// itself, so that without a bound by the response time the two would raise each other.
+	net := min(max(took-a.wait, leastNetShare*took)+a.alike, took)
 	if work <= 0 {
 		return Observation{Net: seconds(net), Took: now.Sub(began)}
 	}
