Send a few of the requests that no searcher is expected to answer in time

Cause: the work of a route is learned from answers alone, so a single service whose work was estimated above the time that its callers give would be refused for good.

Change: one of 16 such requests is sent all the same.

--- a/internal/forward/refuse_test.go
+++ b/internal/forward/refuse_test.go
@@ -46,6 +46,22 @@
 	require.Len(t, sends(again.Start(later)), 1, "the estimate decays")
 }
 
+// Guards against a service that is refused for good because its work is estimated too high
+// and nothing is sent that would show otherwise.
+func TestRefusedServiceIsProbed(t *testing.T) {
+	env, names := newTestEnvironment(1, 3)
+	slowDown(env, start, 12)
+	sent := 0
+	for range 320 {
+		run := NewRun(env, singleRoute(true), names, start, start.Add(6*env.median))
+		for _, a := range sends(run.Start(start)) {
+			sent++
+			env.end(start, a, Abandoned)
+		}
+	}
+	require.InDelta(t, 320/lateProbes, sent, 10)
+}
+
 // Guards against a request whose turn would come too late and that is still sent, and
 // against a refusal that says "not run" of one that may have run.
 func TestRefusedTurnEndsTheRun(t *testing.T) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -231,19 +231,26 @@
 }
 
 // refuseLate gives up a request to a single service that no searcher is expected to answer
-// by the deadline. The estimate decays while nothing is sent, so that a service that was
-// slow is tried again.
+// by the deadline. The pace of the searchers decays while nothing is sent, but the work of
+// the route is only learned from answers, so a few requests are sent all the same.
 func (r *Run) refuseLate(now time.Time, late []lateSubRequest) {
 	if r.route.Gather != nil || r.endsEarly {
 		return
 	}
 	for _, sub := range late {
+		if r.env.IntN(lateProbes) == 0 {
+			continue
+		}
 		expected, _ := r.env.Expected(now, sub.service)
 		sub.crowded, sub.wait = true, expected
 		r.giveUp(sub.subRequest)
 	}
 }
 
+// lateProbes is the number of requests of which one is sent although no answer is expected
+// by its deadline.
+const lateProbes = 16
+
 // skipJitter randomizes which late sub-requests are skipped, so that the
 // remaining load is spread over shards that are about equally late.
 const (
