Check accounts, removed keys and the quota in the soak

Cause: the soak knew no accounts, so nothing checked keys, revocations and quotas with real processes under faults.

Change: the plan has accounts, a public route, and an account whose keys change every ten versions. Callers send keys and forge the account's name. Targets record both headers and are in two failure domains. At the end of a seed, what arrived is compared with what was sent: no key at a target, the right account, nothing that ran with an unknown or removed key, and the bound on the limited account in each window.

--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -25,6 +25,19 @@
 	sent    int
 	served  *atomic.Int64
 	refused map[string]bool // IDs of orders that were refused as not run
+
+	account  string              // whose key it sends, empty for the public route without a key
+	requests map[string]*request // by ID
+}
+
+// request is what a client sent and received.
+type request struct {
+	kind    string
+	account string // that a target must see
+	key     string
+	host    *hostProcess
+	sent    time.Time
+	status  int // 0 without a response
 }
 
 // callerTimeout is how long a caller waits for a response.
@@ -48,7 +61,8 @@
 	}
 }
 
-// request sends a request, in turn a gather, a read and an order.
+// request sends a request, in turn a gather, a read and an order. Every other one
+// names an account that the caller made up.
 func (c *client) request(ctx context.Context) {
 	if c.conn == nil && !c.connect(ctx) {
 		return
@@ -56,13 +70,25 @@
 	c.sent++
 	id := fmt.Sprintf("c%d-%d-%d", c.cluster.seed, c.number, c.sent)
 	kind := []string{"all", "one", "order"}[c.sent%3]
+	if c.account == "" {
+		kind = "open"
+	}
+	key, header := c.cluster.credential(c.account), ""
+	if key != "" {
+		header = "X-Credential: " + key + "\r\n"
+	}
+	if c.sent%2 == 1 {
+		header += "X-Tenant-Id: forged\r\n"
+	}
 	method := http.MethodGet
 	if kind == "order" {
 		method = http.MethodPost
 	}
 	started := time.Now()
+	sent := &request{kind: kind, account: c.account, key: key, host: c.host, sent: started}
+	c.requests[id] = sent
 	_ = c.conn.SetDeadline(started.Add(callerTimeout + time.Second))
-	text := fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", method, kind, id, callerTimeout.Milliseconds())
+	text := fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: 0\r\n\r\n", method, kind, id, callerTimeout.Milliseconds(), header)
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		c.closeConn()
 		return
@@ -77,6 +103,7 @@
 		c.closeConn()
 		return
 	}
+	sent.status = resp.StatusCode
 	c.checkAnswer(id, kind, resp, string(body))
 	if resp.Close {
 		c.closeConn()
@@ -173,14 +200,15 @@
 		services = append(services, fmt.Sprintf(`{"name":%q,"health_check_path":"/health","max_connections":40}`, s))
 	}
 	route := func(name, prefix, kind, where string) string {
-		return fmt.Sprintf(`{"name":%q,"hostname":"soak.example","path_prefix":%q,"route_type":%q,"timeout_ms":2000,"target_latency_ms":300,"priority":1,"max_attempts":2,%s}`, name, prefix, kind, where)
+		return fmt.Sprintf(`{"name":%q,"hostname":"soak.example","path_prefix":%q,"route_type":%q,"timeout_ms":2000,"target_latency_ms":300,"priority":1,"max_attempts":2,"public":%t,%s}`, name, prefix, kind, name == "open", where)
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[%s],"limits":{}}`, version,
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[%s],"limits":{},"tenants":%s}`, version,
 		route("all", "/all/", "safe", fmt.Sprintf(`"gather":[%s],"top_k":%d,"min_shard_ratio":0.6`, strings.Join(shards, ","), topK)),
 		route("one", "/one/", "safe", `"service":"single"`),
 		route("order", "/order/", "unsafe", `"service":"single"`),
+		route("open", "/open/", "safe", `"service":"single"`),
 		route("v", fmt.Sprintf("/v%d/", version), "safe", `"service":"single"`),
-		strings.Join(services, ","))
+		strings.Join(services, ","), accountsJSON(version))
 }
 
 // putPlan sends a configuration to hosts in turn until one acknowledges it or
@@ -207,6 +235,7 @@
 		if resp.StatusCode == http.StatusOK {
 			cl.planMu.Lock()
 			cl.acked = max(cl.acked, version)
+			cl.planAcks = append(cl.planAcks, planAck{version, time.Now()})
 			cl.planMu.Unlock()
 			return true
 		}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -35,6 +35,9 @@
 	return fmt.Sprintf("%s:%d", h.ip, h.ports[listener])
 }
 
+// zones are the failure domains of hosts and targets.
+var zones = []string{"z0", "z1"}
+
 // cluster is a system of host processes with its targets.
 type cluster struct {
 	t          *testing.T
@@ -51,6 +54,8 @@
 	planMu  sync.Mutex
 	version int // highest sent
 	acked   int // highest acknowledged
+
+	planAcks []planAck // guarded by planMu
 }
 
 // fail records a failed check. Only the first failures of a seed are kept.
@@ -85,8 +90,8 @@
 		cl.shards = append(cl.shards, fmt.Sprintf("s%d", i))
 	}
 	for _, s := range append([]string{"single"}, cl.shards...) {
-		for range 2 {
-			cl.targets = append(cl.targets, cl.startTarget(t, s))
+		for _, zone := range zones {
+			cl.targets = append(cl.targets, cl.startTarget(t, s, zone))
 		}
 	}
 	return cl
@@ -104,7 +109,7 @@
 	}
 	text := fmt.Sprintf(`node_name = %q
 ip = %q
-zone = "z%d"
+zone = %q
 region = "r"
 internal_port_range = [%d,%d]
 seed_nodes = [%s]
@@ -125,8 +130,17 @@
 retry_budget_ratio = 0.2
 budget_window_s = 10
 retry_budget_extra = 60
-`, h.name, h.ip, i%2, h.ports["peer"], h.ports["peer"]+3, strings.Join(seeds, ","), bootstrap,
-		heartbeat.Milliseconds(), data, h.address("front"), h.address("ready"), h.address("control"))
+strict_revocation = true
+revoke_ms = %d
+quota_window_s = %g
+quota_overage = %g
+quota_slack = %g
+[zones]
+%s = "r"
+%s = "r"
+`, h.name, h.ip, zones[i%len(zones)], h.ports["peer"], h.ports["peer"]+3, strings.Join(seeds, ","), bootstrap,
+		heartbeat.Milliseconds(), data, h.address("front"), h.address("ready"), h.address("control"),
+		revocationBound.Milliseconds(), quotaWindow.Seconds(), quotaOverage, quotaSlack, zones[0], zones[1])
 	require.NoError(cl.t, os.WriteFile(filepath.Join(h.dir, "boot.toml"), []byte(text), 0o600))
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,8 +71,8 @@
 	var served atomic.Int64
 	var work sync.WaitGroup
 	var clients []*client
-	for i := range 6 {
-		c := &client{cluster: cl, number: i, served: &served, refused: map[string]bool{}}
+	for i, account := range []string{mainAccount, mainAccount, mainAccount, mainAccount, mainAccount, mainAccount, "", limitedAccount, limitedAccount, unknownAccount, rotatedAccount, rotatedAccount} {
+		c := &client{cluster: cl, number: i, served: &served, refused: map[string]bool{}, account: account, requests: map[string]*request{}}
 		clients = append(clients, c)
 		work.Go(func() { c.run(ctx) })
 	}
@@ -85,6 +85,7 @@
 	cancel()
 	work.Wait()
 	cl.checkOrders(clients)
+	cl.checkArrivals(clients)
 	close(cl.failures)
 	for f := range cl.failures {
 		t.Error(f)
@@ -216,7 +217,7 @@
 func (cl *cluster) replaceTarget(i int) {
 	old := cl.targets[i]
 	old.kill()
-	cl.targets[i] = cl.startTarget(cl.t, old.service)
+	cl.targets[i] = cl.startTarget(cl.t, old.service, old.zone)
 }
 
 // checkConvergence checks that every host returns the newest configuration after
@@ -236,11 +237,10 @@
 // refused as not run.
 func (cl *cluster) checkOrders(clients []*client) {
 	for _, c := range clients {
-		for sent := 1; sent <= c.sent; sent++ {
-			if sent%3 != 2 {
+		for id, r := range c.requests {
+			if r.kind != "order" {
 				continue
 			}
-			id := fmt.Sprintf("c%d-%d-%d", cl.seed, c.number, sent)
 			runs := cl.runLog.count(id, "single")
 			if runs > 1 {
 				cl.fail("order %s ran %d times", id, runs)
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -15,16 +15,25 @@
 	"github.com/stretchr/testify/require"
 )
 
-// runLog counts how often each request ran at the targets.
+// runLog records each request that ran at the targets.
 type runLog struct {
-	mu   sync.Mutex
-	runs map[string]int // by request ID and service
+	mu       sync.Mutex
+	runs     map[string]int // by request ID and service
+	arrivals []arrival      // in their order
 }
 
-func (l *runLog) record(id, service string) {
+// arrival is a request as a target saw it.
+type arrival struct {
+	id, service, zone string
+	accounts, keys    []string // values of the headers
+	at                time.Time
+}
+
+func (l *runLog) record(a arrival) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[id+" "+service]++
+	l.runs[a.id+" "+a.service]++
+	l.arrivals = append(l.arrivals, a)
 }
 
 func (l *runLog) count(id, service string) int {
@@ -35,12 +44,12 @@
 
 // target is an instance of one service behind a proxy.
 type target struct {
-	id, service string
-	born        int64
-	server      *httptest.Server
-	proxy       *proxy
-	stop        chan struct{}
-	stopOnce    sync.Once
+	id, service, zone string
+	born              int64
+	server            *httptest.Server
+	proxy             *proxy
+	stop              chan struct{}
+	stopOnce          sync.Once
 }
 
 // records returns the records of a service's answer to a request.
@@ -59,9 +68,9 @@
 
 func signature(service, id string) string { return service + "." + id }
 
-func (cl *cluster) startTarget(t *testing.T, service string) *target {
+func (cl *cluster) startTarget(t *testing.T, service, zone string) *target {
 	cl.nextTarget++
-	tgt := &target{id: fmt.Sprintf("i-%s-%d", service, cl.nextTarget), service: service, born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	tgt := &target{id: fmt.Sprintf("i-%s-%d", service, cl.nextTarget), service: service, zone: zone, born: time.Now().UnixMilli(), stop: make(chan struct{})}
 	tgt.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("X-Request-Id")
 		rw.Header().Set("X-Request-Id", id)
@@ -69,7 +78,7 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		cl.runLog.record(id, service)
+		cl.runLog.record(arrival{id: id, service: service, zone: zone, accounts: r.Header["X-Tenant-Id"], keys: r.Header["X-Credential"], at: time.Now()})
 		time.Sleep(time.Duration(1+rand.IntN(8)) * time.Millisecond)
 		rw.Header().Set("X-Response-Signature", signature(service, id))
 		fmt.Fprint(rw, strings.Join(records(service, id, recordsPerPart), ""))
@@ -94,8 +103,8 @@
 func (cl *cluster) announce(tgt *target) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for sequence := 1; ; sequence++ {
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","concurrency":4,"state":"ready","warmup_left_ms":0,"sequence":%d,"born":%d}`,
-			tgt.service, tgt.proxy.ln.Addr(), cl.targetZone(), sequence, tgt.born)
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"concurrency":4,"state":"ready","warmup_left_ms":0,"sequence":%d,"born":%d}`,
+			tgt.service, tgt.proxy.ln.Addr(), tgt.zone, sequence, tgt.born)
 		for try := range len(cl.hosts) {
 			h := cl.hosts[(sequence+try)%len(cl.hosts)]
 			r, err := http.NewRequest(http.MethodPut, "http://"+h.address("control")+"/hawthornlock/instances/"+tgt.id, strings.NewReader(body))
@@ -118,8 +127,6 @@
 	}
 }
 
-func (cl *cluster) targetZone() int { return len(cl.hosts) % 2 }
-
 // freePorts returns ports that are free on a loopback address.
 func freePorts(t *testing.T, ip string, n int) []int {
 	var out []int
