Pause hosts of the soak for longer than the bound on revocations

Cause: pauses of at most 1.7 s are shorter than revoke_ms, so no host was without a confirmation for long enough to matter.

Change: two faults of 6.5 s: one host paused, and all hosts with a disk paused, which cuts the others off. During the latter, no keyed request that is sent later than revoke_ms after its start runs.

--- a/internal/soak/accounts_test.go
+++ b/internal/soak/accounts_test.go
@@ -35,6 +35,9 @@
 // It keeps a key for twice as many.
 const keyVersions = 10
 
+// longPause is longer than the bound on revocations.
+const longPause = revocationBound + 1500*time.Millisecond
+
 // planAck is when the operator received the acknowledgement of a version.
 type planAck struct {
 	version int
@@ -103,6 +106,7 @@
 		if want := slices.DeleteFunc([]string{r.account}, func(s string) bool { return s == "" }); !slices.Equal(a.accounts, want) {
 			cl.fail("%s: %s %s of account %q reached %s for the accounts %q", r.host.name, r.kind, a.id, r.account, a.service, a.accounts)
 		}
+		cl.checkOutages(a, r)
 	}
 	statuses := map[string]map[int]int{}
 	for id, r := range requests {
@@ -127,8 +131,8 @@
 		}
 	}
 	most := cl.checkQuota(requests, ran)
-	cl.t.Logf("responses by account and status %v, %d keys removed, %d requests with them past the bound, at most %d requests of the limited account in a window",
-		statuses, len(revoked), late, most)
+	cl.t.Logf("responses by account and status %v, %d keys removed, %d requests with them past the bound, %d outages, at most %d requests of the limited account in a window",
+		statuses, len(revoked), late, len(cl.outages), most)
 	for account, status := range map[string]int{"": 200, limitedAccount: 429, rotatedAccount: 200, unknownAccount: 401} {
 		if statuses[account][status] == 0 {
 			cl.fail("no request of account %q was answered %d", account, status)
@@ -136,6 +140,18 @@
 	}
 }
 
+// checkOutages checks that a keyed request did not run at a host whose leader had
+// been away for longer than the bound on revocations.
+func (cl *cluster) checkOutages(a arrival, r *request) {
+	cl.outageMu.Lock()
+	defer cl.outageMu.Unlock()
+	for _, o := range cl.outages {
+		if r.key != "" && r.sent.After(o.from.Add(revocationBound)) && a.at.Before(o.until) {
+			cl.fail("%s: %s ran, though it was sent %v after the store was cut off", r.host.name, a.id, r.sent.Sub(o.from))
+		}
+	}
+}
+
 // checkQuota checks the bound on limitedAccount for the windows that begin with one
 // of its requests. It returns the greatest number of requests in one of them.
 func (cl *cluster) checkQuota(requests map[string]*request, ran map[string]time.Time) int {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -31,6 +31,9 @@
 	faultUntil time.Time // when the last fault other than a planned stop ends
 }
 
+// span is a time with a fault.
+type span struct{ from, until time.Time }
+
 func (h *hostProcess) address(listener string) string {
 	return fmt.Sprintf("%s:%d", h.ip, h.ports[listener])
 }
@@ -56,6 +59,8 @@
 	acked   int // highest acknowledged
 
 	planAcks []planAck // guarded by planMu
+	outageMu sync.Mutex
+	outages  []span // in which no host with a disk ran, and thus no leader
 }
 
 // fail records a failed check. Only the first failures of a seed are kept.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -124,7 +124,7 @@
 		h := cl.hosts[cl.rng.IntN(len(cl.hosts))]
 		tgt := cl.targets[cl.rng.IntN(len(cl.targets))]
 		duration := time.Duration(200+cl.rng.IntN(1500)) * time.Millisecond
-		switch cl.rng.IntN(9) {
+		switch cl.rng.IntN(11) {
 		case 0:
 			faults.Go(func() { cl.withFault(&faultMu, h, func() { cl.restart(h, syscall.SIGKILL, duration, false) }) })
 		case 1:
@@ -139,6 +139,10 @@
 			h.signal(syscall.SIGHUP)
 		case 6:
 			cl.replaceTarget(cl.rng.IntN(len(cl.targets)))
+		case 7:
+			faults.Go(func() { cl.withFault(&faultMu, h, func() { cl.pause(h, longPause) }) })
+		case 8:
+			faults.Go(func() { cl.withFault(&faultMu, cl.hosts[0], cl.pauseStore) })
 		default:
 			f := []fault{{delay: 60 * time.Millisecond}, {refuse: true}, {silent: true}, {oneWay: true}, {resetIn: 5}}[cl.rng.IntN(5)]
 			faults.Go(func() {
@@ -196,6 +200,23 @@
 	h.signal(syscall.SIGCONT)
 }
 
+// pauseStore pauses all hosts with a disk for longer than the bound on revocations,
+// so that the others are cut off.
+func (cl *cluster) pauseStore() {
+	started := time.Now()
+	var pauses sync.WaitGroup
+	for _, h := range cl.hosts {
+		if h.disk {
+			pauses.Go(func() { cl.pause(h, longPause) })
+		}
+	}
+	time.Sleep(longPause - 100*time.Millisecond)
+	cl.outageMu.Lock()
+	cl.outages = append(cl.outages, span{started.Add(200 * time.Millisecond), time.Now()})
+	cl.outageMu.Unlock()
+	pauses.Wait()
+}
+
 // killAll kills all processes at once and restarts them with their disks.
 func (cl *cluster) killAll(faultMu *sync.Mutex) {
 	if !faultMu.TryLock() {
