Withdraw and restore failure domains in the soak

Cause: withdrawals were not checked with real processes under faults.

Change: an operator withdraws the two failure domains in turn by POST and restores them by DELETE, each resent until acknowledged. Later than evacuation_ms after the acknowledgement, no request from a host without a fault may arrive at a target there. After the last fault the clients go on until all hosts have been without a fault for a second longer, so the set must still be in force then. A run in which no request was bound by a withdrawal fails.

--- a/internal/soak/accounts_test.go
+++ b/internal/soak/accounts_test.go
@@ -94,7 +94,7 @@
 	cl.runLog.mu.Unlock()
 	revoked := cl.revocations()
 	ran := map[string]time.Time{} // first arrival
-	late := 0                     // requests with a removed key past the bound
+	bound, late := 0, 0           // requests that withdrawals and removals of keys bound
 	for _, a := range arrivals {
 		r := requests[a.id]
 		if _, ok := ran[a.id]; !ok {
@@ -106,6 +106,9 @@
 		if want := slices.DeleteFunc([]string{r.account}, func(s string) bool { return s == "" }); !slices.Equal(a.accounts, want) {
 			cl.fail("%s: %s %s of account %q reached %s for the accounts %q", r.host.name, r.kind, a.id, r.account, a.service, a.accounts)
 		}
+		if cl.checkWithdrawn(a, r) {
+			bound++
+		}
 		cl.checkOutages(a, r)
 	}
 	statuses := map[string]map[int]int{}
@@ -131,8 +134,11 @@
 		}
 	}
 	most := cl.checkQuota(requests, ran)
-	cl.t.Logf("responses by account and status %v, %d keys removed, %d requests with them past the bound, %d outages, at most %d requests of the limited account in a window",
-		statuses, len(revoked), late, len(cl.outages), most)
+	cl.t.Logf("responses by account and status %v, %d keys removed, %d requests with them past the bound, %d parts bound by withdrawals, %d outages, at most %d requests of the limited account in a window",
+		statuses, len(revoked), late, bound, len(cl.outages), most)
+	if bound == 0 {
+		cl.fail("no request was bound by a withdrawal")
+	}
 	for account, status := range map[string]int{"": 200, limitedAccount: 429, rotatedAccount: 200, unknownAccount: 401} {
 		if statuses[account][status] == 0 {
 			cl.fail("no request of account %q was answered %d", account, status)
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -29,18 +29,20 @@
 	cmd        *exec.Cmd
 	ended      chan struct{}
 	faultUntil time.Time // when the last fault other than a planned stop ends
+	faults     []span
 }
 
 // span is a time with a fault.
 type span struct{ from, until time.Time }
 
+func (s span) overlaps(from, until time.Time) bool {
+	return s.from.Before(until) && s.until.After(from)
+}
+
 func (h *hostProcess) address(listener string) string {
 	return fmt.Sprintf("%s:%d", h.ip, h.ports[listener])
 }
 
-// zones are the failure domains of hosts and targets.
-var zones = []string{"z0", "z1"}
-
 // cluster is a system of host processes with its targets.
 type cluster struct {
 	t          *testing.T
@@ -58,9 +60,10 @@
 	version int // highest sent
 	acked   int // highest acknowledged
 
-	planAcks []planAck // guarded by planMu
-	outageMu sync.Mutex
-	outages  []span // in which no host with a disk ran, and thus no leader
+	planAcks    []planAck    // guarded by planMu
+	withdrawals []withdrawal // used by one goroutine at a time
+	outageMu    sync.Mutex
+	outages     []span // in which no host with a disk ran, and thus no leader
 }
 
 // fail records a failed check. Only the first failures of a seed are kept.
@@ -197,6 +200,7 @@
 func (h *hostProcess) recordFault(until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.faults = append(h.faults, span{time.Now(), until})
 	if until.After(h.faultUntil) {
 		h.faultUntil = until
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -78,10 +78,17 @@
 	}
 	require.Eventually(t, func() bool { return served.Load() > 20 }, recoveryTimeout, 20*time.Millisecond, "too few requests were served before the first fault")
 	work.Go(func() { cl.changePlans(ctx) })
+	operatorCtx, stopOperator := context.WithCancel(ctx)
+	defer stopOperator()
+	var operator sync.WaitGroup
+	operator.Go(func() { cl.changeDomains(operatorCtx) })
 	cl.injectFaults(time.Duration(*seconds) * time.Second)
+	stopOperator()
+	operator.Wait()
 	before := served.Load()
 	require.Eventually(t, func() bool { return served.Load() > before+100 }, recoveryTimeout, 20*time.Millisecond, "too few requests were served after the last fault")
 	cl.checkConvergence(t)
+	cl.awaitWithdrawal()
 	cancel()
 	work.Wait()
 	cl.checkOrders(clients)
