--- a/internal/soak/accounts_test.go
+++ b/internal/soak/accounts_test.go
@@ -52,7 +52,7 @@
 		mainAccount, limitedAccount, limitedRate, limitedBurst, rotatedAccount, rotatedKey(generation), rotatedKey(generation-1))
 }
 
-// credential returns a key of an account: for rotatedAccount one of the latest,
+// credential returns a key of an account: for rotatedAccount one of the twelve latest,
 // most of which the plan no longer has.
 func (cl *cluster) credential(account string) string {
 	switch account {
@@ -61,7 +61,7 @@
 	case rotatedAccount:
 		cl.planMu.Lock()
 		defer cl.planMu.Unlock()
-		return rotatedKey(max(cl.version/keyVersions-rand.IntN(6), 0))
+		return rotatedKey(max(cl.version/keyVersions-rand.IntN(12), 0))
 	}
 	return "soak-key-" + account
 }
