Drop the lock of the soak's outages

Cause: the lock guarded nothing: only one outage runs at a time, and they are read after the last fault.

--- a/internal/soak/accounts_test.go
+++ b/internal/soak/accounts_test.go
@@ -149,8 +149,6 @@
 // checkOutages checks that a keyed request did not run at a host whose leader had
 // been away for longer than the bound on revocations.
 func (cl *cluster) checkOutages(a arrival, r *request) {
-	cl.outageMu.Lock()
-	defer cl.outageMu.Unlock()
 	for _, o := range cl.outages {
 		if r.key != "" && r.sent.After(o.from.Add(revocationBound)) && a.at.Before(o.until) {
 			cl.fail("%s: %s ran, though it was sent %v after the store was cut off", r.host.name, a.id, r.sent.Sub(o.from))
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -62,8 +62,7 @@
 
 	planAcks    []planAck    // guarded by planMu
 	withdrawals []withdrawal // used by one goroutine at a time
-	outageMu    sync.Mutex
-	outages     []span // in which no host with a disk ran, and thus no leader
+	outages     []span       // in which no host with a disk ran, and thus no leader
 }
 
 // fail records a failed check. Only the first failures of a seed are kept.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -218,9 +218,7 @@
 		}
 	}
 	time.Sleep(longPause - 100*time.Millisecond)
-	cl.outageMu.Lock()
 	cl.outages = append(cl.outages, span{started.Add(200 * time.Millisecond), time.Now()})
-	cl.outageMu.Unlock()
 	pauses.Wait()
 }
 
