--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -29,6 +29,14 @@
 	cmd        *exec.Cmd
 	ended      chan struct{}
 	faultUntil time.Time // when the last fault other than a planned stop ends
+	faults     []span
+}
+
+// span is a time with a fault.
+type span struct{ from, until time.Time }
+
+func (s span) overlaps(from, until time.Time) bool {
+	return s.from.Before(until) && s.until.After(from)
 }
 
 func (h *hostProcess) address(listener string) string {
@@ -51,6 +59,10 @@
 	planMu  sync.Mutex
 	version int // highest sent
 	acked   int // highest acknowledged
+
+	planAcks    []planAck    // guarded by planMu
+	withdrawals []withdrawal // used by one goroutine at a time
+	outages     []span       // in which no host with a disk ran, and thus no leader
 }
 
 // fail records a failed check. Only the first failures of a seed are kept.
@@ -85,8 +97,8 @@
 		cl.shards = append(cl.shards, fmt.Sprintf("s%d", i))
 	}
 	for _, s := range append([]string{"single"}, cl.shards...) {
-		for range 2 {
-			cl.targets = append(cl.targets, cl.startTarget(t, s))
+		for _, zone := range zones {
+			cl.targets = append(cl.targets, cl.startTarget(t, s, zone))
 		}
 	}
 	return cl
@@ -104,7 +116,7 @@
 	}
 	text := fmt.Sprintf(`node_name = %q
 ip = %q
-zone = "z%d"
+zone = %q
 region = "r"
 internal_port_range = [%d,%d]
 seed_nodes = [%s]
@@ -125,8 +137,17 @@
 retry_budget_ratio = 0.2
 budget_window_s = 10
 retry_budget_extra = 60
-`, h.name, h.ip, i%2, h.ports["peer"], h.ports["peer"]+3, strings.Join(seeds, ","), bootstrap,
-		heartbeat.Milliseconds(), data, h.address("front"), h.address("ready"), h.address("control"))
+strict_revocation = true
+revoke_ms = %d
+quota_window_s = %g
+quota_overage = %g
+quota_slack = %g
+[zones]
+%s = "r"
+%s = "r"
+`, h.name, h.ip, zones[i%len(zones)], h.ports["peer"], h.ports["peer"]+3, strings.Join(seeds, ","), bootstrap,
+		heartbeat.Milliseconds(), data, h.address("front"), h.address("ready"), h.address("control"),
+		revocationBound.Milliseconds(), quotaWindow.Seconds(), quotaOverage, quotaSlack, zones[0], zones[1])
 	require.NoError(cl.t, os.WriteFile(filepath.Join(h.dir, "boot.toml"), []byte(text), 0o600))
 }
 
@@ -178,6 +199,7 @@
 func (h *hostProcess) recordFault(until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.faults = append(h.faults, span{time.Now(), until})
 	if until.After(h.faultUntil) {
 		h.faultUntil = until
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,20 +71,28 @@
 	var served atomic.Int64
 	var work sync.WaitGroup
 	var clients []*client
-	for i := range 6 {
-		c := &client{cluster: cl, number: i, served: &served, refused: map[string]bool{}}
+	for i, account := range []string{mainAccount, mainAccount, mainAccount, mainAccount, mainAccount, mainAccount, "", limitedAccount, limitedAccount, unknownAccount, rotatedAccount, rotatedAccount} {
+		c := &client{cluster: cl, number: i, served: &served, refused: map[string]bool{}, account: account, requests: map[string]*request{}}
 		clients = append(clients, c)
 		work.Go(func() { c.run(ctx) })
 	}
 	require.Eventually(t, func() bool { return served.Load() > 20 }, recoveryTimeout, 20*time.Millisecond, "too few requests were served before the first fault")
 	work.Go(func() { cl.changePlans(ctx) })
+	operatorCtx, stopOperator := context.WithCancel(ctx)
+	defer stopOperator()
+	var operator sync.WaitGroup
+	operator.Go(func() { cl.changeDomains(operatorCtx) })
 	cl.injectFaults(time.Duration(*seconds) * time.Second)
+	stopOperator()
+	operator.Wait()
 	before := served.Load()
 	require.Eventually(t, func() bool { return served.Load() > before+100 }, recoveryTimeout, 20*time.Millisecond, "too few requests were served after the last fault")
 	cl.checkConvergence(t)
+	cl.awaitWithdrawal()
 	cancel()
 	work.Wait()
 	cl.checkOrders(clients)
+	cl.checkArrivals(clients)
 	close(cl.failures)
 	for f := range cl.failures {
 		t.Error(f)
@@ -123,7 +131,7 @@
 		h := cl.hosts[cl.rng.IntN(len(cl.hosts))]
 		tgt := cl.targets[cl.rng.IntN(len(cl.targets))]
 		duration := time.Duration(200+cl.rng.IntN(1500)) * time.Millisecond
-		switch cl.rng.IntN(9) {
+		switch cl.rng.IntN(11) {
 		case 0:
 			faults.Go(func() { cl.withFault(&faultMu, h, func() { cl.restart(h, syscall.SIGKILL, duration, false) }) })
 		case 1:
@@ -138,6 +146,10 @@
 			h.signal(syscall.SIGHUP)
 		case 6:
 			cl.replaceTarget(cl.rng.IntN(len(cl.targets)))
+		case 7:
+			faults.Go(func() { cl.withFault(&faultMu, h, func() { cl.pause(h, longPause) }) })
+		case 8:
+			faults.Go(func() { cl.withFault(&faultMu, cl.hosts[0], cl.pauseStore) })
 		default:
 			f := []fault{{delay: 60 * time.Millisecond}, {refuse: true}, {silent: true}, {oneWay: true}, {resetIn: 5}}[cl.rng.IntN(5)]
 			faults.Go(func() {
@@ -195,6 +207,21 @@
 	h.signal(syscall.SIGCONT)
 }
 
+// pauseStore pauses all hosts with a disk for longer than the bound on revocations,
+// so that the others are cut off.
+func (cl *cluster) pauseStore() {
+	started := time.Now()
+	var pauses sync.WaitGroup
+	for _, h := range cl.hosts {
+		if h.disk {
+			pauses.Go(func() { cl.pause(h, longPause) })
+		}
+	}
+	time.Sleep(longPause - 100*time.Millisecond)
+	cl.outages = append(cl.outages, span{started.Add(200 * time.Millisecond), time.Now()})
+	pauses.Wait()
+}
+
 // killAll kills all processes at once and restarts them with their disks.
 func (cl *cluster) killAll(faultMu *sync.Mutex) {
 	if !faultMu.TryLock() {
@@ -216,7 +243,7 @@
 func (cl *cluster) replaceTarget(i int) {
 	old := cl.targets[i]
 	old.kill()
-	cl.targets[i] = cl.startTarget(cl.t, old.service)
+	cl.targets[i] = cl.startTarget(cl.t, old.service, old.zone)
 }
 
 // checkConvergence checks that every host returns the newest configuration after
@@ -236,11 +263,10 @@
 // refused as not run.
 func (cl *cluster) checkOrders(clients []*client) {
 	for _, c := range clients {
-		for sent := 1; sent <= c.sent; sent++ {
-			if sent%3 != 2 {
+		for id, r := range c.requests {
+			if r.kind != "order" {
 				continue
 			}
-			id := fmt.Sprintf("c%d-%d-%d", cl.seed, c.number, sent)
 			runs := cl.runLog.count(id, "single")
 			if runs > 1 {
 				cl.fail("order %s ran %d times", id, runs)
