Split the forwarding run and engine into files of one topic

Change: late shards, sub-requests and the runner of a call have files of their own; no line of code changes.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -62,21 +61,6 @@
 	Ended      time.Time
 }
 
-// subRequest is the part of a run that one service answers.
-type subRequest struct {
-	service   string
-	attempts  []*Attempt
-	good      *Attempt
-	failed    *Attempt      // ended with SearcherFailed; its reply goes to callers of a single service
-	notBefore time.Time     // earliest retry at a searcher that rejected the request
-	nextHedge time.Time     // earliest next hedge, after one was not possible
-	resume    time.Time     // end of the pauses that all of its searchers asked for; zero for none
-	waiting   bool          // for capacity at a searcher
-	crowded   bool          // given up because its turn would come too late
-	wait      time.Duration // expected until its turn when it was given up for that
-	givenUp   bool          // no further attempt is made
-}
-
 // maxAttemptsPerSubRequest bounds the attempts of a sub-request, including
 // those that did not run.
 const maxAttemptsPerSubRequest = 5
@@ -206,76 +190,6 @@
 	return r.settle(now)
 }
 
-// lateSubRequest is a sub-request that is expected to be answered too late.
-type lateSubRequest struct {
-	*subRequest
-	weight float64 // expected seconds with jitter; the greatest are skipped first
-}
-
-// findLate gives up the sub-requests that no searcher can answer, and returns
-// those that are expected to be answered after the cutoff.
-func (r *Run) findLate(now time.Time) (late []lateSubRequest) {
-	for _, sub := range r.subs {
-		expected, ok := r.env.Expected(now, sub.service)
-		switch {
-		case !ok:
-			r.giveUp(sub)
-		case expected > r.deadline.Sub(now) && r.pausedTooLong(now, sub, AttemptOptions{}):
-			r.giveUp(sub)
-		case expected > r.cutoff.Sub(now):
-			jitter := 1 + skipJitter*float64(r.env.IntN(skipJitterSteps))/skipJitterSteps
-			late = append(late, lateSubRequest{sub, jitter * expected.Seconds()})
-		}
-	}
-	return late
-}
-
-// refuseLate gives up a request to a single service that no searcher is expected to answer
-// by the deadline. The pace of the searchers decays while nothing is sent, but the work of
-// the route is only learned from answers, so a few requests are sent all the same.
-func (r *Run) refuseLate(now time.Time, late []lateSubRequest) {
-	if r.route.Gather != nil || r.endsEarly {
-		return
-	}
-	for _, sub := range late {
-		if r.env.IntN(lateProbes) == 0 {
-			continue
-		}
-		expected, _ := r.env.Expected(now, sub.service)
-		sub.crowded, sub.wait = true, expected
-		r.giveUp(sub.subRequest)
-	}
-}
-
-// lateProbes is the number of requests of which one is sent although no answer is expected
-// by its deadline.
-const lateProbes = 16
-
-// skipJitter randomizes which late sub-requests are skipped, so that the
-// remaining load is spread over shards that are about equally late.
-const (
-	skipJitter      = 0.5
-	skipJitterSteps = 1024
-)
-
-// skipLate gives up as many of the late sub-requests as an answer may lack, the
-// latest first.
-//
-// It relieves shards whose remaining searchers can't serve all requests, after
-// crashes or while some are slow. Their answers would otherwise miss the
-// objective of every request. If each request skips some of these shards, they
-// get less work and answer the rest in time.
-func (r *Run) skipLate(late []lateSubRequest) {
-	if r.route.Gather == nil {
-		return
-	}
-	allowed := len(r.subs) - r.unanswerable() - r.minEarly
-	slices.SortFunc(late, func(a, b lateSubRequest) int { return cmp.Compare(b.weight, a.weight) })
-	for _, sub := range late[:min(max(allowed, 0), len(late))] {
-		r.giveUp(sub.subRequest)
-	}
-}
-
 // giveUp stops further attempts of a sub-request.
 func (r *Run) giveUp(sub *subRequest) {
 	sub.givenUp = true
@@ -451,61 +365,12 @@
 	return b
 }
 
-// openAttempt returns the latest attempt in flight.
-func (sub *subRequest) openAttempt() *Attempt {
-	for i := len(sub.attempts) - 1; i >= 0; i-- {
-		if sub.attempts[i].Open {
-			return sub.attempts[i]
-		}
-	}
-	return nil
-}
-
-func (sub *subRequest) countMayHaveRun() (n int) {
-	for _, a := range sub.attempts {
-		if a.Open || a.Result.Verdict() != verdict.NotRun {
-			n++
-		}
-	}
-	return n
-}
-
-// mayHaveReached reports whether an attempt may have reached a searcher, which
-// makes a further one an extra attempt.
-func (sub *subRequest) mayHaveReached() bool {
-	for _, a := range sub.attempts {
-		if a.Open || a.Result != Unsent {
-			return true
-		}
-	}
-	return false
-}
-
-func (sub *subRequest) tried() []*Searcher {
-	out := make([]*Searcher, len(sub.attempts))
-	for i, a := range sub.attempts {
-		out[i] = a.Searcher
-	}
-	return out
-}
-
 // mayHedge reports whether a sub-request with one attempt in flight may be
 // hedged.
 func (r *Run) mayHedge(sub *subRequest) bool {
 	return r.route.Idempotent && len(sub.attempts) < maxAttemptsPerSubRequest && sub.hedges() == 0 && sub.countMayHaveRun() < r.maxAttempts()
 }
 
-// hedges returns how many attempts are in flight beyond the first.
-func (sub *subRequest) hedges() int {
-	open := 0
-	for _, a := range sub.attempts {
-		if a.Open {
-			open++
-		}
-	}
-	return max(open-1, 0)
-}
-
 func (r *Run) maxAttempts() int {
 	if !r.route.Idempotent {
 		return 1
@@ -589,8 +454,6 @@
 	return left
 }
 
-func (sub *subRequest) lastResult() Result { return sub.attempts[len(sub.attempts)-1].Result }
-
 // Attempts returns all attempts, for the log.
 func (r *Run) Attempts() []*Attempt {
 	var out []*Attempt
