Probe a searcher after a failed dial beside an open connection

After a failed dial a searcher gets no requests until a dial succeeds, but connections without a request were opened only to searchers that had none. One failed dial kept a searcher unused for as long as an earlier connection to it was open.

A searcher whose last dial failed is now probed as well, within the host's share of its connections and with the same delays between probes. A host whose share is one connection still waits until that one is closed.

The test fails without the change: the request is refused with no_searcher.

--- a/internal/forward/forwardrun/faulty_test.go
+++ b/internal/forward/forwardrun/faulty_test.go
@@ -197,6 +197,28 @@
 	}, testTimeout, time.Millisecond)
 }
 
+// Guards against a searcher that stays unused after one failed dial for as long as an
+// earlier connection to it is open.
+func TestFailedDialBesideAnOpenConnection(t *testing.T) {
+	s := startSearcher(t, func(_ int, id string, c net.Conn) bool { return write(c, reply(id, "body")) })
+	spec := s.spec("t")
+	spec.Capacity = 2
+	e := newEngine(t, map[string][]forward.SearcherSpec{"a": {spec}})
+	awaitConnection(t, e)
+	svc := e.service("a")
+	svc.mu.Lock()
+	svc.group.RecordDial(spec.Identity, false)
+	svc.mu.Unlock()
+	svc.warm()
+	require.Eventually(t, func() bool {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		return !svc.poolOf(spec.Identity).probing
+	}, testTimeout, time.Millisecond)
+	_, failure := e.Do(context.Background(), call("q", true))
+	require.Nil(t, failure)
+}
+
 // Guards against a run that waits for a searcher although none is busy any more: the
 // only attempt ended after the run had found it busy and before the run waited.
 func TestEndBetweenBusyAndWaitingIsNotMissed(t *testing.T) {
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -124,9 +124,9 @@
 }
 
 // await queues a run that is notified when a searcher may have capacity, or refuses it if
-// that will be too late. If an attempt
-// has ended since the run found the searchers busy, it is notified at once: the end
-// notified nobody, and there may be no other attempt whose end would.
+// that will be too late. If an attempt has ended since the run found the searchers busy, it
+// is notified at once: the end notified nobody, and there may be no other attempt whose end
+// would.
 func (s *service) await(r *runner, subRequest int, ends uint64) {
 	w := waiter{runner: r, subRequest: subRequest}
 	s.mu.Lock()
@@ -410,9 +410,10 @@
 	return s.group.Expected(now, c)
 }
 
-// warm opens a connection to each searcher that has none and takes requests. It,
-// rather than a caller's request, finds a searcher that is back. It also reports
-// again which searchers leave, in case a report was dropped.
+// warm opens a connection to each searcher that takes requests and has none, or whose
+// last dial failed: that one gets no requests, not even over connections that are still
+// open. So warm, rather than a caller's request, finds a searcher that is back. It also
+// reports again which searchers leave, in case a report was dropped.
 func (s *service) warm() {
 	if s.engine.ctx.Err() != nil {
 		return
@@ -425,7 +426,7 @@
 	}
 	for _, searcher := range s.group.Searchers() {
 		p := s.poolOf(searcher.Identity)
-		if searcher.OnDemand() || p.open > 0 || p.probing || !s.group.MayReceive(now, searcher.Identity) || !p.backoff.Due(now) {
+		if searcher.OnDemand() || !searcher.NeedsProbe(p.open) || p.probing || !s.group.MayReceive(now, searcher.Identity) || !p.backoff.Due(now) {
 			continue
 		}
 		p.open++
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -178,6 +178,11 @@
 
 func (s *Searcher) usable() bool { return !s.down && !s.gone && !s.leaving }
 
+// NeedsProbe reports whether a connection is to be opened to a searcher without a request,
+// given the number of open ones. After a failed dial it gets no requests until a dial
+// succeeds, also while earlier connections are open.
+func (s *Searcher) NeedsProbe(open int) bool { return open == 0 || s.down && open < s.capacity }
+
 // RecordDial records whether a connection to a searcher could be opened.
 func (g *Group) RecordDial(id Identity, ok bool) {
 	for _, s := range g.searchers {
