Count extra attempts by reason and name the services that get them

It now has the reasons, the host's part of the fixed budget and the twelve services with most extra attempts, so that the numbers of all hosts can be added up. A counter by reason is served with the metrics. TestUsageSaysWhereAndWhyExtraAttemptsWereMade checks the line.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/hawthornlock/hawthornlock/internal/bootclock"
+	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/query"
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
@@ -22,6 +23,7 @@
 	labelCode    = "code"
 	labelKind    = "kind"
 	labelVerdict = "verdict"
+	labelReason  = "reason"
 )
 
 // metrics holds the metrics of requests and a registry that also reads the
@@ -59,7 +61,7 @@
 	total := func(name, help string, value *atomic.Int64) prometheus.Collector {
 		return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, func() float64 { return float64(value.Load()) })
 	}
-	return []prometheus.Collector{
+	out := []prometheus.Collector{
 		total("forward_attempts_total", "Attempts sent to searchers.", &st.Attempts),
 		total("forward_extra_attempts_total", "Attempts beyond the first of a request at a service: hedges and retries.", &st.Retries),
 		total("forward_lost_total", "Attempts without a usable answer.", &st.Lost),
@@ -72,6 +74,13 @@
 		total("forward_dials_total", "Connections opened to searchers.", &st.Dials),
 		total("forward_dial_failures_total", "Connections to searchers that could not be opened.", &st.DialFailures),
 	}
+	for _, reason := range forward.AllExtraReasons() {
+		out = append(out, prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "forward_budgeted_attempts_total", Help: "Attempts that were charged to the budget of extra attempts, by reason.",
+			ConstLabels: prometheus.Labels{labelReason: reason.String()},
+		}, func() float64 { return float64(st.Extra[reason].Load()) }))
+	}
+	return out
 }
 
 // logUsage logs what the host has used of searchers, until it ends.
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -94,12 +94,12 @@
 		requests += b.requests[i]
 		extras += b.extras[i]
 	}
-	return budgetUse*b.limits.Ratio*float64(requests) + b.fixed(now) - float64(extras)
+	return budgetUse*b.limits.Ratio*float64(requests) + b.Fixed(now) - float64(extras)
 }
 
-// fixed returns how many extra attempts this host may make in a window whatever the
+// Fixed returns how many extra attempts this host may make in a window whatever the
 // number of requests.
-func (b *Budget) fixed(now time.Time) float64 {
+func (b *Budget) Fixed(now time.Time) float64 {
 	if b.hosts == 0 {
 		return 0
 	}
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -68,6 +68,8 @@
 // Stats are totals since the start of the engine.
 type Stats struct {
 	Calls, Attempts, Retries, Dials, DialFailures, Lost, Rejected, Shed atomic.Int64
+	// Extra counts the attempts that were charged to a budget, by reason.
+	Extra [len(forward.ExtraReasonCounts{})]atomic.Int64
 }
 
 // routeState is the engine's state of a route, kept across versions of the
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -120,6 +120,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	searcher, busy = s.group.Begin(now, c, opts, rng)
+	if searcher != nil && opts.Extra {
+		s.engine.stats.Extra[opts.Reason].Add(1)
+	}
 	return searcher, busy, s.ends
 }
 
--- a/internal/forward/forwardrun/usage.go
+++ b/internal/forward/forwardrun/usage.go
@@ -1,8 +1,13 @@
 package forwardrun
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/forward"
 )
@@ -29,7 +34,9 @@
 	Service      string
 	Connections  ConnectionCount
 	Extra        forward.ExtraCount
-	Contradicted []forward.Identity // searchers whose reports their responses contradict
+	Reasons      forward.ExtraReasonCounts // of the extra attempts that were made
+	Fixed        float64                   // extra attempts in a window that are this host's, whatever it gets
+	Contradicted []forward.Identity        // searchers whose reports their responses contradict
 }
 
 // Usage is what this host has used of all services since the last record.
@@ -38,9 +45,11 @@
 	Services       int          // to which connections were opened
 	MostWasted     ServiceUsage // most connections that carried no reply
 	Extra          forward.ExtraCount
-	MostExtra      ServiceUsage // most extra attempts, or wanted ones
-	ExtraServices  int          // with extra attempts
-	LeastSharers   int          // of the budgets of those services
+	Reasons        forward.ExtraReasonCounts
+	MostExtra      ServiceUsage   // most extra attempts, or wanted ones
+	TopExtra       []ServiceUsage // most extra attempts made, at most topExtraServices
+	ExtraServices  int            // with extra attempts
+	LeastSharers   int            // of the budgets of those services
 	LargestSharers int
 	Contradicted   int    // searchers whose reports of their load their responses contradict
 	Misreporting   string // one of them: service/target
@@ -61,6 +70,9 @@
 			u.MostWasted = su
 		}
 		u.Extra = u.Extra.Add(su.Extra)
+		for reason, n := range su.Reasons {
+			u.Reasons[reason] += n
+		}
 		u.Contradicted += len(su.Contradicted)
 		if len(su.Contradicted) > 0 {
 			u.Misreporting = su.Service + "/" + su.Contradicted[0].Target
@@ -69,6 +81,7 @@
 			continue
 		}
 		u.ExtraServices++
+		u.addTopExtra(su)
 		if su.Extra.Wanted() > u.MostExtra.Extra.Wanted() {
 			u.MostExtra = su
 		}
@@ -80,12 +93,28 @@
 	return u
 }
 
+// topExtraServices bounds the services that a record names, so that the extra attempts of
+// all hosts at one service can be added up from their logs.
+const topExtraServices = 12
+
+// addTopExtra keeps the services with the most extra attempts, most first.
+func (u *Usage) addTopExtra(su ServiceUsage) {
+	if su.Extra.Made == 0 {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(u.TopExtra, su, func(a, b ServiceUsage) int {
+		return cmp.Or(cmp.Compare(b.Extra.Made, a.Extra.Made), cmp.Compare(a.Service, b.Service))
+	})
+	u.TopExtra = slices.Insert(u.TopExtra, at, su)
+	u.TopExtra = u.TopExtra[:min(len(u.TopExtra), topExtraServices)]
+}
+
 // takeUsage returns the usage of the service since the last call, and the number of
 // hosts that share its budget.
 func (s *service) takeUsage() (u ServiceUsage, sharers int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u = ServiceUsage{Service: s.name, Connections: s.used, Extra: s.group.Budget().TakeCount(), Contradicted: s.group.Contradicted(time.Now())}
+	u = ServiceUsage{Service: s.name, Connections: s.used, Extra: s.group.Budget().TakeCount(), Reasons: s.group.TakeExtraReasons(), Fixed: s.group.Budget().Fixed(time.Now()), Contradicted: s.group.Contradicted(time.Now())}
 	s.used = ConnectionCount{}
 	return u, s.group.Budget().Hosts()
 }
@@ -102,9 +131,32 @@
 		x, most := u.Extra, u.MostExtra
 		log.Log(eventExtraAttempts).Int("requests", x.Requests).Int("made", x.Made).Int("denied", x.Denied).Int("services", u.ExtraServices).
 			Int("least_sharers", u.LeastSharers).Int("most_sharers", u.LargestSharers).
-			Str("most", most.Service).Int("most_requests", most.Extra.Requests).Int("most_made", most.Extra.Made).Int("most_denied", most.Extra.Denied).Send()
+			Str("most", most.Service).Int("most_requests", most.Extra.Requests).Int("most_made", most.Extra.Made).Int("most_denied", most.Extra.Denied).
+			Float64("most_fixed", most.Fixed).Array("reasons", reasonCounts(u.Reasons)).Array("made_by_service", servicesMade(u.TopExtra)).Send()
 	}
 	if u.Contradicted > 0 {
 		log.Log(eventReportsContradicted).Int("searchers", u.Contradicted).Str("one", u.Misreporting).Send()
 	}
 }
+
+// reasonCounts encodes extra attempts by reason.
+type reasonCounts forward.ExtraReasonCounts
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (c reasonCounts) MarshalZerologArray(out *zerolog.Array) {
+	for _, reason := range forward.AllExtraReasons() {
+		if n := c[reason]; n > 0 {
+			out.Str(fmt.Sprintf("%s %d", reason, n))
+		}
+	}
+}
+
+// servicesMade encodes the extra attempts at each service.
+type servicesMade []ServiceUsage
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l servicesMade) MarshalZerologArray(out *zerolog.Array) {
+	for _, su := range l {
+		out.Str(fmt.Sprintf("%s %d", su.Service, su.Extra.Made))
+	}
+}
--- a/internal/forward/forwardrun/usage_test.go
+++ b/internal/forward/forwardrun/usage_test.go
@@ -36,3 +36,18 @@
 	require.Contains(t, out.String(), `"most_sharers":1`)
 	require.Equal(t, Usage{}, e.TakeUsage())
 }
+
+// Guards against logs from which the repeats of all hosts at a service can't be added up.
+func TestUsageSaysWhereAndWhyExtraAttemptsWereMade(t *testing.T) {
+	var u Usage
+	for i := range topExtraServices + 3 {
+		u.addTopExtra(ServiceUsage{Service: "s" + string(rune('a'+i)), Extra: forward.ExtraCount{Made: i}})
+	}
+	u.Extra.Made = 4
+	u.Reasons[forward.ExtraHedge], u.Reasons[forward.ExtraAfterRejection] = 3, 1
+	require.Len(t, u.TopExtra, topExtraServices)
+	var out strings.Builder
+	u.Log(eventlog.New(&out, zerolog.InfoLevel, "h"))
+	require.Contains(t, out.String(), `"reasons":["hedge 3","rejected 1"]`)
+	require.Contains(t, out.String(), `"made_by_service":["so 14","sn 13",`)
+}
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -13,6 +13,7 @@
 	Service   string
 	searchers []*Searcher
 	budget    Budget
+	reasons   ExtraReasonCounts // of extra attempts since TakeExtraReasons
 	gate      Gate
 
 	restrictions map[Identity]restriction // of searchers that are not in the group
@@ -203,10 +204,20 @@
 	if !g.gate.Begin(now, s.Identity) {
 		return nil, false
 	}
+	if opts.Extra {
+		g.reasons[opts.Reason]++
+	}
 	s.begin(now, c.MedianTime)
 	return s, false
 }
 
+// TakeExtraReasons returns the extra attempts since the last call, by reason.
+func (g *Group) TakeExtraReasons() ExtraReasonCounts {
+	r := g.reasons
+	g.reasons = ExtraReasonCounts{}
+	return r
+}
+
 // End records the result of an attempt that began at the given time, with the given
 // MedianTime of its Criteria. It returns what the result says about the estimates.
 func (g *Group) End(now, began time.Time, s *Searcher, median time.Duration, r Result) workload.Observation {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -94,6 +94,7 @@
 	Tried      []*Searcher // by earlier attempts
 	AllowTried bool        // a searcher in Tried may be chosen again
 	Extra      bool        // an earlier attempt may have reached a searcher
+	Reason     ExtraReason // valid if Extra
 	// MaxTime is the longest useful expected time, or 0 for no limit. A hedge
 	// that would answer too late only adds load.
 	MaxTime time.Duration
@@ -413,6 +414,9 @@
 		return false
 	}
 	opts := AttemptOptions{Tried: sub.tried(), Extra: sub.mayHaveReached()}
+	if opts.Extra {
+		opts.Reason = sub.extraReason()
+	}
 	if !needed {
 		opts.MaxTime = r.maxHedgeTime(now)
 	}
