Number the buckets of the retry budget by the monotonic clock

A host whose time of day jumps ahead by a window may make all extra attempts of its budget again at once; if the clocks of all hosts are stepped, searchers get twice the repeats that the plan allows. The cause is that the buckets of the window were numbered by time.UnixNano, which follows the time of day. They are now numbered by the time since the first use, which is monotonic.

TestBudgetHoldsWhenTheTimeOfDayJumps failed before ("after a jump of 20 s") and passes now.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -30,7 +30,8 @@
 	hosts    int
 	requests [budgetBuckets]int
 	extras   [budgetBuckets]int
-	newest   int64 // number of the newest bucket
+	origin   time.Time // from which buckets are numbered; zero before the first use
+	newest   int64     // number of the newest bucket
 	count    ExtraCount
 }
 
@@ -66,9 +67,15 @@
 	return c
 }
 
+// advance empties the buckets that have left the window, and returns the index of the
+// newest one. Buckets are numbered by the time since the first use: the time of day may
+// jump, and a jump ahead would empty the window.
 func (b *Budget) advance(now time.Time) int {
 	width := max(b.limits.Window/(budgetBuckets-1), time.Millisecond)
-	n := now.UnixNano() / int64(width)
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	n := int64(now.Sub(b.origin) / width)
 	if n-b.newest >= budgetBuckets {
 		b.requests, b.extras = [budgetBuckets]int{}, [budgetBuckets]int{}
 	} else {
