--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -68,12 +68,12 @@
 }
 
 // advance empties the buckets that have left the window, and returns the index of the
-// newest one. Buckets are numbered by the time since the first use: the time of day may
-// jump, and a jump ahead would empty the window.
+// newest one. Buckets are numbered by the monotonic time since the first use: the time of
+// day may jump, and a jump ahead would empty the window.
 func (b *Budget) advance(now time.Time) int {
 	width := max(b.limits.Window/(budgetBuckets-1), time.Millisecond)
 	if b.origin.IsZero() {
-		b.origin = now
+		b.origin = now.Add(-time.Duration(now.UnixNano() % int64(width)))
 	}
 	n := int64(now.Sub(b.origin) / width)
 	if n-b.newest >= budgetBuckets {
