Divide the retry budget by the agreed members, and grant repeats to gatherers

Callers' services got more repeats than the plan's budget allows when other hosts gathered than before. Each gatherer used a part of the fixed budget that was the whole divided by the number of gatherers in its own view. The number can stay right while the hosts change: the strong hosts spend their parts, are lost, and the weak hosts that take over spend whole parts in the same window.

Now every agreed member has one part, whoever gathers, and uses it only under a confirmation of its list that is younger than half a window; a host that joins or starts again waits until the others' lists and windows are past.

The assertions on the number of sharers in TestUsageNamesTheServices asks for the one number that is left.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	d.gate = newSearcherGate(d)
-	return forwardrun.New(forwardrun.Config{
+	e := forwardrun.New(forwardrun.Config{
 		Wire: d.adapter.Wire, FailureDomain: d.settings.FailureDomain, Seed: d.settings.Seed,
 		OnMisdirected: func(target string, incarnation uint64) {
 			d.observeDrain(query.DrainObserved{Target: target, Incarnation: incarnation})
@@ -44,9 +44,13 @@
 			d.loop.TryPost(control.TargetsEvent{Event: targets.DrainObserved{Target: target, Incarnation: incarnation, Leaving: true}})
 		},
 		ReplyMemory: int64(d.settings.MemoryLimit) / replyMemoryDivisor,
-		Budget:      d.retryLimits(),
-		Gate:        d.gate,
+		Budget: forward.BudgetLimits{
+			Ratio: float64(d.settings.RetryPermille) / 1000, Extra: float64(d.settings.RetryExtra), Window: d.settings.RetryWindow,
+		},
+		Gate: d.gate,
 	})
+	e.SetBudgetShare(forwardrun.BudgetShare{}) // not known yet
+	return e
 }
 
 // replyMemoryDivisor is the part of the process's memory that replies of searchers
@@ -195,7 +199,6 @@
 		a.placedHosts = s.Hosts
 		p = newPlacement(s, time.Since(d.startedAt), a.placement)
 	}
-	recomputed := p != a.placement
 	if a.targets != s.Targets || a.withdrawals != s.Withdrawals || a.withdrawalsKnown != s.WithdrawalsKnown || a.plan != s.Plan || a.hosts != hosts || !a.placement.same(p) {
 		if !a.placement.same(p) {
 			d.log.Log(eventGatherersChanged).Strs("gatherers", p.names()).Bool("unknown", p.unknown).Int("hosts", hosts).Int("live", liveHosts(s)).Send()
@@ -204,9 +207,9 @@
 		d.gather.placement.Store(p)
 		d.engine.SetSearchers(d.searcherSpecs(s, p, hosts))
 	}
-	a.placement = p // its counts of sharers may differ although the choice is the same
-	if now := time.Now(); recomputed || a.sharers.due(now, s) {
-		d.engine.SetSharers(a.sharers.update(now, d.settings.RetryWindow, s, p))
+	a.placement = p
+	if now := d.loop.Now(); a.budgetShare.due(now, s) {
+		d.engine.SetBudgetShare(a.budgetShare.update(now, d.settings.RetryWindow, s, d.settings.Host))
 	}
 }
 
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -26,7 +26,7 @@
 	withdrawalsKnown bool
 	placement        *placement
 	placedHosts      []control.Host // from which placement was computed
-	sharers          sharers
+	budgetShare      budgetShare
 }
 
 // applySnapshots updates the traffic state that outlives single requests from
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -38,7 +38,6 @@
 	carriers  map[string][]gathering.Host   // that get the requests to a service that is not gathered
 	chosen    map[choice][]gathering.Host   // by what the choice for a service depends on
 	carrying  map[choice][]gathering.Host   // carriers, by the same
-	sharers   map[choice]int                // hosts that may send requests to such a service
 	splits    map[uint64][][]gathering.Part // ways to divide gathers, by the set of shards
 	// unknown is true until this host has found the other hosts. Until then it
 	// opens no connections for gathers, since it can't know its share.
@@ -62,7 +61,7 @@
 func newPlacement(s *control.Snapshot, age time.Duration, previous *placement) *placement {
 	p := &placement{
 		gatherers: make(map[string][]gathering.Host), carriers: make(map[string][]gathering.Host),
-		chosen: make(map[choice][]gathering.Host), carrying: make(map[choice][]gathering.Host), sharers: make(map[choice]int),
+		chosen: make(map[choice][]gathering.Host), carrying: make(map[choice][]gathering.Host),
 	}
 	if s.Plan == nil {
 		return p
@@ -103,14 +102,12 @@
 	used := usedConnections(svc)
 	switch {
 	case key.gathered:
-		p.chosen[key], p.sharers[key] = fleet.Choose(used), fleet.Sharers(used)
-		return
+		p.chosen[key] = fleet.Choose(used)
 	case key.routed:
 		p.carrying[key], p.chosen[key] = fleet.ChooseForOne(svc.MaxConnections, used)
 	case !fleet.GrantedToAll(svc.MaxConnections):
 		p.chosen[key] = []gathering.Host{}
 	}
-	p.sharers[key] = fleet.SharersForOne(svc.MaxConnections, used)
 }
 
 // nearShare is the least share of the gathered services that must have a
@@ -230,7 +227,7 @@
 
 // gatherAmong has a request carried out by the first of the gatherers that takes it.
 func (d *Daemon) gatherAmong(ctx context.Context, call *forwardrun.Call, h handOver, order []gathering.Host) (*forwardrun.Answer, *verdict.Error) {
-	request := gatheringrpc.EncodeCall(d.settings.Host, call, h.version, h.path)
+	var request *gatheringrpc.GatherRequest
 	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no host gathers for this route").WithRetryAfter(retryAfterGatherer)
 	for _, g := range order[:min(len(order), maxGatherers)] {
 		if g.Name == d.settings.Host {
@@ -240,6 +237,11 @@
 		if err := call.Permitted(); err != nil {
 			return &forwardrun.Answer{}, err
 		}
+		if request == nil {
+			granting := *call
+			granting.Grant.Attempts = d.engine.Grant(call)
+			request = gatheringrpc.EncodeCall(d.settings.Host, &granting, h.version, h.path)
+		}
 		answer, err := d.gatherAt(ctx, g, call, request)
 		if err == nil || answer != nil {
 			return answer, err
@@ -433,7 +435,7 @@
 		return &gatheringrpc.GatherReply{Failure: s.d.encodeFailure(refusal), Plan: record.Plan}, nil
 	}
 	record.Route, record.Objective = route.Name, route.Objective
-	call := gatheringrpc.DecodeCall(now, m, route)
+	call := gatheringrpc.DecodeCall(now, m, route, s.d.engine.GrantLifetime())
 	access.Apply(call)
 	answer, failure := s.d.engine.Do(ctx, call)
 	holdForResponse(ctx, answer)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -71,6 +71,7 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "withdrawn_failure_domains", Help: "Failure domains to whose targets this host sends nothing, by order of an operator."}, func() float64 {
 			return float64(len(d.loop.Snapshot().Withdrawals.Names()))
 		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "forward_fixed_extra_attempts", Help: "Extra attempts at each service that this host may make or grant in a window whatever the number of requests. The sum over all hosts is less than the fixed part of the budget."}, d.engine.FixedExtra),
 		total("forward_dials_total", "Connections opened to searchers.", &st.Dials),
 		total("forward_dial_failures_total", "Connections to searchers that could not be opened.", &st.DialFailures),
 	}
--- a/internal/daemon/sharing.go
+++ b/internal/daemon/sharing.go
@@ -1,82 +1,78 @@
 package daemon
 
 import (
-	"maps"
+	"slices"
 	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/control"
-	"github.com/hawthornlock/hawthornlock/internal/forward"
 	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 )
 
-// retryLimits returns the bounds on extra attempts. A predecessor of this process may
-// have spent its part of the budget until this process started.
-func (d *Daemon) retryLimits() forward.BudgetLimits {
-	window := d.settings.RetryWindow
-	return forward.BudgetLimits{
-		Ratio: float64(d.settings.RetryPermille) / 1000, Extra: float64(d.settings.RetryExtra), Window: window,
-		WholeFrom: d.startedAt.Add(window),
-	}
-}
-
-// sharerCount is a number of hosts that share a budget. A decrease takes effect only
-// after a time, since a host that left may have spent its part just before, and one that
-// is out of reach goes on.
-type sharerCount struct {
+// memberCount is a number of hosts that divide a budget. A decrease takes effect only
+// after a time, since a host that left may have spent its part just before.
+type memberCount struct {
 	hosts       int
 	confirmedAt time.Time
 }
 
-func (c *sharerCount) update(now time.Time, hosts int, retention time.Duration) {
+func (c *memberCount) update(now time.Time, hosts int, retention time.Duration) {
 	if hosts >= c.hosts || now.Sub(c.confirmedAt) > retention {
-		*c = sharerCount{hosts: hosts, confirmedAt: now}
+		*c = memberCount{hosts: hosts, confirmedAt: now}
 	}
 }
 
-// sharers is what a host knows of those with which it shares budgets.
-type sharers struct {
-	epoch   uint64                 // of the agreed member list
-	at      time.Time              // of the last update
-	all     sharerCount            // of services that every host reaches by itself
-	choices map[choice]sharerCount // of the others
+// budgetShare decides which part of the fixed budget of extra attempts is this host's: one
+// part for each agreed member, whichever of them send requests to searchers.
+//
+// The parts in use in any window add up to the whole at most, since
+//   - a host uses its part only while the leader has confirmed its list within shareLapse,
+//     so that a list that has been replaced is soon out of use everywhere,
+//   - a host that was not a member before, or can't know that it was, waits until the
+//     others divide by a list with it and a whole window has passed since, and
+//   - a smaller number of members takes effect after the same time.
+type budgetShare struct {
+	at          time.Time // of the last update
+	epoch       uint64    // of the agreed list
+	member      bool      // of that list
+	confirmedAt time.Time // when a leader last confirmed it or the list before
+	from        time.Time // when this host may use its part
+	members     memberCount
 }
 
-// sharersPeriod is the time between two updates that only look for a decrease.
-const sharersPeriod = time.Second
+// sharePeriod is the time between two updates without a new list.
+const sharePeriod = time.Second
 
-// due reports whether the counts may change although the placement did not.
-func (c *sharers) due(now time.Time, s *control.Snapshot) bool {
-	return c.epoch != s.AgreedMembers.Epoch || now.Sub(c.at) >= sharersPeriod
+// shareLapse returns the age of a confirmation of the agreed list at which a host no longer
+// uses its part.
+func shareLapse(window time.Duration) time.Duration { return window / 2 }
+
+// due reports whether an update is due.
+func (b *budgetShare) due(now time.Time, s *control.Snapshot) bool {
+	return b.epoch != s.AgreedMembers.Epoch || now.Sub(b.at) >= sharePeriod
 }
 
-// update takes over what a snapshot shows. The result has no counts before the agreed
-// member list is known: each host that starts knows only a few others, and their parts
-// together would exceed the budget.
-func (c *sharers) update(now time.Time, window time.Duration, s *control.Snapshot, p *placement) forwardrun.Sharers {
-	c.epoch, c.at = s.AgreedMembers.Epoch, now
-	if c.epoch == 0 {
-		return forwardrun.Sharers{}
-	}
-	retention := window + window/2 // the time until every host knows of a change is within half a window
-	c.all.update(now, fleetSize(s), retention)
-	if c.choices == nil {
-		c.choices = make(map[choice]sharerCount)
+// update takes over what a snapshot shows. now is a time of the control state's clock.
+func (b *budgetShare) update(now time.Time, window time.Duration, s *control.Snapshot, self string) forwardrun.BudgetShare {
+	lapse := shareLapse(window)
+	wait := window + lapse
+	list := s.AgreedMembers
+	if b.epoch != list.Epoch {
+		// A host may have been left out by a list that it has missed.
+		missed := now.Sub(b.confirmedAt) > lapse
+		if !b.member || missed {
+			b.from = now.Add(wait)
+		}
+		b.epoch, b.member = list.Epoch, slices.Contains(list.Hosts, self)
 	}
-	for key, hosts := range p.sharers {
-		count := c.choices[key]
-		count.update(now, hosts, retention)
-		c.choices[key] = count
+	b.at = now
+	if s.MembersConfirmedAt.After(b.confirmedAt) {
+		b.confirmedAt = s.MembersConfirmedAt
 	}
-	maps.DeleteFunc(c.choices, func(key choice, count sharerCount) bool {
-		_, current := p.sharers[key]
-		return !current && now.Sub(count.confirmedAt) > retention
-	})
-	out := forwardrun.Sharers{Hosts: c.all.hosts, Services: make(map[string]int, len(p.gatherers))}
-	for name := range p.gatherers {
-		svc, _ := s.Plan.Service(name)
-		out.Services[name] = c.choices[choiceOf(s.Plan, svc)].hosts
+	if !b.member {
+		return forwardrun.BudgetShare{}
 	}
-	return out
+	b.members.update(now, fleetSize(s), wait)
+	return forwardrun.BudgetShare{Hosts: b.members.hosts, From: b.from, Until: b.confirmedAt.Add(lapse)}
 }
 
 // fleetSize returns the number of hosts that may be running.
--- a/internal/forward/extra.go
+++ b/internal/forward/extra.go
@@ -25,6 +25,14 @@
 // ExtraReasonCounts counts extra attempts by reason.
 type ExtraReasonCounts [extraReasons]int
 
+// Sum returns the number of extra attempts.
+func (c ExtraReasonCounts) Sum() (n int) {
+	for _, k := range c {
+		n += k
+	}
+	return n
+}
+
 // extraReason returns the reason of a further attempt of a sub-request.
 func (sub *subRequest) extraReason() ExtraReason {
 	if sub.openAttempt() != nil {
--- a/internal/forward/forwardrun/call.go
+++ b/internal/forward/forwardrun/call.go
@@ -35,6 +35,8 @@
 	// sent no key.
 	Account *accounts.Account
 	Key     accounts.Key
+	// Grant is what the host that received the call allows this one, if it is another.
+	Grant Grant
 	// Permit returns why no further attempt may be made, or nil. It is called on the
 	// goroutine of the run before each attempt. A nil Permit permits all.
 	Permit func() *verdict.Error
@@ -51,6 +53,26 @@
 // priority returns the rank of the call, 0 for the most urgent.
 func (c *Call) priority() int { return c.Account.PriorityOr(c.Route.Priority) }
 
+// shards returns the services of a gathered route that the call is about.
+func (c *Call) shards() []string {
+	if c.Shards == nil {
+		return c.Route.Gather.Services
+	}
+	out := make([]string, len(c.Shards))
+	for i, k := range c.Shards {
+		out[i] = c.Route.Gather.Services[k]
+	}
+	return out
+}
+
+// services returns all services that may answer the call.
+func (c *Call) services() []string {
+	if c.Route.Gather != nil {
+		return c.shards()
+	}
+	return c.Route.Services()
+}
+
 // features returns what the cost of the call is estimated by.
 func (c *Call) features() workload.Features {
 	f := workload.Features{Route: c.Route.Name, Body: len(c.Body)}
--- a/internal/forward/forwardrun/engine.go
+++ b/internal/forward/forwardrun/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -48,7 +47,8 @@
 
 	mu       sync.RWMutex
 	services map[string]*service
-	sharers  Sharers
+
+	share atomic.Pointer[BudgetShare] // nil if no other host has a part
 
 	routesMu sync.Mutex
 	routes   map[string]*routeState
@@ -85,7 +85,7 @@
 
 // New returns an engine without searchers.
 func New(config Config) *Engine {
-	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), costs: workload.NewCosts(), kinds: make(map[string]*KindEstimates), sharers: Sharers{Hosts: 1}}
+	e := &Engine{config: config, services: make(map[string]*service), routes: make(map[string]*routeState), costs: workload.NewCosts(), kinds: make(map[string]*KindEstimates)}
 	e.ending.Store(&ending{replaced: make(chan struct{})})
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -99,35 +99,6 @@
 // Stats returns the totals.
 func (e *Engine) Stats() *Stats { return &e.stats }
 
-// Sharers are the numbers of hosts that share the budgets of extra attempts. 0 means
-// that the number is not known, and that this host has no fixed part of the budget.
-type Sharers struct {
-	Hosts    int
-	Services map[string]int // of services that only some hosts reach
-}
-
-// of returns the number of hosts that share the budget of a service.
-func (s Sharers) of(name string) int {
-	if n, ok := s.Services[name]; ok {
-		return n
-	}
-	return s.Hosts
-}
-
-// SetSharers sets the numbers of hosts that share the budgets. It is 1 before the
-// first call.
-func (e *Engine) SetSharers(sharers Sharers) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.sharers.Hosts == sharers.Hosts && maps.Equal(e.sharers.Services, sharers.Services) {
-		return
-	}
-	e.sharers = sharers
-	for _, s := range e.services {
-		s.setHosts(sharers.of(s.name))
-	}
-}
-
 // SetSearchers replaces the searchers of all services.
 func (e *Engine) SetSearchers(specs map[string][]forward.SearcherSpec) {
 	e.mu.Lock()
@@ -136,7 +107,6 @@
 		s := e.services[name]
 		if s == nil {
 			s = newService(e, name)
-			s.setHosts(e.sharers.of(name))
 			e.services[name] = s
 		}
 		s.replace(list)
@@ -159,7 +129,6 @@
 	defer e.mu.Unlock()
 	if s = e.services[name]; s == nil {
 		s = newService(e, name)
-		s.setHosts(e.sharers.of(name))
 		e.services[name] = s
 	}
 	return s
@@ -187,15 +156,8 @@
 // route that it is about, or the one that the split selects.
 func (e *Engine) servicesOf(call *Call, state *routeState) []string {
 	r := call.Route
-	if r.Gather != nil && call.Shards != nil {
-		out := make([]string, len(call.Shards))
-		for i, k := range call.Shards {
-			out[i] = r.Gather.Services[k]
-		}
-		return out
-	}
 	if r.Gather != nil {
-		return r.Gather.Services
+		return call.shards()
 	}
 	if len(r.Splits) == 1 {
 		return []string{r.Splits[0].Service}
--- a/internal/forward/forwardrun/explain.go
+++ b/internal/forward/forwardrun/explain.go
@@ -94,6 +94,6 @@
 	defer s.mu.Unlock()
 	out.Candidates, out.Best = s.group.Explain(now, c)
 	out.Expected, out.Usable = s.group.Expected(now, c)
-	out.ExtraLeft = s.group.Budget().Left(now)
+	out.ExtraLeft = s.budget().Left(now)
 	return out
 }
--- a/internal/forward/forwardrun/runner.go
+++ b/internal/forward/forwardrun/runner.go
@@ -41,6 +41,7 @@
 	awaiting    map[int]*service  // by sub-request that waits for capacity there
 	ended       atomic.Bool       // the run needs no more events
 	denied      *verdict.Error    // why Call.Permit stopped further attempts
+	grantsUsed  map[string]int    // by service: attempts that Call.Grant covered
 
 	mu      sync.Mutex
 	closed  bool  // the answer no longer needs the replies
@@ -83,7 +84,7 @@
 	}
 	left := 0.0
 	if call.Route.Gather != nil { // a request to one service has no slowest shard to wait for
-		left = e.service(services[0]).budgetLeft(now)
+		left = e.service(services[0]).budgetLeft(now) + float64(call.Grant.Attempts)
 	}
 	e.routesMu.Lock()
 	r.cost = e.costs.Estimate(now, call.features())
@@ -310,7 +311,11 @@
 	if r.denied = r.call.Permitted(); r.denied != nil {
 		return nil, false
 	}
+	opts.Granted = opts.Extra && r.granted(now, name)
 	s, busy, ends := r.engine.service(name).begin(now, r.criteria(), opts, r.rng)
+	if s != nil && opts.Granted {
+		r.useGrant(name)
+	}
 	if busy {
 		if r.endsSeen == nil {
 			r.endsSeen = make(map[string]uint64)
--- a/internal/forward/forwardrun/service.go
+++ b/internal/forward/forwardrun/service.go
@@ -44,26 +44,6 @@
 	return s
 }
 
-func (s *service) setHosts(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.group.Budget().SetHosts(n)
-}
-
-// recordRequest records a caller's request for the service.
-func (s *service) recordRequest(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.group.Budget().RecordRequest(now)
-}
-
-// budgetLeft returns how many extra attempts the budget has left per request.
-func (s *service) budgetLeft(now time.Time) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.group.Budget().LeftPerRequest(now)
-}
-
 // replace sets the searchers. Idle connections to removed searchers are closed;
 // attempts in flight go on.
 func (s *service) replace(specs []forward.SearcherSpec) {
@@ -119,6 +99,9 @@
 func (s *service) begin(now time.Time, c forward.Criteria, opts forward.AttemptOptions, rng *rand.Rand) (searcher *forward.Searcher, busy bool, ends uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if opts.Extra && !opts.Granted {
+		s.budget() // the choice below charges it
+	}
 	searcher, busy = s.group.Begin(now, c, opts, rng)
 	if searcher != nil && opts.Extra {
 		s.engine.stats.Extra[opts.Reason].Add(1)
--- a/internal/forward/forwardrun/usage.go
+++ b/internal/forward/forwardrun/usage.go
@@ -34,25 +34,24 @@
 	Service      string
 	Connections  ConnectionCount
 	Extra        forward.ExtraCount
-	Reasons      forward.ExtraReasonCounts // of the extra attempts that were made
+	Reasons      forward.ExtraReasonCounts // of the extra attempts that were made, granted ones included
 	Fixed        float64                   // extra attempts in a window that are this host's, whatever it gets
 	Contradicted []forward.Identity        // searchers whose reports their responses contradict
 }
 
 // Usage is what this host has used of all services since the last record.
 type Usage struct {
-	Connections    ConnectionCount
-	Services       int          // to which connections were opened
-	MostWasted     ServiceUsage // most connections that carried no reply
-	Extra          forward.ExtraCount
-	Reasons        forward.ExtraReasonCounts
-	MostExtra      ServiceUsage   // most extra attempts, or wanted ones
-	TopExtra       []ServiceUsage // most extra attempts made, at most topExtraServices
-	ExtraServices  int            // with extra attempts
-	LeastSharers   int            // of the budgets of those services
-	LargestSharers int
-	Contradicted   int    // searchers whose reports of their load their responses contradict
-	Misreporting   string // one of them: service/target
+	Connections   ConnectionCount
+	Services      int          // to which connections were opened
+	MostWasted    ServiceUsage // most connections that carried no reply
+	Extra         forward.ExtraCount
+	Reasons       forward.ExtraReasonCounts
+	MostExtra     ServiceUsage   // most extra attempts, or wanted ones
+	TopExtra      []ServiceUsage // most extra attempts made, at most topExtraServices
+	ExtraServices int            // with extra attempts
+	Sharers       int            // hosts that divide the fixed part of the budgets; 0 if this host has no part
+	Contradicted  int            // searchers whose reports of their load their responses contradict
+	Misreporting  string         // one of them: service/target
 }
 
 // TakeUsage returns the usage since the last call.
@@ -77,7 +76,7 @@
 		if len(su.Contradicted) > 0 {
 			u.Misreporting = su.Service + "/" + su.Contradicted[0].Target
 		}
-		if su.Extra.Wanted() == 0 {
+		if su.Extra.Wanted()+su.Reasons.Sum() == 0 {
 			continue
 		}
 		u.ExtraServices++
@@ -85,10 +84,7 @@
 		if su.Extra.Wanted() > u.MostExtra.Extra.Wanted() {
 			u.MostExtra = su
 		}
-		if u.LeastSharers == 0 || sharers < u.LeastSharers {
-			u.LeastSharers = sharers
-		}
-		u.LargestSharers = max(u.LargestSharers, sharers)
+		u.Sharers = sharers
 	}
 	return u
 }
@@ -99,11 +95,11 @@
 
 // addTopExtra keeps the services with the most extra attempts, most first.
 func (u *Usage) addTopExtra(su ServiceUsage) {
-	if su.Extra.Made == 0 {
+	if su.Reasons.Sum() == 0 {
 		return
 	}
 	at, _ := slices.BinarySearchFunc(u.TopExtra, su, func(a, b ServiceUsage) int {
-		return cmp.Or(cmp.Compare(b.Extra.Made, a.Extra.Made), cmp.Compare(a.Service, b.Service))
+		return cmp.Or(cmp.Compare(b.Reasons.Sum(), a.Reasons.Sum()), cmp.Compare(a.Service, b.Service))
 	})
 	u.TopExtra = slices.Insert(u.TopExtra, at, su)
 	u.TopExtra = u.TopExtra[:min(len(u.TopExtra), topExtraServices)]
@@ -114,9 +110,10 @@
 func (s *service) takeUsage() (u ServiceUsage, sharers int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u = ServiceUsage{Service: s.name, Connections: s.used, Extra: s.group.Budget().TakeCount(), Reasons: s.group.TakeExtraReasons(), Fixed: s.group.Budget().Fixed(time.Now()), Contradicted: s.group.Contradicted(time.Now())}
+	b := s.budget()
+	u = ServiceUsage{Service: s.name, Connections: s.used, Extra: b.TakeCount(), Reasons: s.group.TakeExtraReasons(), Fixed: b.Fixed(), Contradicted: s.group.Contradicted(time.Now())}
 	s.used = ConnectionCount{}
-	return u, s.group.Budget().Hosts()
+	return u, b.Hosts()
 }
 
 // Log writes the usage, in one line for connections that carried no reply, one for extra
@@ -127,10 +124,10 @@
 		log.Log(eventConnectionsWasted).Int("opened", c.Opened).Int("failed", c.Failed).Int("unanswered", c.Unanswered).Int("services", u.Services).
 			Str("most", most.Service).Int("most_opened", most.Connections.Opened).Int("most_wasted", most.Connections.wasted()).Send()
 	}
-	if u.Extra.Wanted() > 0 {
+	if u.Extra.Wanted()+u.Extra.Granted+u.Reasons.Sum() > 0 {
 		x, most := u.Extra, u.MostExtra
 		log.Log(eventExtraAttempts).Int("requests", x.Requests).Int("made", x.Made).Int("denied", x.Denied).Int("services", u.ExtraServices).
-			Int("least_sharers", u.LeastSharers).Int("most_sharers", u.LargestSharers).
+			Int("granted", x.Granted).Int("sharers", u.Sharers).
 			Str("most", most.Service).Int("most_requests", most.Extra.Requests).Int("most_made", most.Extra.Made).Int("most_denied", most.Extra.Denied).
 			Float64("most_fixed", most.Fixed).Array("reasons", reasonCounts(u.Reasons)).Array("made_by_service", servicesMade(u.TopExtra)).Send()
 	}
@@ -157,6 +154,6 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (l servicesMade) MarshalZerologArray(out *zerolog.Array) {
 	for _, su := range l {
-		out.Str(fmt.Sprintf("%s %d", su.Service, su.Extra.Made))
+		out.Str(fmt.Sprintf("%s %d", su.Service, su.Reasons.Sum()))
 	}
 }
--- a/internal/forward/forwardrun/usage_test.go
+++ b/internal/forward/forwardrun/usage_test.go
@@ -33,7 +33,7 @@
 	var out strings.Builder
 	u.Log(eventlog.New(&out, zerolog.InfoLevel, "h"))
 	require.Contains(t, out.String(), `"unanswered":`)
-	require.Contains(t, out.String(), `"most_sharers":1`)
+	require.Contains(t, out.String(), `"sharers":1`)
 	require.Equal(t, Usage{}, e.TakeUsage())
 }
 
@@ -41,7 +41,7 @@
 func TestUsageSaysWhereAndWhyExtraAttemptsWereMade(t *testing.T) {
 	var u Usage
 	for i := range topExtraServices + 3 {
-		u.addTopExtra(ServiceUsage{Service: "s" + string(rune('a'+i)), Extra: forward.ExtraCount{Made: i}})
+		u.addTopExtra(ServiceUsage{Service: "s" + string(rune('a'+i)), Reasons: forward.ExtraReasonCounts{forward.ExtraHedge: i}})
 	}
 	u.Extra.Made = 4
 	u.Reasons[forward.ExtraHedge], u.Reasons[forward.ExtraAfterRejection] = 3, 1
--- a/internal/forward/group.go
+++ b/internal/forward/group.go
@@ -198,7 +198,7 @@
 func (g *Group) Begin(now time.Time, c Criteria, opts AttemptOptions, rng *rand.Rand) (s *Searcher, busy bool) {
 	c.Tried, c.AllowTried, c.MaxTime = opts.Tried, opts.AllowTried, opts.MaxTime
 	s, busy = g.Choose(now, c, rng)
-	if s == nil || opts.Extra && !g.budget.Spend(now) {
+	if s == nil || opts.Extra && !opts.Granted && !g.budget.Spend(now) {
 		return nil, busy
 	}
 	if !g.gate.Begin(now, s.Identity) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -95,6 +95,7 @@
 	AllowTried bool        // a searcher in Tried may be chosen again
 	Extra      bool        // an earlier attempt may have reached a searcher
 	Reason     ExtraReason // valid if Extra
+	Granted    bool        // the host that received the request has paid for the extra attempt
 	// MaxTime is the longest useful expected time, or 0 for no limit. A hedge
 	// that would answer too late only adds load.
 	MaxTime time.Duration
--- a/internal/gathering/gathering.go
+++ b/internal/gathering/gathering.go
@@ -188,29 +188,6 @@
 	return strong[:min(max(connections/minConnections, 1), len(strong))]
 }
 
-// SharersForOne returns a number of hosts that is not less than the number of those that
-// send requests to a service from which no route gathers. While the agreed list changes,
-// hosts draw from two lists.
-func (f Fleet) SharersForOne(granted, connections int) int {
-	size := max(f.Size, len(f.Hosts))
-	if f.GrantedToAll(granted) {
-		return size
-	}
-	return min(2*hostsForOne+f.Sharers(connections), size)
-}
-
-// Sharers returns a number of hosts that is not less than the number of those that gather
-// from a service, whichever hosts each of them knows. Hosts with different views choose
-// different gatherers, and all of them may be in use at once.
-func (f Fleet) Sharers(connections int) int {
-	size := max(f.Size, len(f.Hosts))
-	if size <= max(connections, 1) {
-		return size
-	}
-	unseen := size - len(f.Hosts) // any of them may be strong
-	return min(len(f.strong())+unseen, max(connections/minConnections, 1))
-}
-
 // pooled returns the near hosts of a small fleet if each of them then has more
 // connections to a searcher than if every host gathered for itself.
 //
--- a/internal/gathering/gatheringrpc/codec.go
+++ b/internal/gathering/gatheringrpc/codec.go
@@ -20,7 +20,7 @@
 func EncodeCall(from string, c *forwardrun.Call, version uint64, path string) *GatherRequest {
 	m := &GatherRequest{
 		From: from, Plan: version, RequestId: []byte(c.ID), Method: []byte(c.Method), Uri: []byte(c.URI), Host: []byte(c.Host),
-		Headers: encodeHeader(c.Header), Body: c.Body, Path: []byte(path),
+		Headers: encodeHeader(c.Header), Body: c.Body, Path: []byte(path), GrantedAttempts: uint32(c.Grant.Attempts),
 	}
 	if c.Key != (accounts.Key{}) {
 		m.Key = c.Key[:]
@@ -34,6 +34,9 @@
 	return m
 }
 
+// maxGrantedAttempts bounds the extra attempts that a message may grant.
+const maxGrantedAttempts = 8
+
 // SameShards reports whether the shards of a request are shards of a route. A request
 // for a whole gather fits every route.
 func SameShards(m *GatherRequest, route *routeplan.Route) bool {
@@ -68,8 +71,9 @@
 	m.DelayUs = (c.Delay + hop).Microseconds()
 }
 
-// DecodeCall returns the call of a request that arrived now, on its route.
-func DecodeCall(now time.Time, m *GatherRequest, route *routeplan.Route) *forwardrun.Call {
+// DecodeCall returns the call of a request that arrived now, on its route. Its grant
+// expires after the given time.
+func DecodeCall(now time.Time, m *GatherRequest, route *routeplan.Route, grantLifetime time.Duration) *forwardrun.Call {
 	c := &forwardrun.Call{
 		ID: string(m.GetRequestId()), Method: string(m.GetMethod()), URI: string(m.GetUri()), Host: string(m.GetHost()),
 		Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(), Route: route,
@@ -77,6 +81,9 @@
 		Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
 		Delay:    time.Duration(m.GetDelayUs()) * time.Microsecond,
 	}
+	if n := m.GetGrantedAttempts(); n > 0 {
+		c.Grant = forwardrun.Grant{Attempts: int(min(n, maxGrantedAttempts)), Until: now.Add(grantLifetime)}
+	}
 	for _, i := range m.GetShards() {
 		c.Shards = append(c.Shards, int(i))
 	}
--- a/internal/gathering/gatheringrpc/codec_test.go
+++ b/internal/gathering/gatheringrpc/codec_test.go
@@ -21,6 +21,7 @@
 	call := &forwardrun.Call{
 		ID: odd, Method: http.MethodPost, URI: "/" + odd, Host: odd, Header: http.Header{"X-A": {odd, ""}}, Body: []byte(odd),
 		Route: &routeplan.Route{Name: "r"}, Arrived: now.Add(-20 * time.Millisecond), Deadline: now.Add(time.Second), Delay: 6 * time.Millisecond,
+		Grant: forwardrun.Grant{Attempts: 1},
 	}
 	m := EncodeCall("h1", call, 7, "/"+odd)
 	m.SetTimes(now, call, 3*time.Millisecond)
@@ -30,7 +31,8 @@
 	require.NoError(t, proto.Unmarshal(data, &request))
 	want := *call
 	want.Delay += 3 * time.Millisecond
-	require.Equal(t, &want, DecodeCall(now, &request, call.Route))
+	want.Grant.Until = now.Add(2 * time.Second)
+	require.Equal(t, &want, DecodeCall(now, &request, call.Route, 2*time.Second))
 
 	for _, a := range []*forwardrun.Answer{
 		{Signatures: []string{odd, "s"}, Body: []byte(odd), Missing: 2, Admitted: 0.75, Leaving: []forward.Identity{{Target: "t", Incarnation: 3}}},
@@ -57,7 +59,7 @@
 	call := &forwardrun.Call{Route: route, Shards: []int{0, 2}}
 	m := EncodeCall("h1", call, 7, "/")
 	require.True(t, SameShards(m, route))
-	require.Equal(t, []int{0, 2}, DecodeCall(time.Unix(1, 0), m, route).Shards)
+	require.Equal(t, []int{0, 2}, DecodeCall(time.Unix(1, 0), m, route, 0).Shards)
 	for _, services := range [][]string{{"a", "b"}, {"a", "c", "b"}, {"a", "b", "c", "d"}, {"ab", "", "c"}} {
 		require.False(t, SameShards(m, &routeplan.Route{Gather: &routeplan.Gather{Services: services}}), services)
 	}
@@ -68,7 +70,7 @@
 	}
 	whole := EncodeCall("h1", &forwardrun.Call{Route: route}, 7, "/")
 	require.True(t, SameShards(whole, &routeplan.Route{}))
-	require.Nil(t, DecodeCall(time.Unix(1, 0), whole, route).Shards)
+	require.Nil(t, DecodeCall(time.Unix(1, 0), whole, route, 0).Shards)
 }
 
 // Guards against a success with nothing in it, and against a part whose shards do not
