Test clients that do not read answers, the peer listener, and few descriptors

The tests of clients that respect no limit did not cover answers that nobody reads, or reads byte by byte, crowds at the listener for other hosts, and a process with few descriptors.

--- a/internal/intake/intaketest/clients_test.go
+++ b/internal/intake/intaketest/clients_test.go
@@ -1,11 +1,13 @@
 package intaketest
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -17,6 +19,9 @@
 type clients struct {
 	number int
 	send   func(client int, w io.Writer) error
+	// receiveBuffer is the size in bytes that is asked for the receive buffers of the
+	// clients; 0 for the kernel's choice.
+	receiveBuffer int
 }
 
 const (
@@ -35,7 +40,7 @@
 	for i := range c.number {
 		wg.Go(func() {
 			for range attempts {
-				conn, err := net.Dial("tcp", address)
+				conn, err := c.dial(address)
 				if err != nil {
 					continue
 				}
@@ -64,6 +69,20 @@
 	require.Less(p.t, u.descriptors, descriptorBound, "open descriptors")
 }
 
+func (c clients) dial(address string) (net.Conn, error) {
+	d := net.Dialer{}
+	if c.receiveBuffer > 0 {
+		d.Control = func(_, _ string, raw syscall.RawConn) error {
+			var set error
+			err := raw.Control(func(fd uintptr) {
+				set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, c.receiveBuffer)
+			})
+			return errors.Join(err, set)
+		}
+	}
+	return d.Dial("tcp", address)
+}
+
 func mb(bytes int64) float64 { return float64(bytes) / (1 << 20) }
 
 // deadlineWriter fails a write that is not accepted in time.
@@ -116,13 +135,13 @@
 
 // longLines are heads of one line without end.
 func longLines(number int) clients {
-	return clients{number, func(_ int, w io.Writer) error { return sendAll(w, "GET /one/"+strings.Repeat("a", 120<<10)) }}
+	return clients{number: number, send: func(_ int, w io.Writer) error { return sendAll(w, "GET /one/"+strings.Repeat("a", 120<<10)) }}
 }
 
 // endlessHeads are heads of many short lines without end.
 func endlessHeads(number int) clients {
 	lines := headerLines(120 << 10)
-	return clients{number, func(_ int, w io.Writer) error {
+	return clients{number: number, send: func(_ int, w io.Writer) error {
 		return sendPieces(w, "GET /one/x HTTP/1.1\r\nHost: intake.example\r\n"+lines, 16<<10)
 	}}
 }
@@ -131,7 +150,7 @@
 // client above that of the route plan only.
 func largeHeads(number int, path string) clients {
 	above, far := headerLines(maxHeaderBytes+1000), headerLines(400<<10)
-	return clients{number, func(client int, w io.Writer) error {
+	return clients{number: number, send: func(client int, w io.Writer) error {
 		lines := far
 		if client%4 == 0 {
 			lines = above
@@ -143,7 +162,7 @@
 // emptyLines are empty lines before a request.
 func emptyLines(number int) clients {
 	lines := strings.Repeat("\r\n", 128<<10)
-	return clients{number, func(client int, w io.Writer) error {
+	return clients{number: number, send: func(client int, w io.Writer) error {
 		if client%2 == 0 {
 			// A server that skips empty lines after a request may do so without end.
 			if err := sendAll(w, head("POST", "/one/x", "Content-Length: 0\r\n")); err != nil {
@@ -158,7 +177,7 @@
 // their end.
 func bodies(number int, method, path string, size, piece int) clients {
 	body := strings.Repeat("b", size)
-	return clients{number, func(client int, w io.Writer) error {
+	return clients{number: number, send: func(client int, w io.Writer) error {
 		if err := sendAll(w, head(method, path, fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", size))); err != nil {
 			return err
 		}
@@ -176,7 +195,7 @@
 // jsonBodies are like bodies, of one JSON string that is read to its end.
 func jsonBodies(number int, method, path string, size int) clients {
 	body := `{"team":"` + strings.Repeat("b", size-len(`{"team":""}`)) + `"}`
-	return clients{number, func(client int, w io.Writer) error {
+	return clients{number: number, send: func(client int, w io.Writer) error {
 		if err := sendAll(w, head(method, path, fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", size))); err != nil {
 			return err
 		}
@@ -191,7 +210,7 @@
 func chunkedBodies(number int, method, path string, size, chunk int) clients {
 	one := fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("c", chunk))
 	body := strings.Repeat(one, size/chunk)
-	return clients{number, func(client int, w io.Writer) error {
+	return clients{number: number, send: func(client int, w io.Writer) error {
 		if err := sendAll(w, head(method, path, chunkedHead)); err != nil {
 			return err
 		}
@@ -206,7 +225,7 @@
 func chunkExtensions(number int, path string) clients {
 	long := "1;" + strings.Repeat("e", 1<<20)
 	many := strings.Repeat("1;"+strings.Repeat("e", 1000)+"\r\nc\r\n", 300)
-	return clients{number, func(client int, w io.Writer) error {
+	return clients{number: number, send: func(client int, w io.Writer) error {
 		if err := sendAll(w, head("POST", path, chunkedHead)); err != nil {
 			return err
 		}
@@ -220,7 +239,7 @@
 // trailers are bodies whose trailers have no end.
 func trailers(number int, path string) clients {
 	lines := headerLines(256 << 10)
-	return clients{number, func(_ int, w io.Writer) error {
+	return clients{number: number, send: func(_ int, w io.Writer) error {
 		return sendAll(w, head("POST", path, chunkedHead), "8\r\ncccccccc\r\n0\r\n", lines)
 	}}
 }
@@ -245,3 +264,66 @@
 	}
 	return 503
 }
+
+// pace is the time between the first requests of two clients that want to be served: all at
+// once would overload the target, whose refusals are short.
+const pace = 20 * time.Millisecond
+
+// unreadAnswers are requests for answers that nobody reads, several on each connection.
+func unreadAnswers(number, requests, size int) clients {
+	text := strings.Repeat(head("GET", answerPath(size), ""), requests)
+	return clients{number: number, receiveBuffer: 4 << 10, send: func(client int, w io.Writer) error {
+		time.Sleep(time.Duration(client) * pace)
+		return sendAll(w, text)
+	}}
+}
+
+// unreadRefusals are requests without end on each connection, whose short answers nobody
+// reads.
+func unreadRefusals(number int) clients {
+	text := strings.Repeat(head("GET", "/none", ""), 100)
+	return clients{number: number, receiveBuffer: 4 << 10, send: func(_ int, w io.Writer) error {
+		for sendAll(w, text) == nil {
+		}
+		return nil // the connection stays open
+	}}
+}
+
+// slowlyReadAnswers are requests for answers that are read byte by byte.
+func slowlyReadAnswers(number, requests, size int) clients {
+	c := unreadAnswers(number, requests, size)
+	ask := c.send
+	c.send = func(client int, w io.Writer) error {
+		go func() {
+			one := make([]byte, 1)
+			_ = w.(deadlineWriter).SetReadDeadline(time.Time{})
+			for {
+				if _, err := w.(deadlineWriter).Read(one); err != nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+		return ask(client, w)
+	}
+	return c
+}
+
+// peerBodies are messages of a host, all but each eighth one byte short of their end.
+func peerBodies(number, size int) clients {
+	body := strings.Repeat("b", size)
+	text := head("POST", "/twirp/hawthornlock.gathering.Gathering/Gather", fmt.Sprintf("Content-Type: application/protobuf\r\nContent-Length: %d\r\n", size))
+	return clients{number: number, send: func(client int, w io.Writer) error {
+		return sendPieces(w, text+body[:size-short(client)], 64<<10)
+	}}
+}
+
+// both lets two kinds of clients loose, the first ones on even numbers.
+func both(a, b clients) clients {
+	return clients{number: 2 * min(a.number, b.number), receiveBuffer: max(a.receiveBuffer, b.receiveBuffer), send: func(client int, w io.Writer) error {
+		if client%2 == 0 {
+			return a.send(client/2, w)
+		}
+		return b.send(client/2, w)
+	}}
+}
--- a/internal/intake/intaketest/intake_test.go
+++ b/internal/intake/intaketest/intake_test.go
@@ -58,7 +58,7 @@
 
 // Guards against connections without requests that use up the descriptors.
 func TestPlatformIdleConnections(t *testing.T) {
-	startPlatform(t).run("front", clients{400, func(int, io.Writer) error { return nil }})
+	startPlatform(t).run("front", clients{number: 400, send: func(int, io.Writer) error { return nil }})
 }
 
 // Guards against large bodies at the targets' and operators' listener.
@@ -95,6 +95,53 @@
 	startProduct(t).run("admin", jsonBodies(100, "POST", "/v1/admin/changes", 1<<20))
 }
 
+// Guards against answers that nobody reads, which hold the memory for replies that
+// others need.
+func TestPlatformAnswersNobodyReads(t *testing.T) {
+	p := startPlatform(t)
+	p.ordinary["front"] = p.ordinary["answers"]
+	p.run("front", unreadAnswers(200, 60, 64<<10))
+}
+
+// Guards against answers that nobody reads on so many connections that no other caller gets
+// one.
+func TestPlatformRefusalsNobodyReads(t *testing.T) {
+	startPlatform(t).run("front", unreadRefusals(400))
+}
+
+// Guards against answers that are read byte by byte.
+func TestPlatformAnswersReadSlowly(t *testing.T) {
+	p := startPlatform(t)
+	p.ordinary["front"] = p.ordinary["answers"]
+	p.run("front", slowlyReadAnswers(200, 60, 64<<10))
+}
+
+// Guards against answers that nobody reads beside bodies that stop short of their end.
+func TestPlatformBodiesBesideAnswersNobodyReads(t *testing.T) {
+	p := startPlatform(t)
+	p.ordinary["front"] = p.ordinary["answers"]
+	p.run("front", both(bodies(150, "POST", "/one/x", maxBodyBytes, 64<<10), unreadAnswers(150, 60, 64<<10)))
+}
+
+// Guards against heads without end at the listener for other hosts.
+func TestPlatformPeerHeads(t *testing.T) { startPlatform(t).run("peer", endlessHeads(150)) }
+
+// Guards against large bodies at the listener for other hosts.
+func TestPlatformPeerBodies(t *testing.T) {
+	startPlatform(t).run("peer", peerBodies(60, 4<<20))
+}
+
+// Guards against connections that use up the few descriptors of a process, so that it can't
+// reach its searchers.
+func TestPlatformFewDescriptors(t *testing.T) {
+	p, err := startPlatformWith(160)
+	if p != nil {
+		p.belongsTo(t)
+	}
+	require.NoError(t, err)
+	p.run("front", clients{number: 300, send: func(int, io.Writer) error { return nil }})
+}
+
 // Guards against limits that refuse a single request within the limits of the route plan.
 func TestSingleRequestAtTheLimits(t *testing.T) {
 	p := startPlatform(t)
--- a/internal/intake/intaketest/process_test.go
+++ b/internal/intake/intaketest/process_test.go
@@ -82,7 +82,8 @@
 	ordinary  map[string]func() (*http.Request, int)
 }
 
-func start(dir string, env, args []string, addresses map[string]string) (*process, error) {
+// start runs the daemon, with a limit on its descriptors unless that is 0.
+func start(dir string, env, args []string, addresses map[string]string, maxDescriptors int) (*process, error) {
 	path, err := binary()
 	if err != nil {
 		return nil, err
@@ -93,6 +94,9 @@
 		return nil, err
 	}
 	p.cmd = exec.Command(path, args...)
+	if maxDescriptors > 0 {
+		p.cmd = exec.Command("/bin/sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxDescriptors), path}, args...)...)
+	}
 	p.cmd.Env, p.cmd.Stdout, p.cmd.Stderr = env, log, log
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
@@ -153,7 +157,12 @@
 	s.begin()
 	got := <-s.ready
 	require.NoError(t, got.err)
-	p := got.process
+	got.process.belongsTo(t)
+	return got.process
+}
+
+// belongsTo makes the process fail the test, and end with it.
+func (p *process) belongsTo(t *testing.T) {
 	p.t = t
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -162,7 +171,6 @@
 		}
 		p.end()
 	})
-	return p
 }
 
 func (s *supply) keepStarting() {
@@ -202,7 +210,10 @@
 
 // startPlatformProcess starts a host with a platform settings file, a route plan and a
 // stand-in target.
-func startPlatformProcess() (*process, error) {
+func startPlatformProcess() (*process, error) { return startPlatformWith(0) }
+
+// startPlatformWith is startPlatformProcess with a limit on the descriptors of the process.
+func startPlatformWith(maxDescriptors int) (*process, error) {
 	ports, err := freePorts(3)
 	if err != nil {
 		return nil, err
@@ -212,7 +223,7 @@
 	if err != nil {
 		return nil, err
 	}
-	addresses := map[string]string{"admin": fmt.Sprintf("127.0.0.1:%d", base+1)}
+	addresses := map[string]string{"peer": fmt.Sprintf("127.0.0.1:%d", base), "admin": fmt.Sprintf("127.0.0.1:%d", base+1)}
 	for i, name := range []string{"front", "ready", "control"} {
 		addresses[name] = fmt.Sprintf("127.0.0.1:%d", ports[i])
 	}
@@ -245,7 +256,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	p, err := start(dir, []string{"HAWTHORNLOCK_SETTINGS=" + path}, nil, addresses)
+	p, err := start(dir, []string{"HAWTHORNLOCK_SETTINGS=" + path}, nil, addresses, maxDescriptors)
 	if err != nil {
 		return nil, err
 	}
@@ -255,7 +266,12 @@
 			return request(http.MethodGet, addresses["control"], "/hawthornlock/config", ""), 200
 		},
 		"admin": func() (*http.Request, int) { return request(http.MethodGet, addresses["admin"], "/healthz", ""), 200 },
+		// An ordinary caller's answer is larger than what is free of the memory for replies.
+		"answers": func() (*http.Request, int) {
+			return request(http.MethodGet, addresses["front"], answerPath(64<<10), ""), 200
+		},
 	}
+	p.ordinary["peer"] = p.ordinary["front"]
 	plan := fmt.Sprintf(`{"version":1,"routes":[{"name":"one","hostname":"intake.example","path_prefix":"/one/","route_type":"safe","timeout_ms":2000,"target_latency_ms":300,"priority":1,"max_attempts":2,"service":"single"}],`+
 		`"services":[{"name":"single","health_check_path":"/health","max_connections":40}],"limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, maxHeaderBytes, maxBodyBytes)
 	if err := p.answers(func() (*http.Request, int) {
@@ -267,6 +283,13 @@
 	return p, p.answers(p.ordinary["front"])
 }
 
+// answerPrefix begins the paths whose last part is the size of the target's answer.
+const answerPrefix = "/one/answer/"
+
+var answerPiece = make([]byte, 64<<10)
+
+func answerPath(size int) string { return answerPrefix + strconv.Itoa(size) }
+
 // announceTarget starts a target, which answers with its own signature and the number of
 // bytes of the body, and announces it until the test ends.
 func (p *process) announceTarget() {
@@ -281,6 +304,13 @@
 		}
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Response-Signature", "i-1."+r.Header.Get("X-Request-Id"))
+		if size, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, answerPrefix)); err == nil {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			for sent := 0; sent < size; sent += len(answerPiece) {
+				_, _ = w.Write(answerPiece[:min(len(answerPiece), size-sent)])
+			}
+			return
+		}
 		fmt.Fprintf(w, "%d", n)
 	}))
 	born := time.Now().UnixMilli()
@@ -323,7 +353,7 @@
 		"-host", "a", "-failure-domain", "fd1", "-roles", "entry,voter", "-data-dir", filepath.Join(dir, "data"),
 		"-voters", "a=" + addresses["peer"], "-memory-limit", strconv.Itoa(memoryLimitMB << 20),
 		"-caller-listen", addresses["caller"], "-target-listen", addresses["target"], "-admin-listen", addresses["admin"], "-peer-listen", addresses["peer"],
-	}, addresses)
+	}, addresses, 0)
 	if err != nil {
 		return nil, err
 	}
