Close connections whose clients do not take their answers

With as many clients as a listener has connections, each asking for answers that it does not read, no other caller got an answer any more: the request on such a connection counted as complete, and a complete request is never closed in favor of another one. Nor did anything bound the time for which an unread answer stays in the memory for replies.

The ledger now knows connections whose answer is being written. One whose client has taken nothing for 5 s may be closed in favor of a new connection, and one that takes less than 16 KB in -answer-stall (20 s) is closed. No client within the limits meets either: requests have deadlines of seconds. Interim responses change nothing, so that the body after 100 Continue is still charged.

--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -21,7 +21,7 @@
 }
 
 func (d *Daemon) newIntake() *intakerun.Gate {
-	return intakerun.New(intakerun.Config{Limits: intake.LimitsOf(d.intakeSettings()), BodyStall: d.settings.Intake.BodyStall}, d.log)
+	return intakerun.New(intakerun.Config{Limits: intake.LimitsOf(d.intakeSettings()), BodyStall: d.settings.Intake.BodyStall, AnswerStall: d.settings.Intake.AnswerStall}, d.log)
 }
 
 // facesClients reports whether a listener serves clients, which may respect no limit.
@@ -63,7 +63,7 @@
 	}
 	for _, k := range intakerun.Kinds() {
 		out = append(out, prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: namespace, Name: "intake_refused_total", Help: "Requests and connections of clients that were refused before they ran, by kind: memory, stalled or connections.",
+			Namespace: namespace, Name: "intake_refused_total", Help: "Requests and connections of clients that were refused, by kind: memory, stalled or connections before a request ran, unread while its answer was written.",
 			ConstLabels: prometheus.Labels{labelKind: k.String()},
 		}, func() float64 { return float64(d.intake.Refused(k)) }))
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -60,10 +60,11 @@
 
 // Phases of a connection.
 const (
-	Waiting  Phase = iota // no byte of the next request has arrived
-	Head                  // the head is being received
-	Body                  // the body is being received
-	Complete              // the request was received and has not been answered
+	Waiting   Phase = iota // no byte of the next request has arrived
+	Head                   // the head is being received
+	Body                   // the body is being received
+	Complete               // the request was received and has not been answered
+	Answering              // a part of the answer is being written
 )
 
 // progressStep is the progress in bytes that makes a request count as moving. Requests
@@ -142,12 +143,12 @@
 func (l *Ledger) Open(listener string, address netip.Addr, limits ListenerLimits, now time.Time) (id ID, closed []ID, ok bool) {
 	// A caller with too many connections makes room at its own expense.
 	for n := l.count(listener, address); n >= limits.AddressConnections; n-- {
-		if closed, ok = l.closeOne(closed, func(c *connection) bool { return c.listener == listener && c.address == address }); !ok {
+		if closed, ok = l.closeOne(closed, now, func(c *connection) bool { return c.listener == listener && c.address == address }); !ok {
 			return 0, closed, false
 		}
 	}
 	for l.Connections(listener) >= limits.Connections {
-		if closed, ok = l.closeOne(closed, func(c *connection) bool { return c.listener == listener }); !ok {
+		if closed, ok = l.closeOne(closed, now, func(c *connection) bool { return c.listener == listener }); !ok {
 			return 0, closed, false
 		}
 	}
@@ -173,13 +174,30 @@
 	return n
 }
 
+// unreadGrace is how long a client may take nothing of its answer before its connection
+// may be closed in favor of a new one. It is longer than a lost packet takes.
+const unreadGrace = 5 * time.Second
+
+// mayClose reports whether a connection may be closed in favor of a new one: one that is
+// idle, sends a request, or whose client does not take its answer. A request that waits for
+// its answer is never cut off.
+func (c *connection) mayClose(now time.Time) bool {
+	switch c.phase {
+	case Complete:
+		return false
+	case Answering:
+		return now.Sub(c.since) >= unreadGrace
+	default:
+		return true
+	}
+}
+
 // closeOne removes the connection that is the first to go among those that match: the
-// one without progress for the longest time, whether it is idle or sends a request. A
-// request that was received completely is never cut off.
-func (l *Ledger) closeOne(closed []ID, match func(*connection) bool) ([]ID, bool) {
+// one without progress for the longest time.
+func (l *Ledger) closeOne(closed []ID, now time.Time, match func(*connection) bool) ([]ID, bool) {
 	var first *connection
 	for _, c := range l.connections {
-		if c.phase != Complete && match(c) && (first == nil || refusedBefore(c, first)) {
+		if c.mayClose(now) && match(c) && (first == nil || refusedBefore(c, first)) {
 			first = c
 		}
 	}
@@ -266,6 +284,20 @@
 	c.phase, c.since, c.received = p, now, 0
 }
 
+// Answer records that a part of an answer is about to be written or was taken, and that this
+// is progress. Bytes that are written before the request is complete, such as the interim
+// response that asks for a body, change nothing.
+func (l *Ledger) Answer(id ID, taken bool, now time.Time) {
+	c := l.connections[id]
+	if c == nil || c.phase != Complete && c.phase != Answering {
+		return
+	}
+	c.phase, c.since = Answering, now
+	if taken {
+		c.phase = Complete
+	}
+}
+
 // PhaseOf returns the phase of a connection.
 func (l *Ledger) PhaseOf(id ID) Phase {
 	if c := l.connections[id]; c != nil {
@@ -287,7 +319,7 @@
 	if c == nil {
 		return nil, false
 	}
-	if c.phase == Complete {
+	if c.phase == Complete || c.phase == Answering {
 		return nil, true // a byte of the next request, read ahead
 	}
 	if c.received += int64(bytes); c.received >= progressStep {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -173,6 +173,40 @@
 	require.Empty(t, closed)
 }
 
+// Guards against clients that take no answers and keep the connections from all others, and
+// against cutting off an answer that is waited for, or that is being taken.
+func TestConnectionOfAnUnreadAnswerMakesRoom(t *testing.T) {
+	limits := ListenerLimits{Connections: 3, AddressConnections: 3}
+	l := NewLedger(Limits{})
+	unread, taken, waiting := open(t, l, "caller", clientA, limits, 0), open(t, l, "caller", clientA, limits, 0), open(t, l, "caller", clientA, limits, 0)
+	for _, id := range []ID{unread, taken, waiting} {
+		l.Enter(id, Complete, at(1))
+	}
+	l.Answer(unread, false, at(10))
+	l.Answer(taken, false, at(10))
+	end := 10 + int(unreadGrace.Milliseconds())
+	l.Answer(taken, false, at(end-1))
+	_, closed, ok := l.Open("caller", clientB, limits, at(end-1))
+	require.False(t, ok)
+	require.Empty(t, closed)
+	_, closed, ok = l.Open("caller", clientB, limits, at(end))
+	require.True(t, ok)
+	require.Equal(t, []ID{unread}, closed)
+}
+
+// Guards against a body that is no longer charged after an interim response.
+func TestInterimResponseDoesNotEndTheBody(t *testing.T) {
+	l := NewLedger(Limits{Memory: 1 << 20, ListenerMemory: 1 << 20, AddressMemory: 1 << 20})
+	id := open(t, l, "caller", clientA, many, 0)
+	l.Enter(id, Body, at(0))
+	l.Answer(id, false, at(1))
+	l.Answer(id, true, at(2))
+	require.Equal(t, Body, l.PhaseOf(id))
+	_, ok := l.Receive(id, progressStep, FreeCharge+100, at(3))
+	require.True(t, ok)
+	require.EqualValues(t, 100, l.Memory())
+}
+
 // Guards against waiting for a body without end, and against refusing one that is slow.
 func TestStalledBody(t *testing.T) {
 	l := NewLedger(Limits{Memory: 1 << 20, ListenerMemory: 1 << 20, AddressMemory: 1 << 20})
--- a/internal/intake/intakerun/conn.go
+++ b/internal/intake/intakerun/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +50,26 @@
 	return n, err
 }
 
+// answerPiece is the part of an answer in bytes that a client must take within
+// Config.AnswerStall. It fits the send buffer that a connection begins with.
+const answerPiece = 16 << 10
+
+// Write implements net.Conn. It fails if the client does not take the bytes in time.
+func (c *Conn) Write(b []byte) (written int, err error) {
+	defer c.gate.answer(c, true)
+	for written < len(b) && err == nil {
+		c.gate.answer(c, false)
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.gate.cfg.AnswerStall)) // a connection that is closed ends its writes as well
+		var n int
+		n, err = c.Conn.Write(b[written:min(written+answerPiece, len(b))])
+		written += n
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gate.count(Unread, 1)
+	}
+	return written, err
+}
+
 // headOf returns the part of the received bytes up to the empty line that ends a head. The
 // rest is the beginning of a body, which stays in a buffer of the server. An empty line
 // that arrives in two parts is not found, and the bytes after it count as a head.
--- a/internal/intake/intakerun/gate.go
+++ b/internal/intake/intakerun/gate.go
@@ -32,6 +32,8 @@
 	Limits intake.Limits
 	// BodyStall is the time in which a body must make progress; see intake.Ledger.Stalled.
 	BodyStall time.Duration
+	// AnswerStall is the time in which a client must take 16 KB of its answer.
+	AnswerStall time.Duration
 }
 
 // Kind is a kind of refusal in the metrics.
@@ -42,14 +44,15 @@
 	Memory      Kind = iota // requests in progress held too much memory
 	Stalled                 // a body made no progress
 	Connections             // there were too many connections
+	Unread                  // a client did not take its answer
 	kinds
 )
 
 // String returns the kind as it appears in the metrics.
-func (k Kind) String() string { return [kinds]string{"memory", "stalled", "connections"}[k] }
+func (k Kind) String() string { return [kinds]string{"memory", "stalled", "connections", "unread"}[k] }
 
 // Kinds lists all kinds of refusals.
-func Kinds() []Kind { return []Kind{Memory, Stalled, Connections} }
+func Kinds() []Kind { return []Kind{Memory, Stalled, Connections, Unread} }
 
 // Gate bounds what the clients of all its listeners use together. It is safe for
 // concurrent use.
@@ -199,6 +202,14 @@
 	return c.ended()
 }
 
+// answer records that a part of an answer is about to be written, or that the client has
+// taken all that was. It has no effect on a refused connection, whose client is told so.
+func (g *Gate) answer(c *Conn, taken bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Answer(c.id, taken, time.Now())
+}
+
 // closed records that the memory of a request is no longer in use.
 func (g *Gate) closed(c *Conn) {
 	g.mu.Lock()
--- a/internal/intake/intakerun/gate_test.go
+++ b/internal/intake/intakerun/gate_test.go
@@ -55,6 +55,14 @@
 		fmt.Fprint(w, "unread")
 		return
 	}
+	if r.URL.Path == "/endless" {
+		piece := make([]byte, 64<<10)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(piece)
+		}
+		close(h.hold)
+		return
+	}
 	body, err := intakerun.ReadAll(r.Body, r.ContentLength)
 	var refused *verdict.Error
 	if errors.As(err, &refused) {
@@ -109,7 +117,7 @@
 )
 
 func limits(memory int64) intakerun.Config {
-	return intakerun.Config{Limits: intake.Limits{Memory: memory, ListenerMemory: memory, AddressMemory: memory}, BodyStall: time.Hour}
+	return intakerun.Config{Limits: intake.Limits{Memory: memory, ListenerMemory: memory, AddressMemory: memory}, BodyStall: time.Hour, AnswerStall: time.Hour}
 }
 
 func (h *host) eventually(what string, f func() bool) {
@@ -280,3 +288,14 @@
 	_, err := intakerun.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 10)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// Guards against answers that are held without end because their clients do not read them.
+func TestUnreadAnswerIsCutOff(t *testing.T) {
+	cfg := limits(1 << 20)
+	cfg.AnswerStall = 50 * time.Millisecond
+	failed := make(chan struct{})
+	h := startHost(t, cfg, manyConnections, failed)
+	h.dial().send("GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-failed
+	h.eventually("the refusal was not counted", func() bool { return h.gate.Refused(intakerun.Unread) == 1 })
+}
--- a/internal/intake/intakerun/log.go
+++ b/internal/intake/intakerun/log.go
@@ -20,6 +20,9 @@
 	Connections: eventlog.Define(9502, zerolog.WarnLevel, "connections were closed because there were too many",
 		"A listener has more connections than its limit, or than one client address may have. The ones without progress for the longest time were closed; no request had run on them. The line counts a second.",
 		"Look for clients that open connections and do not use them. If all clients are well-behaved, raise -caller-connections or -control-connections, and check the limit of file descriptors."),
+	Unread: eventlog.Define(9503, zerolog.WarnLevel, "connections were closed because their clients did not take the answer",
+		"Clients took less than 16 KB of an answer in -answer-stall. The line counts a second.",
+		"Look at the clients and at the network to them."),
 }
 
 // logInterval bounds the log lines of each kind of refusal.
--- a/internal/settings/intake.go
+++ b/internal/settings/intake.go
@@ -14,6 +14,7 @@
 	AddressPermille    int    // of the connections of a listener, for one client address
 	HeadTimeout        time.Duration
 	BodyStall          time.Duration
+	AnswerStall        time.Duration
 }
 
 // Bounds of these settings. A route plan of 8 MiB needs twice its size.
@@ -34,6 +35,7 @@
 	fs.IntVar(&i.AddressPermille, "address-connections-permille", 875, "share of a listener's connections that one client address may have, per thousand, 100 to 1000")
 	fs.DurationVar(&i.HeadTimeout, "head-timeout", 5*time.Second, "how long a client may take to send the head of a request, 100ms to 10m")
 	fs.DurationVar(&i.BodyStall, "body-stall", 10*time.Second, "time in which a client must send 1024 bytes of a body or its end, 100ms to 10m")
+	fs.DurationVar(&i.AnswerStall, "answer-stall", 20*time.Second, "time in which a client must take 16384 bytes of an answer, 100ms to 10m")
 }
 
 func (i *Intake) check(c *checker) {
@@ -59,7 +61,7 @@
 	for _, d := range []struct {
 		flag  string
 		value time.Duration
-	}{{"head-timeout", i.HeadTimeout}, {"body-stall", i.BodyStall}} {
+	}{{"head-timeout", i.HeadTimeout}, {"body-stall", i.BodyStall}, {"answer-stall", i.AnswerStall}} {
 		if d.value < minIntakeTime || d.value > maxIntakeTime {
 			c.add("-%s %s is outside %s..%s", d.flag, d.value, minIntakeTime, maxIntakeTime)
 		}
