Limit what arrives at the listener for other hosts

150 heads without end at the listener for other hosts took 308 MB of a process with 64 MB, and 60 bodies of 4 MB took 426 MB: the limits on clients did not apply there, a message may have 64 MB, and the head of a request 128 KB, whose map takes a hundred times that. A client that reaches that address could end the process.

The listener has the same limits now, in a ledger of its own, so that clients can't keep hosts from each other: -peer-memory, an eighth of the memory limit, and -peer-connections, four times those of callers. A message of 11.5 MB fits at 184 MB; a route plan has at most 8 MB. The receive buffers are larger than for clients, since the configuration goes between regions.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,6 +106,7 @@
 	listeners   Listeners
 	servers     map[string]*http.Server
 	intake      *intakerun.Gate         // limits on clients
+	peerIntake  *intakerun.Gate         // limits on other hosts
 	served      map[string]net.Listener // what the servers accept from
 	workers     sync.WaitGroup
 }
@@ -199,7 +200,7 @@
 	d.engine = d.newEngine()
 	d.quotas = d.newQuotas()
 	d.gather.chooser, d.gather.log = gathering.NewChooser(), forwardrun.NewGatherLog(d.log)
-	d.intake = d.newIntake()
+	d.intake, d.peerIntake = d.newIntake(), d.newPeerIntake()
 	d.metrics = newMetrics(d)
 	d.groups = entryrun.NewGroups(d.budgetLimits(), d.settings.Seed, d.log)
 	d.groups.SetWithdrawn(func(domain string) bool { return d.loop.Snapshot().Withdrawals.Withdrawn(domain) })
--- a/internal/intake/intakerun/buffer.go
+++ b/internal/intake/intakerun/buffer.go
@@ -8,7 +8,7 @@
 // limitReceiveBuffer sets the size of the receive buffers of connections that a listener
 // will accept. Set on an accepted connection, it would come after the first bytes. A
 // socket that does not allow it keeps the size of the system.
-func limitReceiveBuffer(ln net.Listener) {
+func limitReceiveBuffer(ln net.Listener, bytes int) {
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
 		return
@@ -18,6 +18,6 @@
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
 	})
 }
--- a/internal/intake/intakerun/gate.go
+++ b/internal/intake/intakerun/gate.go
@@ -3,6 +3,7 @@
 package intakerun
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -16,11 +17,11 @@
 	"github.com/hawthornlock/hawthornlock/internal/verdict"
 )
 
-// receiveBuffer is the size in bytes that is asked for the receive buffer of a
+// DefaultReceiveBuffer is the size in bytes that is asked for the receive buffer of a
 // connection. The kernel doubles it for its own overhead, and would otherwise let it grow
 // to several megabytes for a client whose bytes are not read. 32 KB in flight are
 // 5 MB a second at a round trip of 6 ms.
-const receiveBuffer = 32 << 10
+const DefaultReceiveBuffer = 32 << 10
 
 // politeRefusals is the number of connections at once that get a response when their
 // request is refused. The server keeps each open for half a second after it, so that the
@@ -34,6 +35,9 @@
 	BodyStall time.Duration
 	// AnswerStall is the time in which a client must take 16 KB of its answer.
 	AnswerStall time.Duration
+	// ReceiveBuffer is the size in bytes that is asked for the receive buffers of
+	// connections; 0 for DefaultReceiveBuffer.
+	ReceiveBuffer int
 }
 
 // Kind is a kind of refusal in the metrics.
@@ -91,7 +95,7 @@
 
 // Listener wraps a listener, whose connections then count towards the limits.
 func (g *Gate) Listener(name string, ln net.Listener, limits intake.ListenerLimits) net.Listener {
-	limitReceiveBuffer(ln)
+	limitReceiveBuffer(ln, cmp.Or(g.cfg.ReceiveBuffer, DefaultReceiveBuffer))
 	return &listener{Listener: ln, gate: g, name: name, limits: limits}
 }
 
--- a/internal/settings/intake.go
+++ b/internal/settings/intake.go
@@ -10,6 +10,8 @@
 	Memory             uint64 // bytes; 0 for a share of the memory limit
 	CallerConnections  int    // 0 for a number that follows from the memory limit
 	ControlConnections int    // on each other listener for clients; 0 likewise
+	PeerMemory         uint64 // bytes, for messages of other hosts; 0 for a share of the memory limit
+	PeerConnections    int    // of other hosts; 0 for a number that follows from the memory limit
 	MemoryPermille     int    // of the memory, for one client address
 	AddressPermille    int    // of the connections of a listener, for one client address
 	HeadTimeout        time.Duration
@@ -31,6 +33,8 @@
 	fs.Uint64Var(&i.Memory, "intake-memory", 0, "bytes of memory for requests of clients that are being received or wait for an answer, at least 4194304; 0 for an eighth of -memory-limit, or 67108864 without one")
 	fs.IntVar(&i.CallerConnections, "caller-connections", 0, "maximum number of connections of callers, 8 to 1048576; 0 for one for each 262144 bytes of -memory-limit, or 4096 without one")
 	fs.IntVar(&i.ControlConnections, "control-connections", 0, "maximum number of connections on each of the listeners for targets, administration, readiness and metrics, 8 to 1048576; 0 for half of the default of -caller-connections")
+	fs.Uint64Var(&i.PeerMemory, "peer-memory", 0, "bytes of memory for messages of other hosts that are being received or wait for an answer, at least 4194304; 0 for an eighth of -memory-limit, or 67108864 without one")
+	fs.IntVar(&i.PeerConnections, "peer-connections", 0, "maximum number of connections of other hosts, 8 to 1048576; 0 for one for each 65536 bytes of -memory-limit, or 16384 without one")
 	fs.IntVar(&i.MemoryPermille, "address-memory-permille", 750, "share of -intake-memory that the requests from one client address may take, per thousand, 100 to 1000")
 	fs.IntVar(&i.AddressPermille, "address-connections-permille", 875, "share of a listener's connections that one client address may have, per thousand, 100 to 1000")
 	fs.DurationVar(&i.HeadTimeout, "head-timeout", 5*time.Second, "how long a client may take to send the head of a request, 100ms to 10m")
@@ -39,13 +43,18 @@
 }
 
 func (i *Intake) check(c *checker) {
-	if i.Memory != 0 && i.Memory < minIntakeMemory {
-		c.add("-intake-memory %d is not 0 and less than %d", i.Memory, minIntakeMemory)
+	for _, m := range []struct {
+		flag  string
+		value uint64
+	}{{"intake-memory", i.Memory}, {"peer-memory", i.PeerMemory}} {
+		if m.value != 0 && m.value < minIntakeMemory {
+			c.add("-%s %d is not 0 and less than %d", m.flag, m.value, minIntakeMemory)
+		}
 	}
 	for _, n := range []struct {
 		flag  string
 		value int
-	}{{"caller-connections", i.CallerConnections}, {"control-connections", i.ControlConnections}} {
+	}{{"caller-connections", i.CallerConnections}, {"control-connections", i.ControlConnections}, {"peer-connections", i.PeerConnections}} {
 		if n.value != 0 && (n.value < minIntakeConnections || n.value > maxIntakeConnections) {
 			c.add("-%s %d is neither 0 nor within %d..%d", n.flag, n.value, minIntakeConnections, maxIntakeConnections)
 		}
