Log the sharers of hosts that only grant extra attempts

In a play, most hosts were logged with no part of the retry budget although they granted attempts: the line took the number from services with attempts of the host's own. TestUsageNamesTheSharersOfAHostThatOnlyGrants failed before.

--- a/internal/forward/forwardrun/usage.go
+++ b/internal/forward/forwardrun/usage.go
@@ -76,7 +76,7 @@
 		if len(su.Contradicted) > 0 {
 			u.Misreporting = su.Service + "/" + su.Contradicted[0].Target
 		}
-		if su.Extra.Wanted()+su.Reasons.Sum() == 0 {
+		if su.Extra.Wanted()+su.Extra.Granted+su.Reasons.Sum() == 0 {
 			continue
 		}
 		u.ExtraServices++
--- a/internal/forward/forwardrun/usage_test.go
+++ b/internal/forward/forwardrun/usage_test.go
@@ -51,3 +51,14 @@
 	require.Contains(t, out.String(), `"reasons":["hedge 3","rejected 1"]`)
 	require.Contains(t, out.String(), `"made_by_service":["so 14","sn 13",`)
 }
+
+// Guards against a host that is logged as one without a part of the budget because it makes
+// no extra attempts itself, but grants them to others.
+func TestUsageNamesTheSharersOfAHostThatOnlyGrants(t *testing.T) {
+	e := newEngine(t, nil)
+	require.Equal(t, 1, e.Grant(call("first", true)))
+	u := e.TakeUsage()
+	require.Equal(t, 1, u.Sharers)
+	require.Equal(t, 1, u.Extra.Granted)
+	require.Equal(t, Usage{}, e.TakeUsage())
+}
