Let the default connections of all listeners fit the descriptors

With four connections of other hosts for each of callers, all listeners together could have 5,152 connections at 184 MB, where the deployments grant 4,100 descriptors. With two it is 3,680. Three hundred hosts with a few connections each, most of them idle, fit in 1,472.

--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -17,7 +17,7 @@
 
 // peerFactor is how many connections other hosts may have for each of the callers'. Hosts
 // keep a few to each other, most of them idle, and a gatherer has some from every host.
-const peerFactor = 4
+const peerFactor = 2
 
 // peerReceiveBuffer is the size in bytes that is asked for the receive buffers of
 // connections of other hosts. They send the whole configuration between regions, where
--- a/internal/settings/intake.go
+++ b/internal/settings/intake.go
@@ -34,7 +34,7 @@
 	fs.IntVar(&i.CallerConnections, "caller-connections", 0, "maximum number of connections of callers, 8 to 1048576; 0 for one for each 262144 bytes of -memory-limit, or 4096 without one")
 	fs.IntVar(&i.ControlConnections, "control-connections", 0, "maximum number of connections on each of the listeners for targets, administration, readiness and metrics, 8 to 1048576; 0 for half of the default of -caller-connections")
 	fs.Uint64Var(&i.PeerMemory, "peer-memory", 0, "bytes of memory for messages of other hosts that are being received or wait for an answer, at least 4194304; 0 for an eighth of -memory-limit, or 67108864 without one")
-	fs.IntVar(&i.PeerConnections, "peer-connections", 0, "maximum number of connections of other hosts, 8 to 1048576; 0 for one for each 65536 bytes of -memory-limit, or 16384 without one")
+	fs.IntVar(&i.PeerConnections, "peer-connections", 0, "maximum number of connections of other hosts, 8 to 1048576; 0 for one for each 131072 bytes of -memory-limit, or 8192 without one")
 	fs.IntVar(&i.MemoryPermille, "address-memory-permille", 750, "share of -intake-memory that the requests from one client address may take, per thousand, 100 to 1000")
 	fs.IntVar(&i.AddressPermille, "address-connections-permille", 875, "share of a listener's connections that one client address may have, per thousand, 100 to 1000")
 	fs.DurationVar(&i.HeadTimeout, "head-timeout", 5*time.Second, "how long a client may take to send the head of a request, 100ms to 10m")
