Read the budget share once for a grant

A grant for a gather of 180 shards read the clock that counts suspensions once for each shard. BenchmarkGrant, beside other load: 73 us before, 13 us after; 0.4 us when nothing is left to grant.

--- a/internal/forward/forwardrun/bench_test.go
+++ b/internal/forward/forwardrun/bench_test.go
@@ -37,3 +37,22 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/shard")
 }
+
+// BenchmarkGrant measures what a host that hands a gather of 180 shards over pays for the
+// grant: while one is left, and afterwards.
+func BenchmarkGrant(b *testing.B) {
+	gather := &routeplan.Gather{}
+	for i := range 180 {
+		gather.Services = append(gather.Services, fmt.Sprintf("s%d", i))
+	}
+	c := &Call{Route: &routeplan.Route{Name: "r", Gather: gather}}
+	for name, extra := range map[string]float64{"left": 1e12, "spent": 0} {
+		b.Run(name, func(b *testing.B) {
+			e := New(Config{Wire: testWire{}, Budget: forward.BudgetLimits{Ratio: 0.2, Extra: extra, Window: 10 * time.Second}})
+			defer e.Close()
+			for b.Loop() {
+				e.Grant(c)
+			}
+		})
+	}
+}
--- a/internal/forward/forwardrun/budget.go
+++ b/internal/forward/forwardrun/budget.go
@@ -56,10 +56,10 @@
 // Grant takes one extra attempt at each service of a call from this host's budget, for the
 // host that will carry the call out. It grants none unless all services have one left.
 func (e *Engine) Grant(call *Call) (attempts int) {
-	now := time.Now()
+	now, hosts := time.Now(), e.share.Load().HostsAt(bootclock.Now())
 	names := call.services()
 	for i, name := range names {
-		if e.service(name).grant(now) {
+		if e.service(name).grant(now, hosts) {
 			continue
 		}
 		for _, granted := range names[:i] {
@@ -73,10 +73,12 @@
 // GrantLifetime returns how long a grant may be used.
 func (e *Engine) GrantLifetime() time.Duration { return e.config.Budget.GrantLifetime() }
 
-func (s *service) grant(now time.Time) bool {
+func (s *service) grant(now time.Time, hosts int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget().Grant(now)
+	b := s.group.Budget()
+	b.SetHosts(hosts)
+	return b.Grant(now)
 }
 
 func (s *service) ungrant(grantedAt time.Time) {
--- a/internal/forward/forwardrun/budget_test.go
+++ b/internal/forward/forwardrun/budget_test.go
@@ -57,13 +57,13 @@
 	require.Equal(t, 4, grants(BudgetShare{Hosts: 20, From: now.Add(-time.Hour), Until: now.Add(time.Hour)}), "0.85 of 100 for 20 hosts")
 
 	s := e.service("a")
-	require.False(t, s.grant(time.Now()))
+	require.False(t, s.grant(time.Now(), 20))
 	both := call("second", true)
 	both.Route.Splits = append(both.Route.Splits, both.Route.Splits[0])
 	both.Route.Splits[0].Service = "b"
 	require.Zero(t, e.Grant(both), "one of the services has none left")
 	require.Equal(t, 4, func() (n int) {
-		for e.service("b").grant(time.Now()) {
+		for e.service("b").grant(time.Now(), 20) {
 			n++
 		}
 		return n
