Use the fixed retry budget a window after a start under the first list

Under the first list of a fleet no host can divide by an earlier one, so a process only waits for what its predecessor may have spent, one window.

TestBudgetOfAllHostsHoldsWhileTheirViewsDiffer passes; without the wait of a window its case of restarting hosts fails.

--- a/internal/daemon/adapter.go
+++ b/internal/daemon/adapter.go
@@ -209,7 +209,7 @@
 	}
 	a.placement = p
 	if now := d.loop.Now(); a.budgetShare.due(now, s) {
-		d.engine.SetBudgetShare(a.budgetShare.update(now, d.settings.RetryWindow, s, d.settings.Host))
+		d.engine.SetBudgetShare(a.budgetShare.update(now, now.Add(-time.Since(d.startedAt)), d.settings.RetryWindow, s, d.settings.Host))
 	}
 }
 
--- a/internal/daemon/sharing.go
+++ b/internal/daemon/sharing.go
@@ -28,7 +28,9 @@
 //   - a host uses its part only while the leader has confirmed its list within shareLapse,
 //     so that a list that has been replaced is soon out of use everywhere,
 //   - a host that was not a member before, or can't know that it was, waits until the
-//     others divide by a list with it and a whole window has passed since, and
+//     others divide by a list with it and a whole window has passed since,
+//   - a process waits for a window after its start, since its predecessor may have used the
+//     part, and
 //   - a smaller number of members takes effect after the same time.
 type budgetShare struct {
 	at          time.Time // of the last update
@@ -51,15 +53,22 @@
 	return b.epoch != s.AgreedMembers.Epoch || now.Sub(b.at) >= sharePeriod
 }
 
-// update takes over what a snapshot shows. now is a time of the control state's clock.
-func (b *budgetShare) update(now time.Time, window time.Duration, s *control.Snapshot, self string) forwardrun.BudgetShare {
+// firstEpoch is the epoch of the first agreed list of a fleet.
+const firstEpoch = 1
+
+// update takes over what a snapshot shows. now and started, when this process started, are
+// times of the control state's clock.
+func (b *budgetShare) update(now, started time.Time, window time.Duration, s *control.Snapshot, self string) forwardrun.BudgetShare {
 	lapse := shareLapse(window)
 	wait := window + lapse
 	list := s.AgreedMembers
 	if b.epoch != list.Epoch {
 		// A host may have been left out by a list that it has missed.
 		missed := now.Sub(b.confirmedAt) > lapse
-		if !b.member || missed {
+		switch {
+		case list.Epoch == firstEpoch:
+			b.from = started.Add(window) // nobody can divide by an earlier list
+		case !b.member || missed:
 			b.from = now.Add(wait)
 		}
 		b.epoch, b.member = list.Epoch, slices.Contains(list.Hosts, self)
--- a/internal/daemon/sharing_test.go
+++ b/internal/daemon/sharing_test.go
@@ -64,7 +64,7 @@
 		h.seen, h.place = s, newPlacement(&seen, age, h.place)
 	}
 	if h.share.due(time.Now(), &seen) {
-		h.part = h.share.update(time.Now(), window, &seen, h.name)
+		h.part = h.share.update(time.Now(), h.started, window, &seen, h.name)
 	}
 }
 
