Do not use a grant for the services of another route plan

A gatherer with a newer route plan than the host that asks may need other services, whose budget that host has not charged: a repeat there was counted by nobody. The grant is now dropped if the plans differ.

TestGathererRepeatsAtTheExpenseOfTheHostThatAsks runs two hosts: its case with the older plan failed before, and the case with a grant fails if none is sent.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -3,7 +3,10 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 
+	"github.com/hawthornlock/hawthornlock/internal/bootclock"
+	"github.com/hawthornlock/hawthornlock/internal/forward/forwardrun"
 	"github.com/hawthornlock/hawthornlock/internal/gathering"
 )
 
@@ -28,6 +31,12 @@
 	})
 }
 
+// UseWholeBudget gives the host the whole fixed part of the budgets of extra attempts, as a
+// member list of one host does after some time.
+func (d *Daemon) UseWholeBudget() {
+	d.engine.SetBudgetShare(forwardrun.BudgetShare{Hosts: 1, Until: bootclock.Now().Add(time.Hour)})
+}
+
 // Gathers reports whether the host takes requests from other hosts.
 func (d *Daemon) Gathers() bool {
 	p := d.gather.placement.Load()
--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -436,6 +436,9 @@
 	}
 	record.Route, record.Objective = route.Name, route.Objective
 	call := gatheringrpc.DecodeCall(now, m, route, s.d.engine.GrantLifetime())
+	if snapshot.Plan.Version != m.GetPlan() {
+		call.Grant = forwardrun.Grant{} // it may be for other services
+	}
 	access.Apply(call)
 	answer, failure := s.d.engine.Do(ctx, call)
 	holdForResponse(ctx, answer)
