Take no answer stall as no limit on answers

A gate that is configured without AnswerStall failed every write, since the deadline was the present: BenchmarkSmallRequest failed with the gate. The daemon always sets it.

--- a/internal/intake/intakerun/bench_test.go
+++ b/internal/intake/intakerun/bench_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/hawthornlock/hawthornlock/internal/eventlog"
 	"github.com/hawthornlock/hawthornlock/internal/intake"
@@ -22,7 +23,7 @@
 			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
 			serving := net.Listener(ln)
 			if limited {
-				gate := intakerun.New(intakerun.Config{Limits: intake.Limits{Memory: 1 << 20, ListenerMemory: 1 << 20, AddressMemory: 1 << 20}}, eventlog.Nop())
+				gate := intakerun.New(intakerun.Config{Limits: intake.Limits{Memory: 1 << 20, ListenerMemory: 1 << 20, AddressMemory: 1 << 20}, AnswerStall: time.Hour}, eventlog.Nop())
 				serving = gate.Listener("caller", ln, manyConnections)
 				server.Handler, server.ConnState, server.ConnContext = intakerun.Handler(server.Handler), intakerun.StateChanged, intakerun.ConnContext
 			}
--- a/internal/intake/intakerun/conn.go
+++ b/internal/intake/intakerun/conn.go
@@ -59,7 +59,9 @@
 	defer c.gate.answer(c, true)
 	for written < len(b) && err == nil {
 		c.gate.answer(c, false)
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.gate.cfg.AnswerStall)) // a connection that is closed ends its writes as well
+		if stall := c.gate.cfg.AnswerStall; stall > 0 {
+			_ = c.Conn.SetWriteDeadline(time.Now().Add(stall)) // a connection that is closed ends its writes as well
+		}
 		var n int
 		n, err = c.Conn.Write(b[written:min(written+answerPiece, len(b))])
 		written += n
--- a/internal/intake/intakerun/gate.go
+++ b/internal/intake/intakerun/gate.go
@@ -33,7 +33,8 @@
 	Limits intake.Limits
 	// BodyStall is the time in which a body must make progress; see intake.Ledger.Stalled.
 	BodyStall time.Duration
-	// AnswerStall is the time in which a client must take 16 KB of its answer.
+	// AnswerStall is the time in which a client must take 16 KB of its answer; 0 for no
+	// limit.
 	AnswerStall time.Duration
 	// ReceiveBuffer is the size in bytes that is asked for the receive buffers of
 	// connections; 0 for DefaultReceiveBuffer.
