--- a/internal/daemon/gather.go
+++ b/internal/daemon/gather.go
@@ -237,10 +237,8 @@
 		if err := call.Permitted(); err != nil {
 			return &forwardrun.Answer{}, err
 		}
-		if request == nil {
-			granting := *call
-			granting.Grant.Attempts = d.engine.Grant(call)
-			request = gatheringrpc.EncodeCall(d.settings.Host, &granting, h.version, h.path)
+		if request == nil { // the same grant for all gatherers that are tried
+			request = d.grantingRequest(call, h)
 		}
 		answer, err := d.gatherAt(ctx, g, call, request)
 		if err == nil || answer != nil {
@@ -258,6 +256,14 @@
 	return &forwardrun.Answer{}, failure
 }
 
+// grantingRequest returns the message that hands a call over, with a grant of extra attempts
+// from this host's budget.
+func (d *Daemon) grantingRequest(call *forwardrun.Call, h handOver) *gatheringrpc.GatherRequest {
+	granting := *call
+	granting.Grant.Attempts = d.engine.Grant(call)
+	return gatheringrpc.EncodeCall(d.settings.Host, &granting, h.version, h.path)
+}
+
 func callerGone() *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, forwardrun.CodeCallerGone, "the caller closed its connection")
 }
